--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: demo test lint bench capacity binary clean
+
+$(READY): requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(READY)
+
+## Show five kinds of request and a reclaim under a live stream.
+demo: $(READY)
+	$(BIN)/python examples/demo.py
+
+## Run all tests.
+test: $(READY)
+	$(BIN)/python -m pytest -q -n 6 --dist loadgroup
+
+## Check format, lint and types.
+lint: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+## Measure latency, relay speed and memory.
+bench: $(READY)
+	$(BIN)/python -m bench
+
+## Measure the slopes behind docs/CAPACITY.md.
+capacity: $(READY)
+	$(BIN)/python -m bench.capacity
+
+## Build one file that runs as one process.
+binary: $(READY)
+	$(BIN)/python tools/binary/build.py
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/poplarrelay/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, a module per group of commands."""
--- /dev/null
+++ b/poplarrelay/configuration/schema.py
@@ -0,0 +1,104 @@
+"""Schema of what operators publish: templates and deployments."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import Field
+
+from poplarrelay.settings import NAME_PATTERN, StrictModel, load_model
+from poplarrelay.tables.requests import RequestClass
+
+__all__ = [
+    "ClassTargets",
+    "ConfigurationFile",
+    "Deployment",
+    "DeploymentLimits",
+    "Service",
+    "Template",
+    "TemplateLimits",
+]
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+
+
+class ClassTargets(StrictModel):
+    """Latency targets of one request class, in seconds."""
+
+    first_token_s: float = Field(gt=0)
+    deadline_s: float = Field(gt=0)
+
+
+class Service(StrictModel):
+    """A plain service and which of its calls may be repeated."""
+
+    name: Name
+    repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+
+
+class TemplateLimits(StrictModel):
+    """Upper bounds that a team's limits may not pass."""
+
+    max_running: int = Field(default=64, ge=1)
+    max_queued: int = Field(default=256, ge=0)
+    retry_ratio: float = Field(default=0.2, ge=0, le=1)
+
+
+class DeploymentLimits(StrictModel):
+    """A team's own limits; None takes the template's."""
+
+    max_running: int | None = Field(default=None, ge=1)
+    max_queued: int | None = Field(default=None, ge=0)
+    retry_ratio: float | None = Field(default=None, ge=0, le=1)
+
+
+class Template(StrictModel):
+    """What the deployments of several teams share."""
+
+    name: Name
+    models: tuple[Name, ...] = ()
+    services: tuple[Service, ...] = ()
+    failure_domains: tuple[Name, ...] = Field(min_length=1)
+    classes: dict[RequestClass, ClassTargets]
+    limits: TemplateLimits = TemplateLimits()
+
+
+class Deployment(StrictModel):
+    """One team's parameters on top of a template.
+
+    Attributes
+    ----------
+    priority : int
+        Weight of the team when several wait for the same endpoint.
+    token_sha256 : tuple of str
+        Hashes of the bearer tokens that name the team.
+    """
+
+    team: Name
+    template: Name
+    token_sha256: tuple[Sha256, ...] = Field(min_length=1)
+    models: tuple[Name, ...] | None = None
+    services: tuple[Name, ...] | None = None
+    failure_domains: tuple[Name, ...] | None = None
+    priority: int = Field(default=1, ge=1, le=100)
+    limits: DeploymentLimits = DeploymentLimits()
+
+
+class ConfigurationFile(StrictModel):
+    """A file for ``config check`` and ``config publish``."""
+
+    templates: tuple[Template, ...] = ()
+    deployments: tuple[Deployment, ...] = ()
+
+    @classmethod
+    def from_file(cls, path: Path) -> ConfigurationFile:
+        """Read and check a configuration file.
+
+        Raises
+        ------
+        SettingsError
+            With every fault of the file.
+        """
+        return load_model(cls, path)
--- /dev/null
+++ b/poplarrelay/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the back ends: model engines and plain services."""
--- /dev/null
+++ b/poplarrelay/identifiers.py
@@ -0,0 +1,42 @@
+"""Identifiers of the entities that the tables hold."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+__all__ = [
+    "AttemptId",
+    "DomainId",
+    "EndpointId",
+    "IdempotencyKey",
+    "Incarnation",
+    "NodeId",
+    "Offset",
+    "RecordId",
+    "RequestId",
+    "StreamName",
+    "TeamId",
+]
+
+#: A node's name, fixed by its settings and kept over restarts.
+NodeId = NewType("NodeId", str)
+#: One run of a node's process. A restart is a new incarnation.
+Incarnation = NewType("Incarnation", str)
+#: A model engine (runner) or a plain service.
+EndpointId = NewType("EndpointId", str)
+#: A failure domain.
+DomainId = NewType("DomainId", str)
+#: A team, the unit of isolation between callers.
+TeamId = NewType("TeamId", str)
+#: A request, unique over all incarnations of all nodes.
+RequestId = NewType("RequestId", str)
+#: One attempt to run a request at an endpoint.
+AttemptId = NewType("AttemptId", str)
+#: A record of the log, chosen by its writer.
+RecordId = NewType("RecordId", str)
+#: A stream of the platform's log service.
+StreamName = NewType("StreamName", str)
+#: A record's position in its stream, counted from 0.
+Offset = NewType("Offset", int)
+#: The value of a caller's ``Idempotency-Key`` header.
+IdempotencyKey = NewType("IdempotencyKey", str)
--- /dev/null
+++ b/poplarrelay/messages/convert.py
@@ -0,0 +1,198 @@
+"""Convert rows to the forms that travel between nodes, and back."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+
+from poplarrelay.identifiers import (
+    DomainId,
+    IdempotencyKey,
+    Incarnation,
+    NodeId,
+    RequestId,
+    TeamId,
+)
+from poplarrelay.messages.gossip import MemberRow, StoredAnswer, StoredRequest
+from poplarrelay.outcomes import (
+    Answered,
+    Continued,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    ServiceAnswer,
+    Unknown,
+    UnknownReason,
+    Usage,
+)
+from poplarrelay.tables.members import Member, MemberStatus
+from poplarrelay.tables.requests import Request, RequestClass, Work, WorkKind
+
+__all__ = [
+    "load_member",
+    "load_outcome",
+    "load_request",
+    "load_work",
+    "store_member",
+    "store_outcome",
+    "store_request",
+]
+
+
+def store_outcome(outcome: Outcome) -> StoredAnswer:
+    """Return the travelling form of an outcome."""
+    if isinstance(outcome, NotRun):
+        return StoredAnswer(
+            tag="not_run",
+            reason=outcome.reason.value,
+            retry_after_s=outcome.retry_after_s,
+        )
+    if isinstance(outcome, Unknown):
+        return StoredAnswer(
+            tag="unknown",
+            reason=outcome.reason.value,
+            retry_after_s=outcome.retry_after_s,
+        )
+    if isinstance(outcome, Continued):
+        return StoredAnswer(
+            tag="unknown", reason=UnknownReason.NODE_LEAVING.value, retry_after_s=0.0
+        )
+    service, usage = outcome.service, outcome.usage
+    return StoredAnswer(
+        tag="answered",
+        tokens=outcome.tokens,
+        status=0 if service is None else service.status,
+        content_type="" if service is None else service.content_type,
+        body="" if service is None else b64encode(service.body).decode(),
+        prompt_tokens=usage.prompt_tokens,
+        completion_tokens=usage.completion_tokens,
+        cached_tokens=usage.cached_tokens,
+        recomputed_tokens=usage.recomputed_tokens,
+    )
+
+
+def load_outcome(stored: StoredAnswer) -> Outcome:
+    """Return the outcome that travelled.
+
+    Examples
+    --------
+    >>> outcome = NotRun(NotRunReason.DEADLINE)
+    >>> load_outcome(store_outcome(outcome)) == outcome
+    True
+    """
+    if stored.tag == "not_run":
+        return NotRun(NotRunReason(stored.reason), stored.retry_after_s)
+    if stored.tag == "unknown":
+        return Unknown(UnknownReason(stored.reason), stored.retry_after_s)
+    service = None
+    if stored.status:
+        body = b64decode(stored.body)
+        service = ServiceAnswer(stored.status, stored.content_type, body)
+    usage = Usage(
+        stored.prompt_tokens,
+        stored.completion_tokens,
+        stored.cached_tokens,
+        stored.recomputed_tokens,
+    )
+    return Answered(stored.tokens, service, usage)
+
+
+def store_request(request: Request, now: float) -> StoredRequest:
+    """Return the travelling form of a request."""
+    work = request.work
+    outcome = request.outcome
+    return StoredRequest(
+        id=request.id,
+        team=request.team,
+        request_class=request.request_class.value,
+        kind=work.kind.value,
+        name=work.name,
+        method=work.method,
+        path=work.path,
+        content_type=work.content_type,
+        body=b64encode(work.body).decode(),
+        prompt=work.prompt,
+        max_tokens=work.max_tokens,
+        prefix=work.prefix,
+        prompt_tokens=work.prompt_tokens,
+        repeatable=work.repeatable,
+        fingerprint=work.fingerprint,
+        key=request.key,
+        remaining_s=request.deadline - now,
+        age_s=now - request.arrived,
+        first_token_s=request.first_token_s,
+        deferred=request.deferred,
+        outcome=None if outcome is None else store_outcome(outcome),
+    )
+
+
+def load_work(stored: StoredRequest) -> Work:
+    """Return the work of a request that travelled."""
+    return Work(
+        kind=WorkKind(stored.kind),
+        name=stored.name,
+        method=stored.method,
+        path=stored.path,
+        content_type=stored.content_type,
+        body=b64decode(stored.body),
+        prompt=stored.prompt,
+        max_tokens=stored.max_tokens,
+        prompt_tokens=stored.prompt_tokens,
+        prefix=stored.prefix,
+        repeatable=stored.repeatable,
+        fingerprint=stored.fingerprint,
+    )
+
+
+def load_request(stored: StoredRequest, now: float) -> Request:
+    """Return the row of a request that was handed over."""
+    request = Request(
+        id=RequestId(stored.id),
+        team=TeamId(stored.team),
+        work=load_work(stored),
+        request_class=RequestClass(stored.request_class),
+        arrived=now - stored.age_s,
+        deadline=now + stored.remaining_s,
+        first_token_s=stored.first_token_s,
+        key=None if stored.key is None else IdempotencyKey(stored.key),
+        deferred=stored.deferred,
+    )
+    if stored.outcome is not None:
+        request.outcome = load_outcome(stored.outcome)
+    return request
+
+
+def store_member(member: Member) -> MemberRow:
+    """Return the travelling form of a member."""
+    return MemberRow(
+        node=member.node,
+        incarnation=member.incarnation,
+        generation=member.generation,
+        version=member.version,
+        status=member.status.value,
+        domain=member.domain,
+        callers=member.callers,
+        peers=member.peers,
+        ready=member.ready,
+        epoch=member.epoch,
+        configuration_next=member.configuration_next,
+        successor=member.successor,
+    )
+
+
+def load_member(row: MemberRow, now: float) -> Member:
+    """Return the member that travelled."""
+    return Member(
+        node=NodeId(row.node),
+        incarnation=Incarnation(row.incarnation),
+        generation=row.generation,
+        version=row.version,
+        status=MemberStatus(row.status),
+        domain=DomainId(row.domain),
+        callers=row.callers,
+        peers=row.peers,
+        ready=row.ready,
+        epoch=row.epoch,
+        configuration_next=row.configuration_next,
+        successor=None if row.successor is None else NodeId(row.successor),
+        changed_at=now,
+    )
--- /dev/null
+++ b/poplarrelay/messages/effects.py
@@ -0,0 +1,308 @@
+"""What the systems order: typed effects, carried out by I/O threads."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from poplarrelay.exception import CallerError
+from poplarrelay.identifiers import (
+    EndpointId,
+    NodeId,
+    RequestId,
+    StreamName,
+    TeamId,
+)
+from poplarrelay.messages.gossip import (
+    HandoverMessage,
+    KeyQuestion,
+    ProbeMessage,
+    StoredRequest,
+)
+from poplarrelay.messages.inbox import CallId
+from poplarrelay.messages.records import RecordValue
+from poplarrelay.outcomes import Outcome
+from poplarrelay.tables.requests import Attempt, MovePlan, Work
+
+__all__ = [
+    "AcceptDeferred",
+    "AppendRecord",
+    "AskKey",
+    "AskPeers",
+    "Conclude",
+    "Count",
+    "Counter",
+    "Decided",
+    "Decision",
+    "Effect",
+    "FetchConfiguration",
+    "Forward",
+    "HandOver",
+    "ListHosts",
+    "MoveAttempt",
+    "Observe",
+    "PollLoad",
+    "ProbePeer",
+    "Reject",
+    "Reply",
+    "RunAttempt",
+    "SendNews",
+    "StopProcess",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class RunAttempt:
+    """Run an attempt.
+
+    Attributes
+    ----------
+    deferred : bool
+        No caller's thread waits for it; one of the node's own runs it.
+    """
+
+    attempt: Attempt
+    work: Work
+    team: TeamId
+    urgency: int
+    deferred: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class MoveAttempt:
+    """Continue a running attempt elsewhere."""
+
+    request: RequestId
+    plan: MovePlan
+
+
+@dataclass(frozen=True, slots=True)
+class Conclude:
+    """Give the waiting thread the request's final outcome."""
+
+    request: RequestId
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Reject:
+    """Tell the waiting thread that the request is not acceptable."""
+
+    request: RequestId
+    error: CallerError
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptDeferred:
+    """Tell the waiting thread that the answer can be fetched by id later."""
+
+    request: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer a thread that waits for a call."""
+
+    call: CallId
+    value: object
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRecord:
+    """Append a record, together with others that wait for the same stream.
+
+    Attributes
+    ----------
+    until : float
+        Monotonic time after which the append is of no use.
+    """
+
+    stream: StreamName
+    value: RecordValue
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class FetchConfiguration:
+    """Read all configuration in force from a peer."""
+
+    peer: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListHosts:
+    """Read the platform's host list."""
+
+
+@dataclass(frozen=True, slots=True)
+class PollLoad:
+    """Read an endpoint's load report."""
+
+    endpoint: EndpointId
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProbePeer:
+    """Probe a peer, and through others if it does not answer.
+
+    Attributes
+    ----------
+    node : NodeId or None
+        None for a seed whose name is not known yet.
+    helpers : tuple of str
+        Peers to try through.
+    """
+
+    node: NodeId | None
+    peer: str
+    message: ProbeMessage
+    helpers: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SendNews:
+    """Send news to peers at once, without waiting for a round of probes."""
+
+    peers: tuple[str, ...]
+    message: ProbeMessage
+
+
+@dataclass(frozen=True, slots=True)
+class AskKey:
+    """Ask the process that holds a key what became of it."""
+
+    request: RequestId
+    peer: str
+    question: KeyQuestion
+
+
+@dataclass(frozen=True, slots=True)
+class AskPeers:
+    """Ask all peers whether any knows a key."""
+
+    request: RequestId
+    peers: tuple[str, ...]
+    question: KeyQuestion
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """Send a request to the home that its ticket names."""
+
+    request: RequestId
+    peer: str
+    incarnation: str
+    stored: StoredRequest
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Hand over to a successor."""
+
+    node: NodeId
+    peer: str
+    message: HandoverMessage
+
+
+@dataclass(frozen=True, slots=True)
+class StopProcess:
+    """End the process.
+
+    Attributes
+    ----------
+    clean : bool
+        Whether nothing was cut off.
+    """
+
+    clean: bool
+
+
+class Decision(Enum):
+    """Kinds of decisions that get a log line."""
+
+    ADMIT = "admit"
+    CLAIM = "claim"
+    CONFIGURATION = "configuration"
+    DEFER = "defer"
+    DRAIN = "drain"
+    END = "end"
+    ENDPOINT = "endpoint"
+    HANDOVER = "handover"
+    LEASE = "lease"
+    MEMBER = "member"
+    MOVE = "move"
+    PLACEMENT = "placement"
+    RETRY = "retry"
+    ROUTE = "route"
+
+
+@dataclass(frozen=True, slots=True)
+class Decided:
+    """A decision for the log; never with a token, prompt or answer.
+
+    Attributes
+    ----------
+    fields : tuple of (str, value)
+        What the decision was about and why.
+    """
+
+    decision: Decision
+    fields: tuple[tuple[str, str | int | float | bool | None], ...]
+
+
+class Counter(Enum):
+    """Counters and histograms that the systems feed."""
+
+    ACCEPTED = "requests_accepted"
+    OUTCOMES = "request_outcomes"
+    ATTEMPTS = "attempts"
+    RETRIES = "retries"
+    MOVES = "moves"
+    RECOMPUTED = "recomputed_tokens"
+    LATE = "late_answers"
+    FIRST_TOKEN = "first_token_seconds"
+    REJECTED = "requests_rejected"
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Add to a counter."""
+
+    counter: Counter
+    amount: float = 1.0
+    labels: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Observe:
+    """Add a value to a histogram."""
+
+    counter: Counter
+    value: float
+    labels: tuple[tuple[str, str], ...] = ()
+
+
+Effect = (
+    RunAttempt
+    | MoveAttempt
+    | Conclude
+    | Reject
+    | AcceptDeferred
+    | Reply
+    | AppendRecord
+    | FetchConfiguration
+    | ListHosts
+    | PollLoad
+    | ProbePeer
+    | SendNews
+    | AskKey
+    | AskPeers
+    | Forward
+    | HandOver
+    | StopProcess
+    | Decided
+    | Count
+    | Observe
+)
--- /dev/null
+++ b/poplarrelay/messages/gossip.py
@@ -0,0 +1,198 @@
+"""Messages between nodes."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from poplarrelay.settings import StrictModel
+
+__all__ = [
+    "HandoverMessage",
+    "HandoverReply",
+    "KeyQuestion",
+    "KeyReply",
+    "MemberRow",
+    "NoticeRow",
+    "ProbeMessage",
+    "StoredAnswer",
+    "StoredKey",
+    "StoredRequest",
+]
+
+
+class MemberRow(StrictModel):
+    """A member as it travels; see `poplarrelay.tables.members.Member`."""
+
+    node: str
+    incarnation: str
+    generation: int
+    version: int
+    status: Literal["alive", "leaving", "suspect", "dead", "left"]
+    domain: str
+    callers: str
+    peers: str
+    ready: bool
+    epoch: int
+    configuration_next: int
+    successor: str | None = None
+
+
+class NoticeRow(StrictModel):
+    """An endpoint is leaving.
+
+    Attributes
+    ----------
+    remaining_s : float
+        Seconds until it goes. A remaining time travels, not a time of day,
+        because the hosts' clocks may differ.
+    """
+
+    endpoint: str
+    remaining_s: float
+
+
+class ProbeMessage(StrictModel):
+    """A probe or its answer, with news on board.
+
+    Attributes
+    ----------
+    sender : MemberRow
+        The sender's own row.
+    rows : tuple of MemberRow
+        Rows that changed lately.
+    notices : tuple of NoticeRow
+        Endpoints that are leaving.
+    full : bool
+        Asks for the whole member table in the answer.
+    """
+
+    sender: MemberRow
+    rows: tuple[MemberRow, ...] = ()
+    notices: tuple[NoticeRow, ...] = ()
+    full: bool = False
+
+
+class KeyQuestion(StrictModel):
+    """Ask the process that holds a key what became of it.
+
+    Attributes
+    ----------
+    claim : int or None
+        Offset of the claim that the asker has read, None under a ticket.
+    """
+
+    team: str
+    key: str
+    fingerprint: str
+    incarnation: str
+    claim: int | None
+
+
+class StoredAnswer(StrictModel):
+    """An outcome as it travels; see `poplarrelay.outcomes`.
+
+    Attributes
+    ----------
+    body : str
+        A plain service's body in base64.
+    """
+
+    tag: Literal["answered", "not_run", "unknown"]
+    reason: str = ""
+    retry_after_s: float | None = None
+    tokens: tuple[str, ...] = ()
+    status: int = 0
+    content_type: str = ""
+    body: str = ""
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    cached_tokens: int = 0
+    recomputed_tokens: int = 0
+
+
+class KeyReply(StrictModel):
+    """Answer to a `KeyQuestion`.
+
+    ``absent`` means that this process does not hold the key and never ran it
+    under the claim asked for; ``mismatch`` that the key came with another request.
+
+    Attributes
+    ----------
+    released_ago_s : float
+        Seconds since callers were told that the key was not run. A request that
+        came before then must not run any more.
+    """
+
+    state: Literal["running", "finished", "released", "broken", "absent", "mismatch"]
+    outcome: StoredAnswer | None = None
+    released_ago_s: float = 0.0
+
+
+class StoredKey(StrictModel):
+    """A key's fate, handed over by a node that leaves."""
+
+    team: str
+    key: str
+    state: Literal["finished", "released", "broken"]
+    fingerprint: str
+    claim: int | None
+    outcome: StoredAnswer | None = None
+    age_s: float
+
+
+class StoredRequest(StrictModel):
+    """A request that a leaving node hands over.
+
+    Attributes
+    ----------
+    request_class, kind, name, ...
+        See `poplarrelay.tables.requests`.
+    remaining_s, age_s : float
+        Seconds until the deadline and since the arrival.
+    outcome : StoredAnswer or None
+        Set if it has ended and its answer is kept for the caller.
+    """
+
+    id: str
+    team: str
+    request_class: str
+    kind: str
+    name: str
+    method: str = "POST"
+    path: str = ""
+    content_type: str = ""
+    body: str = ""
+    prompt: str = ""
+    max_tokens: int = 0
+    prefix: str = ""
+    prompt_tokens: int = 0
+    repeatable: bool = True
+    fingerprint: str = ""
+    key: str | None = None
+    remaining_s: float
+    age_s: float
+    first_token_s: float
+    deferred: bool
+    outcome: StoredAnswer | None = None
+
+
+class HandoverMessage(StrictModel):
+    """What a leaving node gives to its successor.
+
+    Attributes
+    ----------
+    id : str
+        The same for every repetition, so that it takes effect once.
+    """
+
+    id: str
+    node: str
+    incarnation: str
+    keys: tuple[StoredKey, ...]
+    requests: tuple[StoredRequest, ...]
+
+
+class HandoverReply(StrictModel):
+    """Whether the successor took a handover."""
+
+    taken: bool
--- /dev/null
+++ b/poplarrelay/messages/records.py
@@ -0,0 +1,165 @@
+"""Records that the nodes keep on the platform's log."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+
+from pydantic import Field, TypeAdapter, ValidationError
+
+from poplarrelay.identifiers import Offset
+from poplarrelay.settings import StrictModel
+
+__all__ = [
+    "ChangeRecord",
+    "ClaimRecord",
+    "LeaseRecord",
+    "Record",
+    "RecordValue",
+    "SnapshotEntry",
+    "SnapshotRecord",
+    "UnreadableRecord",
+    "encode_record",
+    "read_record",
+]
+
+
+class ChangeRecord(StrictModel):
+    """An operator's change of one template or deployment.
+
+    Attributes
+    ----------
+    id : str
+        Chosen by the writer; an append under the same id is a repetition.
+    subject : str
+        ``template/NAME`` or ``deployment/TEAM``.
+    after : int or None
+        Offset of the change that this one replaces, None for the first.
+    body : dict or None
+        The new value, None to remove it.
+    """
+
+    kind: Literal["change"] = "change"
+    id: str
+    subject: str = Field(pattern=r"^(template|deployment)/[A-Za-z0-9_-]+$")
+    after: int | None
+    body: dict[str, Any] | None
+
+
+class SnapshotEntry(StrictModel):
+    """One subject's state within a snapshot; `body` None is a removal."""
+
+    subject: str
+    offset: int
+    body: dict[str, Any] | None
+
+
+class SnapshotRecord(StrictModel):
+    """All configuration in force below an offset, written again.
+
+    Attributes
+    ----------
+    covers : int
+        The snapshot holds the effect of all records below this offset, and of
+        none at or above it.
+    """
+
+    kind: Literal["snapshot"] = "snapshot"
+    id: str
+    covers: int
+    entries: tuple[SnapshotEntry, ...]
+
+
+class ClaimRecord(StrictModel):
+    """A process claims the right to run an idempotency key.
+
+    Attributes
+    ----------
+    after : int or None
+        Offset of the released claim that this one replaces.
+    """
+
+    kind: Literal["claim"] = "claim"
+    id: str
+    team: str
+    key: str
+    node: str
+    incarnation: str
+    fingerprint: str
+    after: int | None
+
+
+class LeaseRecord(StrictModel):
+    """A process takes, renews or gives up a duty.
+
+    Attributes
+    ----------
+    after : int or None
+        Offset of the lease record that this one replaces.
+    term_s : float
+        Length of the lease; 0 gives the duty up.
+    """
+
+    kind: Literal["lease"] = "lease"
+    id: str
+    duty: str
+    node: str
+    incarnation: str
+    after: int | None
+    term_s: float = Field(ge=0)
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableRecord:
+    """A record that no known kind matches, left by another program."""
+
+    problem: str
+
+
+RecordValue = (
+    ChangeRecord | SnapshotRecord | ClaimRecord | LeaseRecord | UnreadableRecord
+)
+
+_ADAPTER: TypeAdapter[Any] = TypeAdapter(
+    Annotated[
+        ChangeRecord | SnapshotRecord | ClaimRecord | LeaseRecord,
+        Field(discriminator="kind"),
+    ]
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """A record at its offset.
+
+    Attributes
+    ----------
+    age_s : float
+        Seconds between the append and the reading, by the log's own clock.
+    """
+
+    offset: Offset
+    value: RecordValue
+    age_s: float = 0.0
+
+
+def read_record(offset: int, value: Any, age_s: float) -> Record:
+    """Return the typed record for a decoded JSON value.
+
+    Notes
+    -----
+    A record of an unknown form must not stop the fold on one node and pass on
+    another, so it becomes an `UnreadableRecord`, which every fold ignores.
+    """
+    try:
+        return Record(Offset(offset), _ADAPTER.validate_python(value), age_s)
+    except ValidationError as error:
+        problem = f"{error.error_count()} faults"
+        return Record(Offset(offset), UnreadableRecord(problem), age_s)
+
+
+def encode_record(value: RecordValue) -> dict[str, Any]:
+    """Return the JSON form of a record's value."""
+    if isinstance(value, UnreadableRecord):
+        return {"kind": "unreadable"}
+    return value.model_dump(mode="json")
--- /dev/null
+++ b/poplarrelay/node/callers.py
@@ -0,0 +1,425 @@
+"""The callers' listener: discovery, completions, services, deferred requests."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterator
+from dataclasses import dataclass
+from urllib.parse import quote
+
+import cherrypy
+import orjson
+
+from poplarrelay.exception import (
+    AuthenticationFailed,
+    CallerError,
+    MalformedBody,
+    MalformedHeader,
+    RequestNotFound,
+)
+from poplarrelay.identifiers import IdempotencyKey, RequestId
+from poplarrelay.messages.inbox import AddressesAsked, RequestArrived, RequestLookedUp
+from poplarrelay.node.answers import CompletionForm, CompletionWriter, outcome_document
+from poplarrelay.node.bodies import (
+    ChatBody,
+    CompletionBody,
+    DeferredBody,
+    chat_work,
+    completion_work,
+    service_work,
+)
+from poplarrelay.node.gateway import Gateway, SessionEvents
+from poplarrelay.node.peering import TRANSFER_TIMEOUT_S
+from poplarrelay.node.sessions import Accepted, CallerEvent, Ended, Rejected
+from poplarrelay.outcomes import Answered, Outcome
+from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.systems.reporting import LookupElsewhere, LookupResult
+from poplarrelay.tables.requests import RequestClass, Work
+from poplarrelay.web.exchange import (
+    answer_json,
+    header,
+    parse_body,
+    read_body,
+    reject,
+    require_method,
+)
+from poplarrelay.web.problems import Problem, ProblemResponse
+
+__all__ = ["CallersRoot"]
+
+CLASS_HEADER = "Request-Class"
+TIMEOUT_HEADER = "Request-Timeout"
+KEY_HEADER = "Idempotency-Key"
+OUTCOME_HEADER = "Request-Outcome"
+MAX_TIMEOUT_S = 86_400.0
+_BEARER = "Bearer "
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What the headers of a request say.
+
+    Attributes
+    ----------
+    timeout_s : float or None
+        Seconds that the caller still waits. A duration travels, not a time of
+        day, because the clocks of two hosts may differ.
+    """
+
+    token_sha256: str
+    request_class: RequestClass
+    timeout_s: float | None
+    key: IdempotencyKey | None
+
+
+def read_token() -> str:
+    """Return the digest of the bearer token.
+
+    Raises
+    ------
+    AuthenticationFailed
+        If there is none.
+    """
+    value = header("Authorization") or ""
+    if not value.startswith(_BEARER):
+        raise AuthenticationFailed("a bearer token is required")
+    token = value[len(_BEARER) :].strip()
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def _read_timeout() -> float | None:
+    text = header(TIMEOUT_HEADER)
+    if text is None:
+        return None
+    try:
+        timeout = float(text)
+    except ValueError:
+        raise MalformedHeader(f"{TIMEOUT_HEADER} is a number of seconds") from None
+    if not 0 < timeout <= MAX_TIMEOUT_S:
+        raise MalformedHeader(f"{TIMEOUT_HEADER} is over 0 and at most a day")
+    return timeout
+
+
+def _read_class(default: RequestClass) -> RequestClass:
+    text = header(CLASS_HEADER)
+    if text is None:
+        return default
+    try:
+        return RequestClass(text.strip().lower())
+    except ValueError:
+        names = ", ".join(each.value for each in RequestClass)
+        raise MalformedHeader(f"{CLASS_HEADER} is one of {names}") from None
+
+
+def read_terms(default: RequestClass = RequestClass.STANDARD) -> Terms:
+    """Return what the headers say.
+
+    Raises
+    ------
+    AuthenticationFailed, MalformedHeader
+        If a header is absent or not valid.
+    """
+    key = header(KEY_HEADER)
+    return Terms(
+        read_token(),
+        _read_class(default),
+        _read_timeout(),
+        None if key is None else IdempotencyKey(key.strip().strip('"')),
+    )
+
+
+def _first(events: SessionEvents) -> CallerEvent:
+    """Return the first event, or answer with the error that it is."""
+    event = next(events)
+    if isinstance(event, Rejected):
+        events.close()
+        raise reject(event.error)
+    if isinstance(event, Ended) and not isinstance(event.outcome, Answered):
+        events.close()
+        raise ProblemResponse(outcome_document(event.outcome))
+    return event
+
+
+def _outcome(events: SessionEvents) -> Outcome:
+    """Return the final outcome, with all tokens read."""
+    try:
+        event = _first(events)
+        while not isinstance(event, Ended):
+            event = next(events)
+    finally:
+        events.close()
+    if not isinstance(event.outcome, Answered):
+        raise ProblemResponse(outcome_document(event.outcome))
+    return event.outcome
+
+
+class CompletionHandler:
+    """``POST /v1/completions`` and ``POST /v1/chat/completions``."""
+
+    def __init__(self, gateway: Gateway, form: CompletionForm) -> None:
+        self._gateway = gateway
+        self._form = form
+
+    @cherrypy.expose
+    def index(self, **query: str) -> bytes | Iterator[bytes]:
+        """Answer a completion, streamed or whole."""
+        require_method("POST")
+        received = self._gateway.now()
+        try:
+            terms = read_terms()
+            work, stream = self._read()
+        except CallerError as error:
+            raise reject(error) from None
+        writer = CompletionWriter(
+            self._form, self._gateway.new_request_id(), work.name, work.resume_from
+        )
+        request = writer.request
+        events = self._gateway.serve(_arrival(request, terms, work, received))
+        if stream:
+            return self._stream(events, writer)
+        answered = _outcome(events)
+        assert isinstance(answered, Answered)
+        return answer_json(writer.document(answered))
+
+    def _read(self) -> tuple[Work, bool]:
+        body = read_body(self._gateway.settings.limits.max_body_bytes)
+        if self._form is CompletionForm.CHAT:
+            chat = parse_body(body, ChatBody)
+            return chat_work(chat), chat.stream
+        text = parse_body(body, CompletionBody)
+        work = completion_work(
+            text.model, text.prompt, text.max_tokens, text.resume_from
+        )
+        return work, text.stream
+
+    @staticmethod
+    def _stream(events: SessionEvents, writer: CompletionWriter) -> Iterator[bytes]:
+        first = _first(events)
+        response = cherrypy.response
+        response.headers["Content-Type"] = "text/event-stream"
+        response.headers["Cache-Control"] = "no-store"
+        response.stream = True
+        return _closing(writer.stream(first, events), events)
+
+
+def _closing(body: Iterator[bytes], events: SessionEvents) -> Iterator[bytes]:
+    """Pass on a body and close its session, also when the caller has gone."""
+    try:
+        yield from body
+    finally:
+        events.close()
+
+
+def _arrival(
+    request: RequestId,
+    terms: Terms,
+    work: Work,
+    received: float,
+    deferred: bool = False,
+) -> RequestArrived:
+    return RequestArrived(
+        id=request,
+        token_sha256=terms.token_sha256,
+        work=work,
+        request_class=terms.request_class,
+        timeout_s=terms.timeout_s,
+        received=received,
+        key=terms.key,
+        deferred=deferred,
+    )
+
+
+def _path_and_query(path: tuple[str, ...]) -> str:
+    joined = "/" + "/".join(quote(part, safe="~:@!$&'()*+,;=") for part in path)
+    query = cherrypy.request.query_string
+    return f"{joined}?{query}" if query else joined
+
+
+class ServiceHandler:
+    """``/services/{service}/{path}``, any method."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+
+    @cherrypy.expose
+    def default(self, service: str = "", *path: str, **query: str) -> bytes:
+        """Answer with what the service answers."""
+        received = self._gateway.now()
+        try:
+            terms = read_terms()
+            work = service_work(
+                service,
+                cherrypy.request.method,
+                _path_and_query(path),
+                header("Content-Type") or "",
+                read_body(self._gateway.settings.limits.max_body_bytes),
+            )
+        except CallerError as error:
+            raise reject(error) from None
+        request = self._gateway.new_request_id()
+        events = self._gateway.serve(_arrival(request, terms, work, received))
+        answered = _outcome(events)
+        assert isinstance(answered, Answered)
+        return _service_answer(answered)
+
+
+def _service_answer(answered: Answered) -> bytes:
+    service = answered.service
+    assert service is not None
+    cherrypy.response.status = service.status
+    cherrypy.response.headers["Content-Type"] = service.content_type or "text/plain"
+    cherrypy.response.headers[OUTCOME_HEADER] = "answered"
+    return service.body
+
+
+class DeferredHandler:
+    """``POST /v1/requests`` and ``GET /v1/requests/{id}``."""
+
+    def __init__(self, gateway: Gateway, caller: JsonCaller) -> None:
+        self._gateway = gateway
+        self._caller = caller
+
+    @cherrypy.expose
+    def default(self, *path: str, **query: str) -> bytes:
+        """Accept a request for later, or tell what became of one."""
+        if path:
+            require_method("GET")
+            return self._look_up(RequestId(path[0]))
+        require_method("POST")
+        return self._accept()
+
+    def _accept(self) -> bytes:
+        received = self._gateway.now()
+        try:
+            terms = read_terms(RequestClass.PATIENT)
+            limit = self._gateway.settings.limits.max_body_bytes
+            body = parse_body(read_body(limit), DeferredBody)
+            work = _deferred_work(body)
+        except CallerError as error:
+            raise reject(error) from None
+        request = self._gateway.new_request_id()
+        arrival = _arrival(request, terms, work, received, deferred=True)
+        events = self._gateway.serve(arrival)
+        event = _first(events)
+        events.close()
+        if not isinstance(event, Accepted):
+            # The same key had its answer already; it is kept under the new id.
+            assert isinstance(event, Ended)
+        location = f"/v1/requests/{request}"
+        cherrypy.response.headers["Location"] = location
+        return answer_json({"id": request, "status": "accepted"}, status=202)
+
+    def _look_up(self, request: RequestId) -> bytes:
+        try:
+            digest = read_token()
+        except CallerError as error:
+            raise reject(error) from None
+        found = self._gateway.ask(lambda call: RequestLookedUp(call, digest, request))
+        if isinstance(found, CallerError):
+            raise reject(found)
+        if isinstance(found, LookupElsewhere):
+            return self._look_elsewhere(request, found)
+        assert isinstance(found, LookupResult)
+        return answer_json(lookup_document(request, found))
+
+    def _look_elsewhere(self, request: RequestId, found: LookupElsewhere) -> bytes:
+        path = f"/peer/requests/{quote(request)}?team={quote(found.team)}"
+        try:
+            reply = self._caller.call(
+                "GET", found.peer, path, timeout_s=TRANSFER_TIMEOUT_S
+            )
+        except CallFailed:
+            raise ProblemResponse(
+                Problem(
+                    502,
+                    "home-unreachable",
+                    "The node that keeps the request does not answer",
+                    outcome="unknown",
+                    retry_after_s=1.0,
+                )
+            ) from None
+        if not reply.ok:
+            raise reject(RequestNotFound("the team has no such request"))
+        return answer_json(reply.value)
+
+
+def lookup_document(request: RequestId, found: LookupResult) -> dict[str, object]:
+    """Return what a caller is told of a deferred request."""
+    outcome = found.outcome
+    if outcome is None:
+        return {"id": request, "status": "running", "retry_after_s": 0.5}
+    if not isinstance(outcome, Answered):
+        problem = orjson.loads(outcome_document(outcome).to_json())
+        return {"id": request, "status": "ended", "problem": problem}
+    document: dict[str, object] = {"id": request, "status": "answered"}
+    if outcome.service is not None:
+        document["response"] = {
+            "status": outcome.service.status,
+            "content_type": outcome.service.content_type,
+            "body": outcome.service.body.decode("utf-8", "replace"),
+        }
+        return document
+    writer = CompletionWriter(CompletionForm.TEXT, request, "", 0)
+    document["response"] = writer.document(outcome)
+    return document
+
+
+def _deferred_work(body: DeferredBody) -> Work:
+    inner = orjson.dumps(body.body)
+    if body.url == "/v1/completions":
+        text = parse_body(inner, CompletionBody)
+        return completion_work(text.model, text.prompt, text.max_tokens, 0)
+    if body.url == "/v1/chat/completions":
+        chat = parse_body(inner, ChatBody)
+        return completion_work(chat.model, chat.prompt, chat.max_tokens, 0)
+    _, _, service, *path = body.url.split("/")
+    if not service:
+        raise MalformedBody("the url names no service")
+    content = b"" if body.method == "GET" else inner
+    joined = "/" + "/".join(path)
+    return service_work(service, body.method, joined, "application/json", content)
+
+
+class AddressesHandler:
+    """``GET /v1/addresses``."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+
+    @cherrypy.expose
+    def index(self, **query: str) -> bytes:
+        """Tell which nodes to use."""
+        require_method("GET")
+        try:
+            digest = read_token()
+        except CallerError as error:
+            raise reject(error) from None
+        answer = self._gateway.ask(lambda call: AddressesAsked(call, digest))
+        if isinstance(answer, CallerError):
+            raise reject(answer)
+        return answer_json(answer)
+
+
+class _Version:
+    """``/v1``."""
+
+
+class _Chat:
+    """``/v1/chat``."""
+
+
+class CallersRoot:
+    """Root of the callers' listener."""
+
+    def __init__(self, gateway: Gateway, caller: JsonCaller) -> None:
+        self.services = ServiceHandler(gateway)
+        self.v1 = _Version()
+        self.v1.addresses = AddressesHandler(gateway)  # type: ignore[attr-defined]
+        self.v1.requests = DeferredHandler(gateway, caller)  # type: ignore[attr-defined]
+        self.v1.completions = CompletionHandler(  # type: ignore[attr-defined]
+            gateway, CompletionForm.TEXT
+        )
+        self.v1.chat = _Chat()  # type: ignore[attr-defined]
+        self.v1.chat.completions = CompletionHandler(  # type: ignore[attr-defined]
+            gateway, CompletionForm.CHAT
+        )
--- /dev/null
+++ b/poplarrelay/node/metrics.py
@@ -0,0 +1,86 @@
+"""Metrics of a node, kept and rendered by aioprometheus."""
+
+from __future__ import annotations
+
+import resource
+import threading
+from collections.abc import Sequence
+
+from aioprometheus import Counter as PrometheusCounter
+from aioprometheus import Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from poplarrelay.messages.effects import Count, Counter, Observe
+
+__all__ = ["NodeMetrics"]
+
+FIRST_TOKEN_BUCKETS = [0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.7, 3.0, 5.0, 10.0]
+_HELP = {
+    Counter.ACCEPTED: "Requests accepted, by class and team.",
+    Counter.OUTCOMES: "Requests ended, by class, outcome and team.",
+    Counter.ATTEMPTS: "Attempts sent to endpoints, by team.",
+    Counter.RETRIES: "Attempts after a failed one, by the failure.",
+    Counter.MOVES: "Attempts moved off leaving endpoints, by way.",
+    Counter.RECOMPUTED: "Tokens computed again, by cause.",
+    Counter.LATE: "Requests that reached their deadline, by class.",
+    Counter.REJECTED: "Requests that were not acceptable, by type.",
+}
+PREFIX = "poplarrelay_"
+
+
+class NodeMetrics:
+    """Counters, gauges and histograms of one process.
+
+    Notes
+    -----
+    aioprometheus is made for asyncio and takes no locks, so a lock stands around
+    every update and the rendering.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._registry = Registry()
+        self._counters = {
+            counter: PrometheusCounter(
+                f"{PREFIX}{counter.value}_total", text, registry=self._registry
+            )
+            for counter, text in _HELP.items()
+        }
+        self._first_token = Histogram(
+            f"{PREFIX}{Counter.FIRST_TOKEN.value}",
+            "Seconds from arrival to the first token, by class.",
+            buckets=FIRST_TOKEN_BUCKETS,
+            registry=self._registry,
+        )
+        self._dropped = PrometheusCounter(
+            f"{PREFIX}events_dropped_total",
+            "Events of endpoints that were late, doubled or foreign.",
+            registry=self._registry,
+        )
+        self._memory = Gauge(
+            f"{PREFIX}peak_resident_bytes",
+            "Peak resident memory of the process.",
+            registry=self._registry,
+        )
+
+    def count(self, effect: Count) -> None:
+        """Add to a counter."""
+        with self._lock:
+            self._counters[effect.counter].add(dict(effect.labels), effect.amount)
+
+    def observe(self, effect: Observe) -> None:
+        """Add a value to a histogram."""
+        with self._lock:
+            self._first_token.observe(dict(effect.labels), effect.value)
+
+    def drop(self, why: str) -> None:
+        """Count an event that was not passed on."""
+        with self._lock:
+            self._dropped.inc({"why": why})
+
+    def render(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition and its headers."""
+        peak_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        with self._lock:
+            self._memory.set({}, peak_kb * 1024)
+            return render(self._registry, list(accepts))
--- /dev/null
+++ b/poplarrelay/node/outbox.py
@@ -0,0 +1,236 @@
+"""Carry out the tick thread's effects without ever making it wait."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from poplarrelay.engines.http import read_load
+from poplarrelay.exception import EndpointBroken, PlatformError
+from poplarrelay.identifiers import RequestId
+from poplarrelay.messages.effects import (
+    AcceptDeferred,
+    AppendRecord,
+    AskKey,
+    AskPeers,
+    Conclude,
+    Count,
+    Decided,
+    Effect,
+    FetchConfiguration,
+    Forward,
+    HandOver,
+    ListHosts,
+    MoveAttempt,
+    Observe,
+    PollLoad,
+    ProbePeer,
+    Reject,
+    Reply,
+    RunAttempt,
+    SendNews,
+    StopProcess,
+)
+from poplarrelay.messages.inbox import (
+    ConfigurationReceived,
+    ForwardAnswered,
+    HandoverAnswered,
+    HostsListed,
+    KeyAnswered,
+    LoadFailed,
+    LoadReported,
+    Message,
+    NoticeHeard,
+    NoticeSource,
+    PeersAnswered,
+    ProbeAnswered,
+    ProbeFailed,
+)
+from poplarrelay.node.logs import log_decision
+from poplarrelay.node.logworkers import LogAppender
+from poplarrelay.node.mailboxes import Mailboxes
+from poplarrelay.node.metrics import NodeMetrics
+from poplarrelay.node.peering import PeerClient
+from poplarrelay.node.sessions import Runtime, Session
+from poplarrelay.platform.hosts import HostList
+from poplarrelay.platform.http import JsonCaller
+
+__all__ = ["Outbox"]
+
+#: Threads for probes and other short calls to peers.
+PEER_THREADS = 6
+#: Threads for polls of endpoints, which may hang until their timeout.
+POLL_THREADS = 6
+#: Threads for requests that are sent on to their home and wait there.
+FORWARD_THREADS = 24
+
+_LOG = logging.getLogger("poplarrelay.outbox")
+
+
+class Outbox:
+    """Hands each effect to the thread, or pool of threads, that carries it out.
+
+    Notes
+    -----
+    The pools are apart, so that endpoints that hang cannot hold back probes, and
+    waiting forwards cannot hold back either.
+    """
+
+    def __init__(
+        self,
+        submit: Callable[[Message], None],
+        mailboxes: Mailboxes,
+        metrics: NodeMetrics,
+        appender: LogAppender,
+        peers: PeerClient,
+        host_list: HostList,
+        caller: JsonCaller,
+        deferred_threads: int,
+        stop: Callable[[bool], None],
+    ) -> None:
+        self._submit = submit
+        self._mailboxes = mailboxes
+        self._metrics = metrics
+        self._appender = appender
+        self._peers = peers
+        self._host_list = host_list
+        self._caller = caller
+        self._stop = stop
+        self._runtime: Runtime | None = None
+        self._peer_pool = ThreadPoolExecutor(PEER_THREADS, "peer")
+        self._poll_pool = ThreadPoolExecutor(POLL_THREADS, "poll")
+        self._forward_pool = ThreadPoolExecutor(FORWARD_THREADS, "forward")
+        self._deferred_pool = ThreadPoolExecutor(deferred_threads, "deferred")
+
+    def set_runtime(self, runtime: Runtime) -> None:
+        """Set what deferred sessions run with."""
+        self._runtime = runtime
+
+    def perform(self, effect: Effect) -> None:
+        """Carry out an effect, or hand it on; never blocks."""
+        match effect:
+            case RunAttempt(deferred=True):
+                self._deferred_pool.submit(self._guard, self._run_deferred, effect)
+            case RunAttempt():
+                self._deliver(effect.attempt.request, effect)
+            case MoveAttempt() | Conclude() | Reject() | AcceptDeferred():
+                self._deliver(effect.request, effect)
+            case Reply():
+                self._mailboxes.reply(effect.call, effect.value)
+            case Decided():
+                log_decision(effect)
+            case Count():
+                self._metrics.count(effect)
+            case Observe():
+                self._metrics.observe(effect)
+            case AppendRecord():
+                self._appender.add(effect)
+            case StopProcess():
+                self._stop(effect.clean)
+            case _:
+                self._hand_on(effect)
+
+    def _hand_on(self, effect: Effect) -> None:
+        match effect:
+            case PollLoad():
+                self._poll_pool.submit(self._guard, self._poll, effect)
+            case ListHosts():
+                self._poll_pool.submit(self._guard, self._list_hosts, effect)
+            case Forward():
+                self._forward_pool.submit(self._guard, self._forward, effect)
+            case ProbePeer():
+                self._peer_pool.submit(self._guard, self._probe, effect)
+            case SendNews():
+                for peer in effect.peers:
+                    self._peer_pool.submit(
+                        self._guard, self._send_news, (peer, effect.message)
+                    )
+            case AskKey():
+                self._peer_pool.submit(self._guard, self._ask_key, effect)
+            case AskPeers():
+                self._forward_pool.submit(self._guard, self._ask_peers, effect)
+            case FetchConfiguration():
+                self._peer_pool.submit(self._guard, self._fetch, effect)
+            case HandOver():
+                self._peer_pool.submit(self._guard, self._hand_over, effect)
+
+    @staticmethod
+    def _guard(work: Callable, argument: object) -> None:
+        try:
+            work(argument)
+        except Exception:
+            # A pool keeps a failure to itself; without this line a defect here
+            # would look like a silent peer.
+            _LOG.exception("effect failed")
+
+    def _deliver(
+        self,
+        request: RequestId,
+        effect: RunAttempt | MoveAttempt | Conclude | Reject | AcceptDeferred,
+    ) -> None:
+        mailbox = self._mailboxes.find(request)
+        if mailbox is not None:
+            mailbox.put(effect)
+
+    def _run_deferred(self, effect: RunAttempt) -> None:
+        assert self._runtime is not None
+        request = effect.attempt.request
+        mailbox = self._mailboxes.open(request)
+        try:
+            session = Session(self._runtime, request, mailbox)
+            for _ in session.run_attempt(effect):
+                pass
+        finally:
+            self._mailboxes.close(request, mailbox)
+
+    def _poll(self, effect: PollLoad) -> None:
+        try:
+            answer = read_load(effect.endpoint, effect.address, self._caller)
+        except EndpointBroken:
+            self._submit(LoadFailed(effect.endpoint))
+            return
+        if answer.leaving_s is not None:
+            source = NoticeSource.ENDPOINT
+            self._submit(NoticeHeard(answer.leaving_s, source, effect.endpoint))
+        self._submit(LoadReported(effect.endpoint, answer.report))
+
+    def _list_hosts(self, effect: ListHosts) -> None:
+        try:
+            rows = self._host_list.hosts()
+        except PlatformError:
+            # The table stays as it is; the next listing comes in its turn.
+            return
+        self._submit(HostsListed(rows))
+
+    def _probe(self, effect: ProbePeer) -> None:
+        answer = self._peers.probe(effect.peer, effect.message, effect.helpers)
+        if answer is None:
+            self._submit(ProbeFailed(effect.node))
+        else:
+            self._submit(ProbeAnswered(effect.node, answer))
+
+    def _send_news(self, argument: tuple) -> None:
+        peer, message = argument
+        self._peers.probe(peer, message, ())
+
+    def _ask_key(self, effect: AskKey) -> None:
+        reply = self._peers.ask_key(effect.peer, effect.question)
+        self._submit(KeyAnswered(effect.request, reply))
+
+    def _ask_peers(self, effect: AskPeers) -> None:
+        absent = self._peers.all_absent(effect.peers, effect.question)
+        self._submit(PeersAnswered(effect.request, absent))
+
+    def _forward(self, effect: Forward) -> None:
+        reply = self._peers.forward(effect.peer, effect.stored, effect.timeout_s)
+        self._submit(ForwardAnswered(effect.request, reply is not None, reply))
+
+    def _fetch(self, effect: FetchConfiguration) -> None:
+        snapshot = self._peers.configuration(effect.peer)
+        if snapshot is not None:
+            self._submit(ConfigurationReceived(snapshot))
+
+    def _hand_over(self, effect: HandOver) -> None:
+        reply = self._peers.hand_over(effect.peer, effect.message)
+        self._submit(HandoverAnswered(effect.node, effect.message.id, reply))
--- /dev/null
+++ b/poplarrelay/node/process.py
@@ -0,0 +1,205 @@
+"""A node's process: wiring, signals, exit code."""
+
+from __future__ import annotations
+
+import logging
+import random
+import secrets
+import signal
+import threading
+import time
+from types import FrameType
+
+from poplarrelay.engines.http import HttpEngine, HttpService
+from poplarrelay.exception import PlatformError
+from poplarrelay.identifiers import Incarnation
+from poplarrelay.messages.inbox import ShutdownAsked
+from poplarrelay.node.callers import CallersRoot
+from poplarrelay.node.gateway import Gateway
+from poplarrelay.node.logworkers import LogAppender, LogReader
+from poplarrelay.node.loop import TickLoop
+from poplarrelay.node.mailboxes import Mailboxes
+from poplarrelay.node.metrics import NodeMetrics
+from poplarrelay.node.outbox import Outbox
+from poplarrelay.node.peering import PeerClient
+from poplarrelay.node.peers import MAX_PEER_BYTES, PeersRoot
+from poplarrelay.platform.hosts import HttpCloud, HttpHostList
+from poplarrelay.platform.http import JsonCaller
+from poplarrelay.platform.log import HttpLogService
+from poplarrelay.settings import NodeSettings
+from poplarrelay.tables.world import CLAIMS, CONFIGURATION, World
+from poplarrelay.web.listener import Listener, ListenerLimits
+
+__all__ = ["EXIT_CUT_OFF", "EXIT_OK", "Node"]
+
+EXIT_OK = 0
+#: The node left, but something was cut off or could not be handed over.
+EXIT_CUT_OFF = 75
+#: Stack of a thread; a stream needs little, and there may be hundreds.
+THREAD_STACK_BYTES = 512 * 1024
+#: Seconds between the last answer and the end, for it to be written out.
+LINGER_S = 0.5
+#: Seconds within which a second signal makes the node leave.
+HURRY_S = 2.0
+#: Seconds that a read of notices waits for the first one.
+NOTICE_WAIT_S = 5.0
+
+_LOG = logging.getLogger("poplarrelay.node")
+
+
+class Node:
+    """One node.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Its settings.
+    seed : int or None
+        Seed of its random choices, None for a new one.
+    """
+
+    def __init__(self, settings: NodeSettings, seed: int | None = None) -> None:
+        threading.stack_size(THREAD_STACK_BYTES)
+        self._settings = settings
+        self._seed = secrets.randbits(64) if seed is None else seed
+        self._done = threading.Event()
+        self._clean = True
+        timing = settings.timing
+        incarnation = Incarnation(secrets.token_hex(6))
+        generation = int(time.time() * 1000)
+        self._world = World.from_settings(
+            settings, incarnation, generation, time.monotonic(), self._seed
+        )
+        self._caller = JsonCaller(timing.connect_timeout_s)
+        self._mailboxes = Mailboxes()
+        self._metrics = NodeMetrics()
+        self._loop = TickLoop(self._world, self._perform)
+        log = HttpLogService(settings.platform.log, timing.log_timeout_s, self._caller)
+        rng = random.Random(self._seed)
+        self._appender = LogAppender(log, self._loop.submit, rng)
+        self._readers = [
+            LogReader(stream, log, self._loop.submit, timing.log_wait_s, rng)
+            for stream in (CONFIGURATION, CLAIMS)
+        ]
+        self._cloud = HttpCloud(settings.platform.cloud, self._caller)
+        peers = PeerClient(self._caller, timing.probe_timeout_s)
+        self._outbox = Outbox(
+            submit=self._loop.submit,
+            mailboxes=self._mailboxes,
+            metrics=self._metrics,
+            appender=self._appender,
+            peers=peers,
+            host_list=HttpHostList(settings.platform.hosts, self._caller),
+            caller=self._caller,
+            deferred_threads=settings.limits.deferred_threads,
+            stop=self._stop,
+        )
+        gateway = Gateway(
+            settings,
+            incarnation,
+            self._loop,
+            self._mailboxes,
+            self._metrics,
+            HttpEngine(
+                timing.connect_timeout_s, timing.progress_timeout_s, self._caller
+            ),
+            HttpService(timing.connect_timeout_s),
+        )
+        self._outbox.set_runtime(gateway)
+        self._callers = self._callers_listener(gateway)
+        self._peers = self._peers_listener(gateway, peers)
+
+    @classmethod
+    def from_settings(cls, settings: NodeSettings) -> Node:
+        """Return a node that has not started yet."""
+        return cls(settings)
+
+    def _callers_listener(self, gateway: Gateway) -> Listener:
+        settings, limits = self._settings, self._settings.limits
+        bounds = ListenerLimits(
+            settings.callers.threads, limits.max_header_bytes, limits.max_body_bytes
+        )
+        root = CallersRoot(gateway, self._caller)
+        return Listener(settings.callers.host, settings.callers.port, root, bounds)
+
+    def _peers_listener(self, gateway: Gateway, peers: PeerClient) -> Listener:
+        settings = self._settings
+        bounds = ListenerLimits(
+            settings.peers.threads,
+            settings.limits.max_header_bytes,
+            MAX_PEER_BYTES,
+        )
+        root = PeersRoot(gateway, peers)
+        return Listener(settings.peers.host, settings.peers.port, root, bounds)
+
+    def _perform(self, effect) -> None:  # type: ignore[no-untyped-def]
+        self._outbox.perform(effect)
+
+    def _stop(self, clean: bool) -> None:
+        self._clean = clean
+        self._done.set()
+
+    def start(self) -> None:
+        """Start all threads and listeners.
+
+        Raises
+        ------
+        OSError
+            If a listener's address cannot be bound.
+        """
+        self._peers.start()
+        self._callers.start()
+        self._loop.start()
+        self._appender.start()
+        for reader in self._readers:
+            reader.start()
+        threading.Thread(target=self._hear, name="notices", daemon=True).start()
+        _LOG.info(
+            "started",
+            extra={
+                "incarnation": self._world.incarnation,
+                "callers": self._callers.address,
+                "peers": self._peers.address,
+                "failure_domain": self._settings.failure_domain,
+            },
+        )
+
+    def _hear(self) -> None:
+        """Read the cloud API's notices."""
+        start = 0
+        rng = random.Random(self._seed + 1)
+        while not self._done.is_set():
+            try:
+                heard = self._cloud.notices(start, NOTICE_WAIT_S)
+            except PlatformError:
+                self._done.wait(0.2 + 0.3 * rng.random())
+                continue
+            start = heard.next
+            for notice in heard.notices:
+                self._loop.submit(notice)
+
+    def install_signals(self) -> None:
+        """Let SIGTERM and SIGINT make the node leave; a second one hurries."""
+        seen: list[int] = []
+
+        def leave(number: int, frame: FrameType | None) -> None:
+            within = HURRY_S if seen else self._settings.timing.drain_s
+            seen.append(number)
+            self._loop.submit(ShutdownAsked(within))
+
+        signal.signal(signal.SIGTERM, leave)
+        signal.signal(signal.SIGINT, leave)
+
+    def wait(self) -> int:
+        """Wait until the node has left, and return the exit code."""
+        while not self._done.wait(timeout=1.0):
+            continue
+        time.sleep(LINGER_S)
+        for reader in self._readers:
+            reader.stop()
+        self._appender.stop()
+        self._callers.stop()
+        self._loop.stop()
+        self._peers.stop()
+        _LOG.info("stopped", extra={"clean": self._clean})
+        return EXIT_OK if self._clean else EXIT_CUT_OFF
--- /dev/null
+++ b/poplarrelay/platform/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform gives: log service, host list, cloud API."""
--- /dev/null
+++ b/poplarrelay/platform/hosts.py
@@ -0,0 +1,115 @@
+"""The platform's host list and the cloud API's notices."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from poplarrelay.exception import PlatformError
+from poplarrelay.identifiers import DomainId, EndpointId
+from poplarrelay.messages.inbox import HostRow, NoticeHeard, NoticeSource
+from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.tables.endpoints import EndpointKind
+
+__all__ = ["CloudNotices", "HostList", "HttpCloud", "HttpHostList", "Notices"]
+
+
+class HostList(Protocol):
+    """The list of endpoints; it lags."""
+
+    def hosts(self) -> tuple[HostRow, ...]:
+        """Return all endpoints.
+
+        Raises
+        ------
+        PlatformError
+            If there was no answer.
+        """
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Notices:
+    """Notices, and where to go on reading."""
+
+    next: int
+    notices: tuple[NoticeHeard, ...]
+
+
+class CloudNotices(Protocol):
+    """The cloud API's notices of reclaims."""
+
+    def notices(self, start: int, wait_s: float) -> Notices:
+        """Return notices from number `start` on, waiting for the first one.
+
+        Raises
+        ------
+        PlatformError
+            If there was no answer.
+        """
+        ...
+
+
+def _row(item: dict[str, Any]) -> HostRow:
+    return HostRow(
+        endpoint=EndpointId(item["endpoint"]),
+        kind=EndpointKind(item["kind"]),
+        address=item["address"],
+        domain=DomainId(item["failure_domain"]),
+        names=frozenset(item["names"]),
+        price=float(item["price"]),
+        reclaimable=bool(item["reclaimable"]),
+        checks_fencing=bool(item["checks_fencing"]),
+        leaving=item["state"] != "live",
+    )
+
+
+def _notice(item: dict[str, Any]) -> NoticeHeard:
+    endpoint, domain = item.get("endpoint"), item.get("failure_domain")
+    return NoticeHeard(
+        remaining_s=float(item["remaining_s"]),
+        source=NoticeSource.CLOUD,
+        endpoint=None if endpoint is None else EndpointId(endpoint),
+        domain=None if domain is None else DomainId(domain),
+    )
+
+
+class HttpHostList:
+    """The host list over its HTTP interface."""
+
+    def __init__(self, address: str, caller: JsonCaller) -> None:
+        self._address = address
+        self._caller = caller
+
+    def hosts(self) -> tuple[HostRow, ...]:
+        """Return all endpoints."""
+        try:
+            reply = self._caller.call("GET", self._address, "/hosts")
+            if not reply.ok:
+                raise PlatformError(f"status {reply.status}")
+            return tuple(_row(item) for item in reply.value["hosts"])
+        except (CallFailed, KeyError, TypeError, ValueError) as error:
+            raise PlatformError("the host list gave no answer") from error
+
+
+class HttpCloud:
+    """The cloud API over its HTTP interface."""
+
+    def __init__(self, address: str, caller: JsonCaller) -> None:
+        self._address = address
+        self._caller = caller
+
+    def notices(self, start: int, wait_s: float) -> Notices:
+        """Return notices from number `start` on, waiting for the first one."""
+        path = f"/notices?from={start}&wait_ms={int(wait_s * 1000)}"
+        try:
+            reply = self._caller.call(
+                "GET", self._address, path, timeout_s=wait_s + 1.0
+            )
+            if not reply.ok:
+                raise PlatformError(f"status {reply.status}")
+            value = reply.value
+            notices = tuple(_notice(item) for item in value["notices"])
+            return Notices(int(value["next"]), notices)
+        except (CallFailed, KeyError, TypeError, ValueError) as error:
+            raise PlatformError("the cloud API gave no answer") from error
--- /dev/null
+++ b/poplarrelay/standins/base.py
@@ -0,0 +1,83 @@
+"""What all stand-ins share: a listener, faults, and a way to run until told."""
+
+from __future__ import annotations
+
+import signal
+import threading
+from typing import Any, Generic, TypeVar
+
+import cherrypy
+from pydantic import BaseModel
+
+from poplarrelay.web.exchange import answer_json, read_json, require_method
+from poplarrelay.web.listener import Listener, ListenerLimits
+from poplarrelay.web.problems import Problem, ProblemResponse
+
+__all__ = ["StandIn", "refuse", "run_stand_in"]
+
+MAX_BODY_BYTES = 64_000_000
+
+FaultsT = TypeVar("FaultsT", bound=BaseModel)
+
+
+def refuse(
+    status: int, slug: str, retry_after_s: float | None = None
+) -> ProblemResponse:
+    """Return the response to raise for a refusal."""
+    return ProblemResponse(Problem(status, slug, slug, retry_after_s=retry_after_s))
+
+
+class StandIn(Generic[FaultsT]):
+    """Base of the stand-ins' roots.
+
+    Parameters
+    ----------
+    faults : pydantic.BaseModel
+        The faults to begin with, normally none.
+
+    Attributes
+    ----------
+    lock : threading.RLock
+        Guards the stand-in's state.
+    """
+
+    def __init__(self, faults: FaultsT) -> None:
+        self._faults = faults
+        self.lock = threading.RLock()
+
+    @property
+    def current_faults(self) -> FaultsT:
+        """Return the faults in force."""
+        return self._faults
+
+    def faults_changed(self) -> None:
+        """Take notice of new faults."""
+
+    @cherrypy.expose
+    def faults(self) -> bytes:
+        """Set all faults, or tell them."""
+        require_method("GET", "PUT")
+        if cherrypy.request.method == "PUT":
+            with self.lock:
+                self._faults = read_json(type(self._faults), MAX_BODY_BYTES)
+            self.faults_changed()
+        return answer_json(self._faults.model_dump())
+
+    @cherrypy.expose
+    def health(self) -> bytes:
+        """Tell that the stand-in runs."""
+        return answer_json({"status": "ok"})
+
+
+def run_stand_in(host: str, port: int, root: Any, threads: int = 64) -> None:
+    """Serve a stand-in until SIGTERM or SIGINT."""
+    threading.stack_size(512 * 1024)
+    limits = ListenerLimits(threads, max_body_bytes=MAX_BODY_BYTES, sender_timeout_s=60)
+    listener = Listener(host, port, root, limits)
+    stopping = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stopping.set())
+    signal.signal(signal.SIGINT, lambda *_: stopping.set())
+    listener.start()
+    while not stopping.wait(timeout=1.0):
+        continue
+    listener.stop()
--- /dev/null
+++ b/poplarrelay/standins/platform.py
@@ -0,0 +1,204 @@
+"""Stand-ins for the host list, the cloud API and the weight store."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import Any
+
+import cherrypy
+from pydantic import BaseModel
+
+from poplarrelay.standins.base import MAX_BODY_BYTES, StandIn, refuse
+from poplarrelay.web.exchange import answer_json, read_json, require_method
+
+__all__ = ["CloudStandIn", "HostListStandIn", "WeightStoreStandIn"]
+
+
+class HostListFaults(BaseModel):
+    """Faults of the host list.
+
+    Attributes
+    ----------
+    stale : bool
+        Go on telling what was true when this was set.
+    """
+
+    refuse: bool = False
+    stale: bool = False
+
+
+class HostListStandIn(StandIn[HostListFaults]):
+    """The list of endpoints, told with a lag.
+
+    Parameters
+    ----------
+    hosts : list of dict
+        Endpoints, as ``GET /hosts`` tells them.
+    lag_s : float
+        Seconds until a change is told.
+    """
+
+    def __init__(self, hosts: list[dict[str, Any]], lag_s: float) -> None:
+        super().__init__(HostListFaults())
+        self._lag_s = lag_s
+        self._history: list[tuple[float, list[dict[str, Any]]]] = [(0.0, hosts)]
+        self._frozen: list[dict[str, Any]] | None = None
+
+    def _told(self) -> list[dict[str, Any]]:
+        limit = time.monotonic() - self._lag_s
+        while len(self._history) > 1 and self._history[1][0] <= limit:
+            self._history.pop(0)
+        return self._history[0][1]
+
+    def faults_changed(self) -> None:
+        """Keep or drop the list that is told while it is stale."""
+        with self.lock:
+            self._frozen = self._told() if self.current_faults.stale else None
+
+    @cherrypy.expose
+    def hosts(self, endpoint: str | None = None) -> bytes:
+        """Tell all endpoints, or set or remove one."""
+        require_method("GET", "PUT", "DELETE")
+        with self.lock:
+            if cherrypy.request.method == "GET":
+                if self.current_faults.refuse:
+                    raise refuse(503, "outage")
+                return answer_json({"hosts": self._frozen or self._told()})
+            newest = [h for h in self._history[-1][1] if h["endpoint"] != endpoint]
+            if cherrypy.request.method == "PUT":
+                newest.append(read_json(_Host, MAX_BODY_BYTES).model_dump())
+            self._history.append((time.monotonic(), newest))
+        return answer_json({"status": "ok"})
+
+
+class _Host(BaseModel):
+    endpoint: str
+    kind: str
+    address: str
+    failure_domain: str
+    names: list[str]
+    price: float
+    reclaimable: bool
+    checks_fencing: bool
+    state: str
+
+
+class CloudFaults(BaseModel):
+    """Faults of the cloud API.
+
+    Attributes
+    ----------
+    refuse_starts : bool
+        Refuse to start hosts.
+    lose_answers : int
+        Start so many hosts and then keep the answers back.
+    """
+
+    refuse: bool = False
+    refuse_starts: bool = False
+    lose_answers: int = 0
+    lost_s: float = 3.0
+
+
+class NoticeBody(BaseModel):
+    """A notice: an endpoint or a whole failure domain goes."""
+
+    remaining_s: float
+    endpoint: str | None = None
+    failure_domain: str | None = None
+
+
+class StartBody(BaseModel):
+    """Start a host; `token` makes the call idempotent."""
+
+    token: str
+    machine_class: str
+    failure_domain: str
+
+
+class CloudStandIn(StandIn[CloudFaults]):
+    """Notices of reclaims, and starts of hosts."""
+
+    def __init__(self) -> None:
+        super().__init__(CloudFaults())
+        self._notices: list[tuple[float, NoticeBody]] = []
+        self._starts: dict[str, dict[str, Any]] = {}
+        self._changed = threading.Condition()
+
+    @cherrypy.expose
+    def notices(self, **query: str) -> bytes:
+        """Send a notice, or tell those from a number on."""
+        require_method("GET", "POST")
+        if self.current_faults.refuse:
+            raise refuse(503, "outage")
+        if cherrypy.request.method == "POST":
+            notice = read_json(NoticeBody, MAX_BODY_BYTES)
+            with self._changed:
+                self._notices.append((time.monotonic(), notice))
+                self._changed.notify_all()
+            return answer_json({"status": "sent"}, status=202)
+        return self._tell(int(query.get("from", 0)), int(query.get("wait_ms", 0)))
+
+    def _tell(self, start: int, wait_ms: int) -> bytes:
+        with self._changed:
+            self._changed.wait_for(
+                lambda: len(self._notices) > start, timeout=min(30.0, wait_ms / 1000)
+            )
+            now = time.monotonic()
+            told = [
+                {**n.model_dump(), "remaining_s": max(0.0, n.remaining_s - (now - at))}
+                for at, n in self._notices[start:]
+            ]
+            following = len(self._notices)
+        return answer_json({"next": following, "notices": told})
+
+    @cherrypy.expose
+    def starts(self) -> bytes:
+        """Start a host, or tell those that were started."""
+        require_method("GET", "POST")
+        if cherrypy.request.method == "GET":
+            return answer_json({"starts": list(self._starts.values())})
+        if self.current_faults.refuse or self.current_faults.refuse_starts:
+            raise refuse(503, "no-capacity", 1.0)
+        body = read_json(StartBody, MAX_BODY_BYTES)
+        with self.lock:
+            made = self._starts.setdefault(body.token, body.model_dump())
+            lost = self.current_faults.lose_answers > 0
+            self.current_faults.lose_answers -= lost
+        if lost:
+            time.sleep(self.current_faults.lost_s)
+        return answer_json(made, status=201)
+
+
+class WeightFaults(BaseModel):
+    """Faults of the weight store."""
+
+    refuse: bool = False
+
+
+class WeightStoreStandIn(StandIn[WeightFaults]):
+    """A store of model weights that serves a few loads at once.
+
+    Parameters
+    ----------
+    loads_per_s : float
+        Loads begun in a second.
+    """
+
+    def __init__(self, loads_per_s: float) -> None:
+        super().__init__(WeightFaults())
+        self._interval_s = 1.0 / loads_per_s
+        self._free_at = 0.0
+
+    @cherrypy.expose
+    def weights(self, model: str) -> bytes:
+        """Begin to load a model."""
+        if self.current_faults.refuse:
+            raise refuse(503, "outage")
+        with self.lock:
+            now = time.monotonic()
+            if now < self._free_at:
+                raise refuse(429, "rate-limit", self._free_at - now)
+            self._free_at = now + self._interval_s
+        return answer_json({"model": model})
--- /dev/null
+++ b/poplarrelay/systems/admitting.py
@@ -0,0 +1,213 @@
+"""Admit requests: team, deployment, limits, deadline."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from poplarrelay.configuration.policy import TeamPolicy
+from poplarrelay.exception import (
+    AuthenticationFailed,
+    CallerError,
+    MalformedHeader,
+    UnknownModel,
+    UnknownService,
+)
+from poplarrelay.identifiers import TeamId
+from poplarrelay.messages.effects import (
+    AcceptDeferred,
+    Conclude,
+    Count,
+    Counter,
+    Decided,
+    Decision,
+    Effect,
+    Reject,
+)
+from poplarrelay.messages.inbox import CallerGone, Inbox, RequestArrived
+from poplarrelay.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from poplarrelay.systems.concluding import conclude, outcome_tag
+from poplarrelay.systems.keying import settle_arrival
+from poplarrelay.systems.limits import enqueue, fill_retry_budget, queue_refusal
+from poplarrelay.tables.requests import Request, RequestState, Work, WorkKind
+from poplarrelay.tables.world import NodePhase, World
+
+__all__ = ["admit_requests", "drop_callers", "rank_of", "team_of"]
+
+#: Seconds that a caller is told to wait before it asks another node.
+ELSEWHERE_RETRY_S = 0.2
+#: Share of its time after which a waiting request is served as if urgent.
+PROMOTION_SHARE = 0.5
+
+
+def team_of(world: World, token_sha256: str) -> TeamId:
+    """Return the team that a token names.
+
+    Raises
+    ------
+    AuthenticationFailed
+        If no deployment in force has the token.
+    """
+    team = world.configuration.team_of_token.get(token_sha256)
+    if team is None:
+        raise AuthenticationFailed("the token belongs to no team")
+    return team
+
+
+def _checked_work(policy: TeamPolicy, work: Work) -> Work:
+    if work.kind is WorkKind.COMPLETION:
+        if work.name not in policy.models:
+            raise UnknownModel("the team's deployment has no such model")
+        return work
+    service = policy.services.get(work.name)
+    if service is None:
+        raise UnknownService("the team's deployment has no such service")
+    repeatable = work.method.upper() in service.repeatable_methods
+    return replace(work, repeatable=repeatable)
+
+
+def _to_request(policy: TeamPolicy, arrived: RequestArrived) -> Request:
+    targets = policy.classes.get(arrived.request_class)
+    if targets is None:
+        raise MalformedHeader("the team's deployment has no such request class")
+    timeout = targets.deadline_s
+    if arrived.timeout_s is not None:
+        timeout = min(timeout, arrived.timeout_s)
+    return Request(
+        id=arrived.id,
+        team=policy.team,
+        work=_checked_work(policy, arrived.work),
+        request_class=arrived.request_class,
+        arrived=arrived.received - arrived.age_s,
+        deadline=arrived.received + timeout,
+        first_token_s=targets.first_token_s,
+        key=arrived.key,
+        deferred=arrived.deferred,
+    )
+
+
+def _given_up(
+    arrived: RequestArrived, not_run: NotRunReason, unknown: UnknownReason
+) -> NotRun | Unknown:
+    """Return the outcome of a request that this node does not look into.
+
+    Notes
+    -----
+    Under a key the work may have run at another node before, and a caller who is
+    told "not run" books again under another key. So only a request without a key
+    is certain not to have run.
+    """
+    if arrived.key is None:
+        return NotRun(not_run, ELSEWHERE_RETRY_S)
+    return Unknown(unknown, ELSEWHERE_RETRY_S)
+
+
+def _unready(world: World, arrived: RequestArrived) -> NotRun | Unknown | None:
+    if world.me.ready or world.phase is NodePhase.DRAINING:
+        return None
+    return _given_up(arrived, NotRunReason.NODE_NOT_READY, UnknownReason.NODE_NOT_READY)
+
+
+def _refusal(
+    world: World, request: Request, arrived: RequestArrived, now: float
+) -> NotRun | Unknown | None:
+    """Return why a request is given up on arrival, None if it is not.
+
+    Notes
+    -----
+    The deadline is compared first: a process that was frozen finds requests in
+    its socket buffers whose callers left long ago, and running those would spend
+    endpoints on answers that nobody reads.
+    """
+    if now >= request.deadline:
+        return _given_up(arrived, NotRunReason.DEADLINE, UnknownReason.DEADLINE)
+    if request.key is not None:
+        return None
+    if now >= world.refuse_from:
+        return NotRun(NotRunReason.NODE_LEAVING, ELSEWHERE_RETRY_S)
+    return queue_refusal(world, request.team)
+
+
+def admit_requests(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Take new requests, or say at once why not."""
+    for arrived in inbox.of(RequestArrived):
+        try:
+            yield from _admit(world, arrived, now)
+        except CallerError as error:
+            world.requests.pop(arrived.id, None)
+            yield Count(Counter.REJECTED, labels=(("type", error.slug),))
+            yield Decided(
+                Decision.ADMIT, (("request", arrived.id), ("rejected", error.slug))
+            )
+            yield Reject(arrived.id, error)
+
+
+def _refuse(arrived: RequestArrived, outcome: NotRun | Unknown) -> Iterator[Effect]:
+    labels = (
+        ("class", arrived.request_class.value),
+        ("outcome", outcome_tag(outcome)),
+    )
+    yield Count(Counter.OUTCOMES, labels=labels)
+    yield Decided(
+        Decision.ADMIT, (("request", arrived.id), ("refused", outcome.reason.value))
+    )
+    yield Conclude(arrived.id, outcome)
+
+
+def _admit(world: World, arrived: RequestArrived, now: float) -> Iterator[Effect]:
+    unready = _unready(world, arrived)
+    if unready is not None:
+        yield from _refuse(arrived, unready)
+        return
+    team = arrived.team or team_of(world, arrived.token_sha256)
+    policy = world.configuration.policies.get(team)
+    if policy is None:
+        raise AuthenticationFailed("the team has no deployment")
+    request = _to_request(policy, arrived)
+    refusal = _refusal(world, request, arrived, now)
+    if refusal is not None:
+        yield from _refuse(arrived, refusal)
+        return
+    fill_retry_budget(world, policy)
+    world.requests[request.id] = request
+    yield from settle_arrival(world, request, arrived.forwarded, now)
+    labels = (("class", request.request_class.value), ("team", team))
+    yield Count(Counter.ACCEPTED, labels=labels)
+    if request.state is RequestState.RECEIVED:
+        yield from enqueue(world, request, now)
+    if request.deferred and request.state is not RequestState.ENDED:
+        yield AcceptDeferred(request.id)
+
+
+def drop_callers(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Forget requests whose callers have gone.
+
+    Notes
+    -----
+    A request that may have started is not withdrawn if it has a key: its outcome
+    is kept for the caller who comes back with the same key.
+    """
+    for gone in inbox.of(CallerGone):
+        request = world.requests.get(gone.request)
+        if request is None or request.state is RequestState.ENDED:
+            continue
+        waiting = request.state is RequestState.QUEUED
+        if request.key is None or (waiting and request.id not in world.joined):
+            outcome: NotRun | Unknown = Unknown(UnknownReason.DEADLINE)
+            if waiting and not request.started:
+                outcome = NotRun(NotRunReason.DEADLINE)
+            yield from conclude(world, request, outcome, now)
+
+
+def rank_of(request: Request, now: float) -> int:
+    """Return the order of service of a waiting request, 0 first.
+
+    Notes
+    -----
+    Urgent work goes first, but a request that has waited for half of its time is
+    served as if it were urgent, so patient work is delayed and never starved.
+    """
+    waited = now - request.arrived
+    if waited > PROMOTION_SHARE * (request.deadline - request.arrived):
+        return 0
+    return request.request_class.rank
--- /dev/null
+++ b/poplarrelay/systems/attempting.py
@@ -0,0 +1,164 @@
+"""Take the results of attempts: answer, retry, or end as unknown."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from poplarrelay.messages.effects import Count, Counter, Decided, Decision, Effect
+from poplarrelay.messages.inbox import (
+    AttemptEnded,
+    AttemptProgressed,
+    AttemptResult,
+    Inbox,
+)
+from poplarrelay.outcomes import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
+from poplarrelay.systems.concluding import conclude, release_endpoint, requeue
+from poplarrelay.systems.limits import take_retry
+from poplarrelay.tables.claims import KeyState
+from poplarrelay.tables.endpoints import Endpoint, EndpointState
+from poplarrelay.tables.requests import Request, RequestState
+from poplarrelay.tables.world import World
+
+__all__ = ["follow_attempts"]
+
+#: Failures in a row after which an endpoint gets no work for a while.
+BREAKER_FAILURES = 2
+#: Shortest and longest such pause, in seconds.
+BREAKER_PAUSE_S = (0.5, 8.0)
+#: Weight of the newest attempt in the moving average of attempt times.
+ATTEMPT_WEIGHT = 0.2
+#: Seconds until a caller may come back after its attempts have failed.
+FAILED_RETRY_S = 0.5
+
+
+def follow_attempts(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Follow running attempts and decide what comes after each."""
+    for progressed in inbox.of(AttemptProgressed):
+        request = world.requests.get(progressed.request)
+        if request is not None:
+            request.tokens = max(request.tokens, progressed.tokens)
+            if request.first_token_at is None:
+                request.first_token_at = now
+    for ended in inbox.of(AttemptEnded):
+        request = world.requests.get(ended.request)
+        if request is not None and request.state is RequestState.DISPATCHED:
+            yield from _end_attempt(world, request, ended, now)
+
+
+def _end_attempt(
+    world: World, request: Request, ended: AttemptEnded, now: float
+) -> Iterator[Effect]:
+    endpoint = None
+    if request.attempt is not None:
+        endpoint = world.endpoints.get(request.attempt.endpoint)
+    request.tokens = max(request.tokens, ended.tokens)
+    if endpoint is not None:
+        _judge(world, endpoint, request, ended.result, now)
+    if ended.result is AttemptResult.FINISHED:
+        outcome = Answered(ended.answer, ended.service, ended.usage)
+        yield from conclude(world, request, outcome, now)
+        return
+    outcome_if_last = _last_outcome(request, ended.result)
+    if not _may_retry(request, ended.result, now, world):
+        yield from conclude(world, request, outcome_if_last, now)
+        return
+    yield from _retry(world, request, ended, outcome_if_last, now)
+
+
+def _judge(
+    world: World,
+    endpoint: Endpoint,
+    request: Request,
+    result: AttemptResult,
+    now: float,
+) -> None:
+    """Note how an endpoint did; pause it after failures in a row.
+
+    Notes
+    -----
+    An endpoint that accepts and never answers looks idle in its load report and
+    would draw all new work. The pause grows with every failure, and the first
+    attempt after it decides whether it ends.
+    """
+    if result is AttemptResult.FINISHED:
+        endpoint.failures = 0
+        elapsed = now - request.arrived
+        endpoint.attempt_s += ATTEMPT_WEIGHT * (elapsed - endpoint.attempt_s)
+        return
+    request.tried.append(endpoint.id)
+    if result is AttemptResult.EXPIRED or endpoint.state is not EndpointState.LIVE:
+        return
+    endpoint.failures += 1
+    if endpoint.failures >= BREAKER_FAILURES:
+        shortest, longest = BREAKER_PAUSE_S
+        pause = min(longest, shortest * 2 ** (endpoint.failures - BREAKER_FAILURES))
+        endpoint.closed_until = now + pause * (0.75 + 0.5 * world.rng.random())
+
+
+def _last_outcome(request: Request, result: AttemptResult) -> Outcome:
+    """Return what the request comes to if there is no further attempt."""
+    if result is AttemptResult.EXPIRED:
+        return Unknown(UnknownReason.DEADLINE, FAILED_RETRY_S)
+    if result is AttemptResult.NOT_STARTED and not request.started:
+        return NotRun(NotRunReason.REFUSED, FAILED_RETRY_S)
+    return Unknown(UnknownReason.ATTEMPT_BROKEN, FAILED_RETRY_S)
+
+
+def _may_retry(
+    request: Request, result: AttemptResult, now: float, world: World
+) -> bool:
+    """Return whether another attempt does no harm and can still help.
+
+    Notes
+    -----
+    Work that must not be repeated gets another attempt only if no byte of the
+    last one reached its endpoint; anything else may have run.
+    """
+    if result is AttemptResult.BROKEN:
+        request.started = True
+        if not request.work.repeatable:
+            return False
+    if result is AttemptResult.EXPIRED:
+        request.started = True
+        return False
+    if request.attempts >= world.settings.limits.max_attempts:
+        return False
+    return now < request.deadline
+
+
+def _retry(
+    world: World,
+    request: Request,
+    ended: AttemptEnded,
+    outcome_if_last: Outcome,
+    now: float,
+) -> Iterator[Effect]:
+    attempt = request.attempt
+    endpoint = None if attempt is None else world.endpoints.get(attempt.endpoint)
+    announced = endpoint is not None and endpoint.state is not EndpointState.LIVE
+    if not announced and not take_retry(world, request.team):
+        yield Decided(Decision.RETRY, (("request", request.id), ("refused", "budget")))
+        yield from conclude(world, request, outcome_if_last, now)
+        return
+    release_endpoint(world, request)
+    key = world.keyed(request)
+    if key is not None and ended.result is AttemptResult.NOT_STARTED:
+        world.uses[key].state = KeyState.OPEN
+    yield Decided(
+        Decision.RETRY,
+        (
+            ("request", request.id),
+            ("result", ended.result.value),
+            ("tokens", request.tokens),
+            ("announced", announced),
+        ),
+    )
+    yield Count(Counter.RETRIES, labels=(("result", ended.result.value),))
+    requeue(world, request)
--- /dev/null
+++ b/poplarrelay/systems/dispatching.py
@@ -0,0 +1,170 @@
+"""Send waiting requests to endpoints."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from poplarrelay.identifiers import TeamId
+from poplarrelay.messages.effects import (
+    Count,
+    Counter,
+    Decided,
+    Decision,
+    Effect,
+    RunAttempt,
+)
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.systems.admitting import rank_of
+from poplarrelay.systems.limits import running_limit
+from poplarrelay.systems.routing import Choice, Criteria, choose_endpoint
+from poplarrelay.tables.claims import KeyState
+from poplarrelay.tables.requests import Attempt, Request, RequestState, WorkKind
+from poplarrelay.tables.world import World
+
+__all__ = ["book_attempt", "criteria_for", "dispatch_queue"]
+
+#: Prefixes that are remembered for one endpoint.
+MAX_PREFIXES = 512
+
+
+def criteria_for(world: World, request: Request, now: float) -> Criteria:
+    """Return what an endpoint for the request must fulfil."""
+    policy = world.configuration.policies.get(request.team)
+    domains = frozenset() if policy is None else policy.failure_domains
+    avoided = frozenset(
+        domain for domain, until in world.notified_domains.items() if until > now
+    )
+    return Criteria(domains, avoided, frozenset(request.tried), now)
+
+
+def book_attempt(
+    world: World, request: Request, choice: Choice, recomputed: int, now: float
+) -> Attempt:
+    """Make an attempt and put it on the endpoint's books."""
+    endpoint = choice.endpoint
+    attempt = Attempt(
+        id=world.new_attempt_id(request.id),
+        request=request.id,
+        endpoint=endpoint.id,
+        address=endpoint.address,
+        resume_from=max(request.tokens, request.work.resume_from),
+        deadline=request.deadline,
+        recomputed=recomputed,
+    )
+    endpoint.sent[request.id] = 0 if choice.cached else request.work.prompt_tokens
+    endpoint.sent_since_report.append(request.id)
+    if request.work.prefix:
+        _remember_prefix(endpoint.prefixes, request, now)
+    request.attempt = attempt
+    request.attempts += 1
+    return attempt
+
+
+def _remember_prefix(prefixes: dict[str, float], request: Request, now: float) -> None:
+    name = f"{request.team}/{request.work.prefix}"
+    prefixes.pop(name, None)
+    prefixes[name] = now
+    if len(prefixes) > MAX_PREFIXES:
+        del prefixes[next(iter(prefixes))]
+
+
+def _order(world: World, request: Request, now: float) -> tuple[int, float, float]:
+    served = world.team_use(request.team).served
+    return rank_of(request, now), served, request.arrived
+
+
+def _recomputed(request: Request) -> int:
+    if request.work.kind is WorkKind.SERVICE:
+        return 0
+    resumed = max(request.tokens, request.work.resume_from)
+    if request.attempts == 0 and resumed == 0:
+        return 0
+    return request.work.prompt_tokens + resumed
+
+
+def dispatch_queue(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Send every waiting request for which there is an endpoint.
+
+    Notes
+    -----
+    Classes go in order; within a class the team that was served least for its
+    priority goes first, so one team's flood only lengthens its own queue. After
+    one request of a team finds no endpoint for a model, the others of that team,
+    class and model are not tried in this tick, which bounds the work of a tick.
+    """
+    waiting = [world.requests[request_id] for request_id in world.queue]
+    blocked: set[tuple[TeamId, str, int]] = set()
+    endpoints = list(world.endpoints.values())
+    deferred = _deferred_running(world)
+    for request in sorted(waiting, key=lambda r: _order(world, r, now)):
+        group = (request.team, request.work.name, rank_of(request, now))
+        if group in blocked:
+            continue
+        if world.team_use(request.team).running >= running_limit(world, request.team):
+            blocked.add(group)
+            continue
+        if request.deferred and deferred >= world.settings.limits.deferred_threads:
+            continue
+        criteria = criteria_for(world, request, now)
+        choice = choose_endpoint(endpoints, request, criteria, world.rng)
+        if choice is None:
+            blocked.add(group)
+            continue
+        deferred += request.deferred
+        yield from _dispatch(world, request, choice, now)
+
+
+def _deferred_running(world: World) -> int:
+    return sum(
+        1
+        for request in world.requests.values()
+        if request.deferred and request.state is RequestState.DISPATCHED
+    )
+
+
+def _charge(world: World, request: Request) -> None:
+    policy = world.configuration.policies.get(request.team)
+    priority = 1 if policy is None else policy.priority
+    use = world.team_use(request.team)
+    use.served += (request.work.prompt_tokens + request.work.max_tokens + 1) / priority
+
+
+def _dispatch(
+    world: World, request: Request, choice: Choice, now: float
+) -> Iterator[Effect]:
+    world.queue.remove(request.id)
+    use = world.team_use(request.team)
+    use.queued -= 1
+    use.running += 1
+    _charge(world, request)
+    attempt = book_attempt(world, request, choice, _recomputed(request), now)
+    request.state = RequestState.DISPATCHED
+    key = world.keyed(request)
+    if key is not None:
+        # From here on an attempt may have been sent: the key is never released
+        # unless the attempt reports that no byte reached the endpoint.
+        world.uses[key].state = KeyState.RUNNING
+    yield Decided(
+        Decision.ROUTE,
+        (
+            ("request", request.id),
+            ("team", request.team),
+            ("class", request.request_class.value),
+            ("endpoint", choice.endpoint.id),
+            ("domain", choice.endpoint.domain),
+            ("price", choice.endpoint.price),
+            ("predicted_s", round(choice.predicted_s, 4)),
+            ("cached", choice.cached),
+            ("candidates", choice.candidates),
+            ("attempt", request.attempts),
+            ("resume_from", attempt.resume_from),
+        ),
+    )
+    yield Count(Counter.ATTEMPTS, labels=(("team", request.team),))
+    yield RunAttempt(
+        attempt,
+        request.work,
+        request.team,
+        request.request_class.rank,
+        request.deferred,
+    )
--- /dev/null
+++ b/poplarrelay/systems/expiring.py
@@ -0,0 +1,76 @@
+"""End requests whose deadline has passed and forget what is no longer needed."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from poplarrelay.messages.effects import Count, Counter, Effect
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.outcomes import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from poplarrelay.systems.concluding import conclude
+from poplarrelay.tables.claims import KeyState
+from poplarrelay.tables.requests import Request, RequestState
+from poplarrelay.tables.world import World
+
+__all__ = ["expire_requests", "forget_old_rows"]
+
+#: Seconds after its deadline until a running attempt is given up by the tables;
+#: the thread that runs it ends it at the deadline itself.
+ATTEMPT_GRACE_S = 1.0
+#: Seconds between two sweeps of old rows.
+SWEEP_INTERVAL_S = 5.0
+#: States in which nothing has been sent under the request.
+_UNSENT = (RequestState.RECEIVED, RequestState.CLAIMING, RequestState.QUEUED)
+
+
+def _late_outcome(request: Request) -> Outcome:
+    """Return the outcome of a request whose deadline has passed.
+
+    Notes
+    -----
+    A request that waits for a claim cannot say "not run" for its key: another
+    node may have run the key, and this one has not read that far.
+    """
+    if request.started or request.state not in _UNSENT:
+        return Unknown(UnknownReason.DEADLINE)
+    if request.state is RequestState.CLAIMING:
+        return Unknown(UnknownReason.LOG_UNAVAILABLE, retry_after_s=1.0)
+    return NotRun(NotRunReason.DEADLINE, retry_after_s=1.0)
+
+
+def expire_requests(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """End requests at their deadline, at once and not later."""
+    for request in world.open_requests():
+        limit = request.deadline
+        if request.state is RequestState.DISPATCHED:
+            limit += ATTEMPT_GRACE_S
+        if now < limit or request.state is RequestState.ENDED:
+            continue
+        yield Count(Counter.LATE, labels=(("class", request.request_class.value),))
+        yield from conclude(world, request, _late_outcome(request), now)
+
+
+def forget_old_rows(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Forget keys, claims and kept answers that are older than the key memory."""
+    if now < world.next_sweep_at:
+        return
+    world.next_sweep_at = now + SWEEP_INTERVAL_S
+    memory = world.settings.limits.key_memory_s
+    tickets = (
+        world.settings.limits.ticket_epochs + 2
+    ) * world.settings.timing.ticket_epoch_s
+    kept = max(memory, tickets)
+    settled = (KeyState.FINISHED, KeyState.BROKEN, KeyState.RELEASED)
+    for key, use in list(world.uses.items()):
+        if use.state in settled and now - use.changed_at > kept:
+            del world.uses[key]
+    for key, claim in list(world.claims.items()):
+        if now - claim.read_at > kept and key not in world.uses:
+            del world.claims[key]
+    for request in list(world.requests.values()):
+        if request.ended_at is not None and now - request.ended_at > memory:
+            del world.requests[request.id]
+    for incarnation, at in list(world.adopted.items()):
+        if now - at > kept:
+            del world.adopted[incarnation]
+    yield from ()
--- /dev/null
+++ b/poplarrelay/systems/homes.py
@@ -0,0 +1,86 @@
+"""Find the process that answers for an incarnation, and answer for this one."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from poplarrelay.identifiers import Incarnation, NodeId
+from poplarrelay.messages.convert import store_outcome
+from poplarrelay.messages.effects import Effect, Reply
+from poplarrelay.messages.gossip import KeyQuestion, KeyReply
+from poplarrelay.messages.inbox import Inbox, KeyAsked
+from poplarrelay.tables.claims import KeyState, KeyUse, TeamKey
+from poplarrelay.tables.members import Member, MemberStatus
+from poplarrelay.tables.world import World
+
+__all__ = ["answer_key_questions", "home_of"]
+
+
+def home_of(world: World, node: NodeId, incarnation: Incarnation) -> Member | None:
+    """Return the member that answers for an incarnation, None if there is none.
+
+    Notes
+    -----
+    A node that left in order names its successor. One that was declared dead may
+    only be frozen or cut off, so it is still asked as long as its row has the
+    same incarnation; a restarted process knows nothing of its predecessor.
+    """
+    member = world.members.get(node)
+    if member is None or member.incarnation != incarnation:
+        return None
+    if member.status is not MemberStatus.LEFT:
+        return member
+    if member.successor is None:
+        return None
+    return world.members.get(member.successor)
+
+
+def answer_key_questions(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Tell peers what became of keys."""
+    for asked in inbox.of(KeyAsked):
+        yield Reply(asked.call, _key_reply(world, asked.question, now))
+
+
+def _key_reply(world: World, question: KeyQuestion, now: float) -> KeyReply:
+    key = TeamKey.of(question.team, question.key)
+    use = world.uses.get(key)
+    if not question.incarnation:
+        in_use = use is not None and use.state is not KeyState.RELEASED
+        known = in_use or key in world.claims
+        return KeyReply(state="running" if known else "absent")
+    answers_for = Incarnation(question.incarnation)
+    if answers_for != world.incarnation and answers_for not in world.adopted:
+        return KeyReply(state="absent")
+    if use is None:
+        return KeyReply(state="absent")
+    if use.fingerprint != question.fingerprint:
+        return KeyReply(state="mismatch")
+    return _reply_by_state(world, key, use, question, now)
+
+
+def _reply_by_state(
+    world: World, key: TeamKey, use: KeyUse, question: KeyQuestion, now: float
+) -> KeyReply:
+    if use.state is KeyState.FINISHED and use.outcome is not None:
+        return KeyReply(state="finished", outcome=store_outcome(use.outcome))
+    if use.state is KeyState.BROKEN:
+        return KeyReply(state="broken")
+    if use.state is KeyState.RELEASED or _gave_up(world, key, use, question):
+        ago = now - use.changed_at if use.state is KeyState.RELEASED else 0.0
+        return KeyReply(state="released", released_ago_s=ago)
+    return KeyReply(state="running")
+
+
+def _gave_up(world: World, key: TeamKey, use: KeyUse, question: KeyQuestion) -> bool:
+    """Return whether a key in use here is being claimed anew.
+
+    Notes
+    -----
+    The asker names the claim that it has read. If this process claims anew after
+    that claim, it gave that claim up before, so both race for the next one in the
+    log, and the log's order decides.
+    """
+    if use.claim is not None or question.claim is None:
+        return False
+    claim = world.claims.get(key)
+    return claim is not None and claim.record != use.record
--- /dev/null
+++ b/poplarrelay/systems/keying.py
@@ -0,0 +1,96 @@
+"""Settle who may run a request that has just arrived."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from poplarrelay.exception import KeyReused
+from poplarrelay.messages.effects import Effect
+from poplarrelay.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from poplarrelay.systems.claiming import settle_plain_key
+from poplarrelay.systems.concluding import conclude
+from poplarrelay.systems.keys import PlainKey, Ticket, read_key
+from poplarrelay.systems.ticketing import settle_ticket
+from poplarrelay.tables.claims import KeyState, KeyUse, TeamKey
+from poplarrelay.tables.requests import Request, RequestState
+from poplarrelay.tables.world import World
+
+__all__ = ["settle_arrival"]
+
+#: Seconds until a caller may ask again at another node.
+LEAVING_RETRY_S = 0.2
+
+
+def settle_arrival(
+    world: World, request: Request, forwarded: bool, now: float
+) -> Iterator[Effect]:
+    """Decide who may run a request.
+
+    Parameters
+    ----------
+    world : World
+        The tables.
+    request : Request
+        A request of `world`. Its state stays RECEIVED if it may run at once.
+    forwarded : bool
+        Whether a peer sent it on, so that it must not be sent on again.
+    now : float
+        Monotonic time.
+
+    Raises
+    ------
+    KeyMalformed
+        If the key has an unknown form.
+    KeyReused
+        If the key came before with other work.
+    """
+    if request.key is None:
+        return
+    form = read_key(request.key)
+    if now >= world.refuse_from and not _known(world, request):
+        yield from _leave_alone(world, request, form, now)
+        return
+    use = world.uses.get(TeamKey(request.team, request.key))
+    if use is not None and use.state is not KeyState.RELEASED:
+        yield from _repeat(world, request, use, now)
+    elif isinstance(form, Ticket):
+        yield from settle_ticket(world, request, form, forwarded, now)
+    else:
+        yield from settle_plain_key(world, request, form, now)
+
+
+def _known(world: World, request: Request) -> bool:
+    key = world.keyed(request)
+    return key is not None and key in world.uses
+
+
+def _leave_alone(
+    world: World, request: Request, form: PlainKey | Ticket, now: float
+) -> Iterator[Effect]:
+    """End a request with a key that a leaving node does not look into.
+
+    The node's own tickets are certain not to have run, until it has handed over
+    the right to run them.
+    """
+    own = isinstance(form, Ticket) and form.incarnation == world.incarnation
+    if own and world.handover is None:
+        outcome = NotRun(NotRunReason.NODE_LEAVING, LEAVING_RETRY_S)
+        yield from conclude(world, request, outcome, now)
+    else:
+        unknown = Unknown(UnknownReason.NODE_LEAVING, LEAVING_RETRY_S)
+        yield from conclude(world, request, unknown, now)
+
+
+def _repeat(
+    world: World, request: Request, use: KeyUse, now: float
+) -> Iterator[Effect]:
+    if use.fingerprint != request.work.fingerprint:
+        raise KeyReused("the key came before with other work")
+    if use.state is KeyState.BROKEN:
+        outcome = Unknown(UnknownReason.ATTEMPT_BROKEN)
+        yield from conclude(world, request, outcome, now)
+    elif use.state is KeyState.FINISHED and use.outcome is not None:
+        yield from conclude(world, request, use.outcome, now)
+    else:
+        request.state = RequestState.JOINED
+        world.joined.setdefault(use.request, []).append(request.id)
--- /dev/null
+++ b/poplarrelay/systems/limits.py
@@ -0,0 +1,103 @@
+"""Bounds of a team: queue, running requests, retries."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from math import ceil
+
+from poplarrelay.configuration.policy import TeamPolicy
+from poplarrelay.identifiers import TeamId
+from poplarrelay.messages.effects import Effect
+from poplarrelay.outcomes import NotRun, NotRunReason
+from poplarrelay.systems.concluding import conclude, requeue
+from poplarrelay.tables.members import MemberStatus
+from poplarrelay.tables.requests import Request
+from poplarrelay.tables.world import World
+
+__all__ = [
+    "enqueue",
+    "fill_retry_budget",
+    "queue_refusal",
+    "running_limit",
+    "share",
+    "take_retry",
+]
+
+#: Lowest and highest hint for coming back after a full queue, in seconds.
+QUEUE_RETRY_RANGE_S = (0.5, 10.0)
+#: Seconds that one waiting request adds to that hint.
+QUEUE_RETRY_STEP_S = 0.02
+#: Smallest retry budget of a team, in retries.
+MIN_RETRY_BUDGET = 10.0
+#: What a node takes above an equal share of a team's limit.
+SHARE_SLACK = 1.25
+
+
+def share(world: World, limit: int) -> int:
+    """Return this node's share of a team's limit.
+
+    Notes
+    -----
+    Callers spread over the nodes that discovery names, so an equal share keeps
+    the sum near the limit with no message between nodes on a request's path. The
+    slack lets a node take a chance majority of the team's callers.
+    """
+    ready = sum(
+        1
+        for member in world.members.values()
+        if member.status is MemberStatus.ALIVE and member.ready
+    )
+    return max(1, ceil(SHARE_SLACK * limit / (ready + 1)))
+
+
+def _policy(world: World, team: TeamId) -> TeamPolicy | None:
+    return world.configuration.policies.get(team)
+
+
+def queue_refusal(world: World, team: TeamId) -> NotRun | None:
+    """Return the outcome for one more waiting request, None if it fits."""
+    policy = _policy(world, team)
+    use = world.team_use(team)
+    if policy is None or use.queued < share(world, policy.max_queued):
+        return None
+    low, high = QUEUE_RETRY_RANGE_S
+    retry_after_s = min(high, low + QUEUE_RETRY_STEP_S * use.queued)
+    return NotRun(NotRunReason.QUEUE_FULL, retry_after_s)
+
+
+def enqueue(world: World, request: Request, now: float) -> Iterator[Effect]:
+    """Put a request that may run into its team's queue, or end it as not run."""
+    refusal = queue_refusal(world, request.team)
+    if refusal is None:
+        requeue(world, request)
+    else:
+        yield from conclude(world, request, refusal, now)
+
+
+def running_limit(world: World, team: TeamId) -> int:
+    """Return how many requests of a team may run from this node."""
+    policy = _policy(world, team)
+    return 0 if policy is None else share(world, policy.max_running)
+
+
+def fill_retry_budget(world: World, policy: TeamPolicy) -> None:
+    """Let an accepted request add to its team's retry budget."""
+    use = world.team_use(policy.team)
+    bound = max(MIN_RETRY_BUDGET, float(share(world, policy.max_running)))
+    use.retry_tokens = min(bound, use.retry_tokens + policy.retry_ratio)
+
+
+def take_retry(world: World, team: TeamId) -> bool:
+    """Take one retry from the team's budget; False if there is none.
+
+    Notes
+    -----
+    When many endpoints fail at once, every request in flight wants a retry. The
+    budget bounds the attempts that this adds, so the endpoints that are left are
+    not overloaded as well.
+    """
+    use = world.team_use(team)
+    if use.retry_tokens < 1.0:
+        return False
+    use.retry_tokens -= 1.0
+    return True
--- /dev/null
+++ b/poplarrelay/systems/membership.py
@@ -0,0 +1,228 @@
+"""Membership between nodes: random probing with suspicion.
+
+Notes
+-----
+Each round one peer is probed, and through others if it does not answer, so the
+cost per node does not depend on the number of nodes. A peer that does not answer
+is suspected first; if it does not deny that in time it is declared dead. A frozen
+node accepts connections and never answers, which only the timeout on the answer
+tells from a slow one.
+
+References
+----------
+A. Das, I. Gupta, A. Motivala, "SWIM: Scalable Weakly-consistent Infection-style
+Process Group Membership Protocol", DSN 2002.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from poplarrelay.identifiers import EndpointId, NodeId
+from poplarrelay.messages.effects import Decided, Decision, Effect, ProbePeer, Reply
+from poplarrelay.messages.gossip import ProbeMessage
+from poplarrelay.messages.inbox import (
+    Inbox,
+    NoticeHeard,
+    NoticeSource,
+    ProbeAnswered,
+    ProbeFailed,
+    ProbeReceived,
+)
+from poplarrelay.systems.gossiping import (
+    current_notices,
+    merge_row,
+    news_rows,
+    own_row,
+    raise_version,
+)
+from poplarrelay.tables.members import Member, MemberStatus
+from poplarrelay.tables.world import CLAIMS, CONFIGURATION, NodePhase, World
+
+__all__ = ["judge_self", "probe_peers", "take_news", "watch_suspects"]
+
+#: Peers through which a silent one is tried.
+HELPERS = 2
+#: Statuses of nodes that are still probed.
+_PROBED = (MemberStatus.ALIVE, MemberStatus.LEAVING, MemberStatus.SUSPECT)
+#: Rounds of probes between two probes of a node that was declared dead.
+DEAD_PROBE_ROUNDS = 10
+
+
+def _changed(member: Member, why: str) -> Decided:
+    fields = (
+        ("node", member.node),
+        ("incarnation", member.incarnation),
+        ("status", member.status.value),
+        ("ready", member.ready),
+        ("why", why),
+    )
+    return Decided(Decision.MEMBER, fields)
+
+
+def _take(world: World, message: ProbeMessage, now: float) -> Iterator[Effect]:
+    for row in (message.sender, *message.rows):
+        before = world.members.get(NodeId(row.node))
+        merged = merge_row(world, row, now)
+        if merged is not None and (before is None or before.status != merged.status):
+            yield _changed(merged, "news")
+    sender = world.members.get(NodeId(message.sender.node))
+    if sender is not None and sender.incarnation == message.sender.incarnation:
+        sender.heard_at = now
+        world.peer_heard_at = now
+
+
+def _notices(message: ProbeMessage) -> list[NoticeHeard]:
+    return [
+        NoticeHeard(
+            notice.remaining_s,
+            NoticeSource.PEER,
+            endpoint=EndpointId(notice.endpoint),
+        )
+        for notice in message.notices
+    ]
+
+
+def take_news(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Merge what peers said, and answer their probes."""
+    for probe in inbox.of(ProbeReceived):
+        yield from _take(world, probe.probe, now)
+        inbox.add_all(_notices(probe.probe))
+        answer = ProbeMessage(
+            sender=own_row(world, now),
+            rows=news_rows(world, probe.probe.full),
+            notices=current_notices(world, now),
+        )
+        yield Reply(probe.call, answer)
+    for answered in inbox.of(ProbeAnswered):
+        yield from _take(world, answered.answer, now)
+        inbox.add_all(_notices(answered.answer))
+    for failed in inbox.of(ProbeFailed):
+        yield from _suspect(world, failed.node, now)
+
+
+def _suspect(world: World, node: NodeId | None, now: float) -> Iterator[Effect]:
+    member = None if node is None else world.members.get(node)
+    if member is None or member.status not in (
+        MemberStatus.ALIVE,
+        MemberStatus.LEAVING,
+    ):
+        return
+    member.status = MemberStatus.SUSPECT
+    member.changed_at = now
+    member.told = 0
+    yield _changed(member, "no answer")
+
+
+def watch_suspects(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Declare suspects dead in time, and forget the long dead."""
+    timing = world.settings.timing
+    for member in list(world.members.values()):
+        elapsed = now - member.changed_at
+        if member.status is MemberStatus.SUSPECT and elapsed >= timing.suspicion_s:
+            member.status = MemberStatus.DEAD
+            member.changed_at = now
+            member.told = 0
+            yield _changed(member, "suspicion not denied")
+        elif member.status in (
+            MemberStatus.DEAD,
+            MemberStatus.LEFT,
+        ) and elapsed >= max(timing.forget_dead_s, _ticket_memory(world)):
+            del world.members[member.node]
+
+
+def _ticket_memory(world: World) -> float:
+    """Return for how long the successor of a node that left must be known."""
+    limits, timing = world.settings.limits, world.settings.timing
+    return (limits.ticket_epochs + 2) * timing.ticket_epoch_s
+
+
+def probe_peers(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Probe the next peer of the ring, or a seed."""
+    if now < world.next_probe_at:
+        return
+    timing = world.settings.timing
+    world.next_probe_at = now + timing.probe_s * (0.8 + 0.4 * world.rng.random())
+    world.probe_round += 1
+    target = _next_target(world)
+    probed = [m for m in world.members.values() if m.status in _PROBED]
+    if target is not None:
+        helpers = [
+            m.peers
+            for m in probed
+            if m.node != target.node and m.status is MemberStatus.ALIVE
+        ]
+        chosen = world.rng.sample(helpers, min(HELPERS, len(helpers)))
+        message = _probe(world, full=False, now=now)
+        yield ProbePeer(target.node, target.peers, message, tuple(chosen))
+    if world.settings.seeds and _seed_due(world, probed):
+        seed = world.rng.choice(world.settings.seeds)
+        if seed != world.me.peers:
+            yield ProbePeer(None, seed, _probe(world, full=True, now=now))
+
+
+def _seed_due(world: World, probed: list[Member]) -> bool:
+    """Return whether a seed is to be probed.
+
+    Two halves that have declared each other dead find each other again through
+    the seeds, which are probed now and then for that reason.
+    """
+    return not probed or world.probe_round % DEAD_PROBE_ROUNDS == 0
+
+
+def _probe(world: World, full: bool, now: float) -> ProbeMessage:
+    return ProbeMessage(
+        sender=own_row(world, now),
+        rows=news_rows(world, False),
+        notices=current_notices(world, now),
+        full=full,
+    )
+
+
+def _next_target(world: World) -> Member | None:
+    """Return the next peer in a shuffled ring, so that all get their turn."""
+    for _ in range(len(world.probe_ring) + 1):
+        if not world.probe_ring:
+            world.probe_ring = [
+                m.node for m in world.members.values() if m.status in _PROBED
+            ]
+            world.rng.shuffle(world.probe_ring)
+            if not world.probe_ring:
+                return None
+        member = world.members.get(world.probe_ring.pop())
+        if member is not None and member.status in _PROBED:
+            return member
+    return None
+
+
+def judge_self(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Decide whether this node may take work.
+
+    Notes
+    -----
+    A node that has not folded the configuration to its end does not know the
+    teams. One that reaches neither the log nor any peer cannot know whether its
+    configuration is current, or whether the rest of the system still exists, so
+    it steps aside after a few seconds.
+    """
+    position = world.streams[CONFIGURATION]
+    contact = max(position.read_at, world.streams[CLAIMS].read_at, world.peer_heard_at)
+    isolated = now - contact > _isolation(world)
+    if world.phase is NodePhase.STARTING and position.caught_up:
+        world.phase = NodePhase.SERVING
+    serving = world.phase is NodePhase.SERVING
+    ready = serving and position.caught_up and not isolated
+    if ready != world.me.ready:
+        world.me.ready = ready
+        raise_version(world)
+        yield _changed(world.me, "isolated" if isolated else "standing changed")
+
+
+def _isolation(world: World) -> float:
+    """Return the seconds without any contact that a node still serves.
+
+    The log is read with a long poll, so an answer is due only every
+    ``log_wait_s`` even if all is well.
+    """
+    timing = world.settings.timing
+    return timing.isolation_s + timing.log_wait_s
--- /dev/null
+++ b/poplarrelay/systems/ticketing.py
@@ -0,0 +1,127 @@
+"""Settle requests whose key is a ticket.
+
+Notes
+-----
+Only the incarnation that a ticket names runs it, or the node that took over from
+it when it left in order. The home keeps every outcome until the ticket has expired
+by its own clock, so it always knows whether the ticket ran. A crash takes that
+knowledge away, and open tickets end as "unknown", which a claim would do as well.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from poplarrelay.exception import KeyMalformed
+from poplarrelay.messages.convert import load_outcome, store_request
+from poplarrelay.messages.effects import Decided, Decision, Effect, Forward
+from poplarrelay.messages.inbox import ForwardAnswered, Inbox
+from poplarrelay.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
+from poplarrelay.systems.concluding import conclude
+from poplarrelay.systems.homes import home_of
+from poplarrelay.systems.keys import Ticket
+from poplarrelay.tables.claims import KeyState, KeyUse
+from poplarrelay.tables.members import Member
+from poplarrelay.tables.requests import Request, RequestState
+from poplarrelay.tables.world import World
+
+__all__ = ["follow_forwards", "settle_ticket"]
+
+#: Epochs that a ticket may be ahead of its home, since epochs are passed on late.
+EPOCHS_AHEAD = 1
+#: Seconds until a caller may ask again about a ticket whose home is out of reach.
+HOME_RETRY_S = 1.0
+
+
+def settle_ticket(
+    world: World, request: Request, ticket: Ticket, forwarded: bool, now: float
+) -> Iterator[Effect]:
+    """Run a ticket here, send it to its home, or say that it is unknown.
+
+    Raises
+    ------
+    KeyMalformed
+        If the ticket claims an epoch that its home has not reached.
+    """
+    if ticket.incarnation == world.incarnation:
+        yield from _settle_own(world, request, ticket, now)
+    elif ticket.incarnation in world.adopted:
+        yield from _hold(world, request, now)
+    elif forwarded:
+        yield from _unreachable(world, request, now)
+    else:
+        home = home_of(world, ticket.node, ticket.incarnation)
+        yield from _forward(world, request, ticket, home, now)
+
+
+def _settle_own(
+    world: World, request: Request, ticket: Ticket, now: float
+) -> Iterator[Effect]:
+    age = world.epoch(now) - ticket.epoch
+    if age < -EPOCHS_AHEAD:
+        raise KeyMalformed("the ticket was not issued by this system")
+    if age >= world.settings.limits.ticket_epochs:
+        # What ran under the ticket may have been forgotten. Running it could
+        # double it, and "not run" could be false.
+        outcome = Unknown(UnknownReason.KEY_EXPIRED)
+        yield from conclude(world, request, outcome, now)
+    elif world.handover is not None:
+        # The right to run this process's tickets was given up with the handover.
+        home = world.members.get(world.handover.successor)
+        yield from _forward(world, request, ticket, home, now)
+    else:
+        yield from _hold(world, request, now)
+
+
+def _hold(world: World, request: Request, now: float) -> Iterator[Effect]:
+    key = world.keyed(request)
+    assert key is not None
+    use = world.uses.get(key)
+    if use is not None and request.arrived < use.changed_at:
+        # A caller was told "not run" after this request had come to another
+        # node, which sent it on late. It must not run any more.
+        outcome = NotRun(NotRunReason.REFUSED, HOME_RETRY_S)
+        yield from conclude(world, request, outcome, now)
+        return
+    fingerprint = request.work.fingerprint
+    world.uses[key] = KeyUse(KeyState.OPEN, request.id, fingerprint, changed_at=now)
+
+
+def _unreachable(world: World, request: Request, now: float) -> Iterator[Effect]:
+    outcome = Unknown(UnknownReason.HOME_UNREACHABLE, HOME_RETRY_S)
+    yield from conclude(world, request, outcome, now)
+
+
+def _forward(
+    world: World,
+    request: Request,
+    ticket: Ticket,
+    home: Member | None,
+    now: float,
+) -> Iterator[Effect]:
+    if home is None:
+        yield from _unreachable(world, request, now)
+        return
+    request.state = RequestState.ASKING
+    fields = (("request", request.id), ("forwarded_to", home.node))
+    yield Decided(Decision.ROUTE, fields)
+    yield Forward(
+        request.id,
+        home.peers,
+        ticket.incarnation,
+        store_request(request, now),
+        request.deadline - now,
+    )
+
+
+def follow_forwards(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Take the answers of homes to which requests were sent on."""
+    for answered in inbox.of(ForwardAnswered):
+        request = world.requests.get(answered.request)
+        if request is None or request.state is not RequestState.ASKING:
+            continue
+        reply = answered.reply
+        if reply is None or reply.outcome is None:
+            yield from _unreachable(world, request, now)
+        else:
+            yield from conclude(world, request, load_outcome(reply.outcome), now)
--- /dev/null
+++ b/poplarrelay/systems/watching.py
@@ -0,0 +1,228 @@
+"""Keep the endpoint table: host list, load reports, notices."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterator
+from math import ceil, log2
+
+from poplarrelay.identifiers import EndpointId
+from poplarrelay.messages.effects import (
+    Decided,
+    Decision,
+    Effect,
+    ListHosts,
+    PollLoad,
+    SendNews,
+)
+from poplarrelay.messages.gossip import NoticeRow, ProbeMessage
+from poplarrelay.messages.inbox import (
+    HostRow,
+    HostsListed,
+    Inbox,
+    LoadFailed,
+    LoadReported,
+    NoticeHeard,
+    NoticeSource,
+)
+from poplarrelay.systems.gossiping import current_notices, own_row
+from poplarrelay.tables.endpoints import Endpoint, EndpointState
+from poplarrelay.tables.members import MemberStatus
+from poplarrelay.tables.world import World
+
+__all__ = ["hear_notices", "poll_endpoints", "watch_hosts"]
+
+#: Seconds for which a failure domain is avoided after a notice in it.
+DOMAIN_AVOIDED_S = 60.0
+#: Seconds after the announced time at which an endpoint that is still listed as
+#: live, and still reports, counts as live again: the notice came to nothing.
+NOTICE_LAPSE_S = 20.0
+#: Polls in a row that fail before an endpoint gets no new work.
+POLL_FAILURES = 2
+#: Seconds that an endpoint gets no new work after failed polls.
+POLL_PAUSE_S = 2.0
+#: Fewest peers that are told of a notice at once.
+MIN_FANOUT = 4
+
+
+def _score(world: World, endpoint: EndpointId) -> bytes:
+    text = f"{world.node}/{endpoint}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def _watched(world: World, rows: tuple[HostRow, ...]) -> list[HostRow]:
+    """Return the endpoints that this node uses.
+
+    Notes
+    -----
+    With many endpoints each node uses its own part of them, chosen by rendezvous
+    hashing for each model or service, so that polls per node and per endpoint
+    stay bounded and a change of the list moves few of them.
+    """
+    limit = world.settings.limits.watched_endpoints
+    groups: dict[frozenset[str], list[HostRow]] = {}
+    for row in rows:
+        groups.setdefault(row.names, []).append(row)
+    watched: list[HostRow] = []
+    for group in groups.values():
+        group.sort(key=lambda row: _score(world, row.endpoint))
+        watched.extend(group[:limit])
+    return watched
+
+
+def watch_hosts(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Take the platform's host list, and ask for it again in time."""
+    for listed in inbox.of(HostsListed):
+        rows = _watched(world, listed.rows)
+        names = {row.endpoint for row in rows}
+        for row in rows:
+            yield from _list_endpoint(world, row, now)
+        for endpoint in list(world.endpoints.values()):
+            endpoint.listed = endpoint.id in names
+            if not endpoint.listed and not endpoint.sent:
+                endpoint.state = EndpointState.GONE
+                del world.endpoints[endpoint.id]
+                yield _changed(endpoint, "unlisted")
+    if now >= world.next_hosts_at:
+        interval = world.settings.timing.host_poll_s
+        world.next_hosts_at = now + interval * (0.8 + 0.4 * world.rng.random())
+        yield ListHosts()
+
+
+def _changed(endpoint: Endpoint, why: str) -> Decided:
+    fields = (
+        ("endpoint", endpoint.id),
+        ("domain", endpoint.domain),
+        ("state", endpoint.state.value),
+        ("why", why),
+    )
+    return Decided(Decision.ENDPOINT, fields)
+
+
+def _list_endpoint(world: World, row: HostRow, now: float) -> Iterator[Effect]:
+    endpoint = world.endpoints.get(row.endpoint)
+    if endpoint is None:
+        endpoint = Endpoint(
+            id=row.endpoint,
+            kind=row.kind,
+            address=row.address,
+            domain=row.domain,
+            names=row.names,
+            price=row.price,
+            reclaimable=row.reclaimable,
+            checks_fencing=row.checks_fencing,
+        )
+        world.endpoints[row.endpoint] = endpoint
+        yield _changed(endpoint, "listed")
+    endpoint.price = row.price
+    if row.leaving:
+        remaining = world.settings.timing.drain_s
+        yield from _mark_leaving(
+            world, endpoint, remaining, NoticeSource.HOST_LIST, now
+        )
+    elif _lapsed(endpoint, now):
+        endpoint.state = EndpointState.LIVE
+        endpoint.leaving_at = None
+        yield _changed(endpoint, "notice lapsed")
+
+
+def _lapsed(endpoint: Endpoint, now: float) -> bool:
+    """Return whether a notice came to nothing.
+
+    Notes
+    -----
+    The host list lags, so that it says "live" does not take back a notice. Only
+    well after the announced time, and if the endpoint itself still reports, is
+    it used again.
+    """
+    if endpoint.state is not EndpointState.LEAVING or endpoint.leaving_at is None:
+        return False
+    if now < endpoint.leaving_at + NOTICE_LAPSE_S:
+        return False
+    return endpoint.reported_at is not None and now - endpoint.reported_at < 2.0
+
+
+def _mark_leaving(
+    world: World,
+    endpoint: Endpoint,
+    remaining_s: float,
+    source: NoticeSource,
+    now: float,
+) -> Iterator[Effect]:
+    leaving_at = now + max(0.0, remaining_s)
+    if endpoint.state is EndpointState.LEAVING and endpoint.leaving_at is not None:
+        # A repetition may only bring the end forward: a late or replayed notice
+        # must not give an endpoint time that it does not have.
+        endpoint.leaving_at = min(endpoint.leaving_at, leaving_at)
+        return
+    if endpoint.state is not EndpointState.LIVE:
+        return
+    endpoint.state = EndpointState.LEAVING
+    endpoint.leaving_at = leaving_at
+    world.notified_domains[endpoint.domain] = now + DOMAIN_AVOIDED_S
+    yield _changed(endpoint, f"notice from {source.value}")
+
+
+def _affected(world: World, notice: NoticeHeard) -> list[Endpoint]:
+    if notice.endpoint is not None:
+        endpoint = world.endpoints.get(notice.endpoint)
+        return [] if endpoint is None else [endpoint]
+    return [e for e in world.endpoints.values() if e.domain == notice.domain]
+
+
+def hear_notices(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Mark leaving endpoints, and pass a first notice on at once.
+
+    Notes
+    -----
+    The platform may tell only some nodes, and its host list lags. The node that
+    hears first tells several peers, each of which does the same when it hears for
+    the first time, so the news reaches all nodes in a few round trips; the rounds
+    of probes carry it to those that were cut off.
+    """
+    fresh = False
+    for notice in inbox.of(NoticeHeard):
+        for endpoint in _affected(world, notice):
+            was_live = endpoint.state is EndpointState.LIVE
+            yield from _mark_leaving(
+                world, endpoint, notice.remaining_s, notice.source, now
+            )
+            fresh = fresh or was_live
+    if fresh:
+        yield from _spread(world, now)
+
+
+def _spread(world: World, now: float) -> Iterator[Effect]:
+    peers = [m.peers for m in world.members.values() if m.status is MemberStatus.ALIVE]
+    fanout = max(MIN_FANOUT, ceil(2 * log2(len(peers) + 1)))
+    chosen = world.rng.sample(peers, min(fanout, len(peers)))
+    if chosen:
+        notices: tuple[NoticeRow, ...] = current_notices(world, now)
+        message = ProbeMessage(sender=own_row(world, now), notices=notices)
+        yield SendNews(tuple(chosen), message)
+
+
+def poll_endpoints(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Take load reports, and ask for new ones in time."""
+    for reported in inbox.of(LoadReported):
+        endpoint = world.endpoints.get(reported.endpoint)
+        if endpoint is not None:
+            endpoint.polling = False
+            endpoint.poll_failures = 0
+            endpoint.report = reported.report
+            endpoint.reported_at = now
+            endpoint.sent_since_report.clear()
+    for failed in inbox.of(LoadFailed):
+        endpoint = world.endpoints.get(failed.endpoint)
+        if endpoint is not None:
+            endpoint.polling = False
+            endpoint.poll_failures += 1
+            if endpoint.poll_failures >= POLL_FAILURES:
+                endpoint.closed_until = max(endpoint.closed_until, now + POLL_PAUSE_S)
+    interval = world.settings.timing.load_poll_s
+    for endpoint in world.endpoints.values():
+        if endpoint.polling or now < endpoint.poll_at:
+            continue
+        endpoint.polling = True
+        endpoint.poll_at = now + interval * (0.8 + 0.4 * world.rng.random())
+        yield PollLoad(endpoint.id, endpoint.address)
--- /dev/null
+++ b/poplarrelay/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Entities as rows of plain tables; no logic beyond properties."""
--- /dev/null
+++ b/poplarrelay/tables/endpoints.py
@@ -0,0 +1,101 @@
+"""Model engines and plain services, as this node knows them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from poplarrelay.identifiers import DomainId, EndpointId, RequestId
+
+__all__ = ["Endpoint", "EndpointKind", "EndpointState", "LoadReport"]
+
+
+class EndpointKind(Enum):
+    """What an endpoint serves."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class EndpointState(Enum):
+    """Whether an endpoint takes new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an endpoint says of its load; old when it arrives.
+
+    Attributes
+    ----------
+    running, queued : int
+        Requests in the batch and waiting for it.
+    slots : int
+        Requests that fit in the batch.
+    queued_tokens : int
+        Prompt tokens not yet computed.
+    prefill_tokens_per_s : float
+        Speed at which prompt tokens are computed.
+    step_s : float
+        Time between two tokens of one request.
+    """
+
+    running: int = 0
+    queued: int = 0
+    slots: int = 1
+    queued_tokens: int = 0
+    prefill_tokens_per_s: float = 1.0
+    step_s: float = 0.02
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """An endpoint.
+
+    Attributes
+    ----------
+    names : frozenset of str
+        Models or services that it serves.
+    price : float
+        Price of its host per hour.
+    leaving_at : float or None
+        Monotonic time at which it goes, if it was announced.
+    sent : dict of RequestId to int
+        Running attempts of this node and the prompt tokens that each adds.
+    sent_since_report : list of RequestId
+        Attempts sent since the last report, which the report cannot include.
+    failures, poll_failures : int
+        Failed attempts and failed polls, each in a row.
+    attempt_s : float
+        Moving average of the time that an attempt takes.
+    closed_until : float
+        Monotonic time until which no work is sent after failures.
+    prefixes : dict of str to float
+        Prefixes sent here, and when.
+    """
+
+    id: EndpointId
+    kind: EndpointKind
+    address: str
+    domain: DomainId
+    names: frozenset[str]
+    price: float
+    reclaimable: bool = True
+    checks_fencing: bool = False
+    state: EndpointState = EndpointState.LIVE
+    leaving_at: float | None = None
+    listed: bool = True
+    report: LoadReport | None = None
+    reported_at: float | None = None
+    poll_at: float = 0.0
+    polling: bool = False
+    sent: dict[RequestId, int] = field(default_factory=dict)
+    sent_since_report: list[RequestId] = field(default_factory=list)
+    failures: int = 0
+    poll_failures: int = 0
+    attempt_s: float = 1.0
+    closed_until: float = 0.0
+    prefixes: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/poplarrelay/tables/world.py
@@ -0,0 +1,291 @@
+"""All tables of one node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import count
+from random import Random
+
+from poplarrelay.identifiers import (
+    AttemptId,
+    DomainId,
+    EndpointId,
+    IdempotencyKey,
+    Incarnation,
+    NodeId,
+    Offset,
+    RecordId,
+    RequestId,
+    StreamName,
+    TeamId,
+)
+from poplarrelay.messages.gossip import HandoverMessage
+from poplarrelay.messages.inbox import CallId
+from poplarrelay.messages.records import Record
+from poplarrelay.settings import NodeSettings
+from poplarrelay.tables.claims import Claim, KeyUse, TeamKey
+from poplarrelay.tables.configuration import ConfigurationTable
+from poplarrelay.tables.endpoints import Endpoint
+from poplarrelay.tables.members import Member, MemberStatus
+from poplarrelay.tables.requests import Request, RequestState
+
+__all__ = [
+    "CLAIMS",
+    "CONFIGURATION",
+    "HandoverState",
+    "NodePhase",
+    "PendingChange",
+    "StreamPosition",
+    "TeamUse",
+    "World",
+]
+
+
+#: Stream of templates and deployments.
+CONFIGURATION = StreamName("configuration")
+#: Stream of claims of idempotency keys.
+CLAIMS = StreamName("claims")
+
+
+#: Where every stream begins.
+FIRST_OFFSET = Offset(0)
+
+
+class NodePhase(Enum):
+    """Where the node stands in its own life."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+@dataclass(slots=True)
+class StreamPosition:
+    """How far a stream has been folded.
+
+    Attributes
+    ----------
+    next : int
+        Offset of the next record to fold.
+    caught_up : bool
+        Whether the end of the stream has been seen once.
+    read_at : float
+        Monotonic time of the last answer from the log itself.
+    failed_at : float
+        Monotonic time of the last failure.
+    """
+
+    next: Offset = FIRST_OFFSET
+    caught_up: bool = False
+    read_at: float = float("-inf")
+    failed_at: float = float("-inf")
+
+    @property
+    def available(self) -> bool:
+        """Return whether the last contact with the log succeeded."""
+        return self.read_at > self.failed_at
+
+
+@dataclass(slots=True)
+class TeamUse:
+    """What a team uses of this node right now.
+
+    Attributes
+    ----------
+    served : float
+        Work given to the team divided by its priority, for fair shares.
+    retry_tokens : float
+        What is left of the team's retry budget.
+    """
+
+    running: int = 0
+    queued: int = 0
+    served: float = 0.0
+    retry_tokens: float = 10.0
+
+
+@dataclass(slots=True)
+class PendingChange:
+    """An operator's change that has been sent to the log.
+
+    Attributes
+    ----------
+    call : CallId
+        The thread that waits for the verdict.
+    until : float
+        Monotonic time after which it is told that there is none.
+    """
+
+    call: CallId
+    subject: str
+    until: float
+
+
+@dataclass(slots=True)
+class HandoverState:
+    """A handover that this node, which is leaving, has begun.
+
+    Attributes
+    ----------
+    message : HandoverMessage
+        Sent again until it is acknowledged.
+    next_send_at : float
+        Monotonic time of the next repetition.
+    """
+
+    successor: NodeId
+    peer: str
+    message: HandoverMessage
+    next_send_at: float
+    acknowledged: bool = False
+
+
+@dataclass(slots=True)
+class World:
+    """Tables of one node, owned by its tick thread.
+
+    Attributes
+    ----------
+    collecting : list of Record
+        Configuration records read so far by a node that has no base yet.
+    queue : list of RequestId
+        Requests that may run and wait for an endpoint.
+    uses : dict of TeamKey to KeyUse
+        Keys that this process may run, or has run.
+    claiming : set of RequestId
+        Requests whose claim is on the way to the log.
+    ask_again : dict of RequestId to float
+        Requests whose key runs elsewhere, and when to ask again.
+    joined : dict of RequestId to list of RequestId
+        Requests that wait for another request's outcome.
+    notified_domains : dict of DomainId to float
+        Failure domains under notice, and until when they are avoided.
+    adopted : dict of Incarnation to float
+        Incarnations that left and gave their tickets to this node, and when.
+    refuse_from : float
+        Monotonic time from which a leaving node takes no new requests.
+    log_clock : float or None
+        The log's time of day less this process's monotonic time.
+    """
+
+    settings: NodeSettings
+    incarnation: Incarnation
+    rng: Random
+    started_at: float
+    me: Member
+    phase: NodePhase = NodePhase.STARTING
+    drain_until: float = float("inf")
+    streams: dict[StreamName, StreamPosition] = field(default_factory=dict)
+    configuration: ConfigurationTable = field(default_factory=ConfigurationTable)
+    collecting: list[Record] = field(default_factory=list)
+    pending_changes: dict[RecordId, PendingChange] = field(default_factory=dict)
+    endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
+    requests: dict[RequestId, Request] = field(default_factory=dict)
+    queue: list[RequestId] = field(default_factory=list)
+    claims: dict[TeamKey, Claim] = field(default_factory=dict)
+    uses: dict[TeamKey, KeyUse] = field(default_factory=dict)
+    claiming: set[RequestId] = field(default_factory=set)
+    ask_again: dict[RequestId, float] = field(default_factory=dict)
+    joined: dict[RequestId, list[RequestId]] = field(default_factory=dict)
+    members: dict[NodeId, Member] = field(default_factory=dict)
+    teams: dict[TeamId, TeamUse] = field(default_factory=dict)
+    notified_domains: dict[DomainId, float] = field(default_factory=dict)
+    adopted: dict[Incarnation, float] = field(default_factory=dict)
+    handover: HandoverState | None = None
+    refuse_from: float = float("inf")
+    handover_at: float = float("inf")
+    log_clock: float | None = None
+    next_probe_at: float = 0.0
+    next_hosts_at: float = 0.0
+    next_fetch_at: float = 0.0
+    next_sweep_at: float = 0.0
+    probe_round: int = 0
+    peer_heard_at: float = float("-inf")
+    probe_ring: list[NodeId] = field(default_factory=list)
+    _counter: count[int] = field(default_factory=count)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: NodeSettings,
+        incarnation: Incarnation,
+        generation: int,
+        now: float,
+        seed: int,
+    ) -> World:
+        """Return the empty tables of a node that starts.
+
+        Parameters
+        ----------
+        settings : NodeSettings
+            The node's settings.
+        incarnation : Incarnation
+            Random id of this run of the process.
+        generation : int
+            Orders this run among those of the same node.
+        now : float
+            Monotonic time.
+        seed : int
+            Seed of every random choice that the systems make.
+        """
+        me = Member(
+            node=NodeId(settings.node),
+            incarnation=incarnation,
+            generation=generation,
+            version=1,
+            status=MemberStatus.ALIVE,
+            domain=DomainId(settings.failure_domain),
+            callers=settings.callers.address,
+            peers=settings.peers.address,
+        )
+        return cls(
+            settings=settings,
+            incarnation=incarnation,
+            rng=Random(seed),
+            started_at=now,
+            me=me,
+            streams={CONFIGURATION: StreamPosition(), CLAIMS: StreamPosition()},
+        )
+
+    @property
+    def node(self) -> NodeId:
+        """Return this node's name."""
+        return self.me.node
+
+    @property
+    def accepts_work(self) -> bool:
+        """Return whether new requests of callers are taken."""
+        return self.phase is NodePhase.SERVING and self.me.ready
+
+    def epoch(self, now: float) -> int:
+        """Return the ticket epoch, which counts up from the process's start."""
+        return int((now - self.started_at) / self.settings.timing.ticket_epoch_s)
+
+    def new_request_id(self) -> RequestId:
+        """Return an id that names its home node and incarnation."""
+        serial = next(self._counter)
+        return RequestId(f"r.{self.node}.{self.incarnation}.{serial}")
+
+    def new_attempt_id(self, request: RequestId) -> AttemptId:
+        """Return an attempt id."""
+        return AttemptId(f"{request}/{next(self._counter)}")
+
+    def new_record_id(self) -> RecordId:
+        """Return a record id."""
+        return RecordId(f"{self.incarnation}-{next(self._counter)}")
+
+    def team_use(self, team: TeamId) -> TeamUse:
+        """Return the row of a team, made if there is none."""
+        return self.teams.setdefault(team, TeamUse())
+
+    def keyed(self, request: Request) -> TeamKey | None:
+        """Return the request's key within its team, None if it has none."""
+        if request.key is None:
+            return None
+        return TeamKey(request.team, IdempotencyKey(request.key))
+
+    def open_requests(self) -> list[Request]:
+        """Return the requests that have no outcome yet."""
+        return [r for r in self.requests.values() if r.state is not RequestState.ENDED]
--- /dev/null
+++ b/poplarrelay/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Help for tests, demonstrations and measurements: sites of real processes."""
--- /dev/null
+++ b/poplarrelay/web/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners and answers over HTTP, by CherryPy and its server."""
--- /dev/null
+++ b/poplarrelay/web/exchange.py
@@ -0,0 +1,118 @@
+"""Read requests and write JSON answers within a CherryPy handler."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import cherrypy
+import orjson
+from pydantic import BaseModel, ValidationError
+
+from poplarrelay.exception import BodyTooLarge, CallerError, MalformedBody
+from poplarrelay.settings import faults_of
+from poplarrelay.web.problems import Problem, ProblemResponse, problem_of_error
+
+__all__ = [
+    "answer_json",
+    "header",
+    "parse_body",
+    "read_body",
+    "read_json",
+    "reject",
+    "require_method",
+]
+
+_READ_BYTES = 65_536
+
+ModelT = TypeVar("ModelT", bound=BaseModel)
+
+
+def header(name: str) -> str | None:
+    """Return a request header, None if absent."""
+    value = cherrypy.request.headers.get(name)
+    return None if value is None else str(value)
+
+
+def reject(error: CallerError) -> ProblemResponse:
+    """Return the response to raise for an unacceptable request."""
+    return ProblemResponse(problem_of_error(error))
+
+
+def require_method(*allowed: str) -> None:
+    """Answer 405 unless the request has one of the methods."""
+    if cherrypy.request.method not in allowed:
+        cherrypy.response.headers["Allow"] = ", ".join(allowed)
+        raise ProblemResponse(
+            Problem(
+                405,
+                "method-not-allowed",
+                "The method is not allowed here",
+                outcome="not_run",
+            )
+        )
+
+
+def read_body(limit: int) -> bytes:
+    """Return the request's body.
+
+    Raises
+    ------
+    BodyTooLarge
+        If it is, or says that it is, longer than `limit` bytes.
+    MalformedBody
+        If the sender stops within it.
+    """
+    length = header("Content-Length")
+    if length is not None and (not length.isdigit() or int(length) > limit):
+        raise BodyTooLarge(f"at most {limit} bytes are taken")
+    chunked = (header("Transfer-Encoding") or "").lower() == "chunked"
+    if length is None and not chunked:
+        return b""
+    parts: list[bytes] = []
+    size = 0
+    try:
+        while chunk := cherrypy.request.rfile.read(_READ_BYTES):
+            size += len(chunk)
+            if size > limit:
+                raise BodyTooLarge(f"at most {limit} bytes are taken")
+            parts.append(chunk)
+    except (OSError, ValueError) as error:
+        raise MalformedBody("the body did not arrive whole") from error
+    if length is not None and size != int(length):
+        raise MalformedBody("the body did not arrive whole")
+    return b"".join(parts)
+
+
+def parse_body(body: bytes, model: type[ModelT]) -> ModelT:
+    """Return a JSON body as a checked model.
+
+    Raises
+    ------
+    MalformedBody
+        With every fault, but none of the values.
+    """
+    try:
+        value = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        raise MalformedBody("the body is not JSON") from None
+    try:
+        return model.model_validate(value)
+    except ValidationError as error:
+        problems = "; ".join(str(fault) for fault in faults_of(error))
+        raise MalformedBody(problems) from None
+
+
+def read_json(model: type[ModelT], limit: int) -> ModelT:
+    """Return the request's body as a checked model, or answer 4xx."""
+    try:
+        return parse_body(read_body(limit), model)
+    except CallerError as error:
+        raise reject(error) from None
+
+
+def answer_json(value: Any, status: int = 200) -> bytes:
+    """Return JSON as the body of the response."""
+    body = orjson.dumps(value)
+    cherrypy.response.status = status
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    return body
--- /dev/null
+++ b/poplarrelay/web/listener.py
@@ -0,0 +1,120 @@
+"""A listener: CherryPy's server with a thread pool of its own."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+from typing import Any
+
+import cherrypy
+from cheroot import wsgi
+
+from poplarrelay.web.problems import error_page
+
+__all__ = ["Listener", "ListenerLimits", "make_application"]
+
+#: Seconds that a sender may pause within a request.
+SENDER_TIMEOUT_S = 10
+#: Connections that wait for a thread; more are refused at once, since a request
+#: that waits unread has no deadline that anyone watches.
+ACCEPT_QUEUE = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerLimits:
+    """Bounds of a listener."""
+
+    threads: int
+    max_header_bytes: int = 32_768
+    max_body_bytes: int = 4_000_000
+    sender_timeout_s: int = SENDER_TIMEOUT_S
+
+
+def make_application(root: object) -> cherrypy.Application:
+    """Return a CherryPy application for a tree of handlers.
+
+    Notes
+    -----
+    Bodies are read by the handlers, which know how large they may be. Nothing of
+    a failure but its kind is told to the caller.
+    """
+    config: dict[str, dict[str, Any]] = {
+        "/": {
+            "request.show_tracebacks": False,
+            "request.process_request_body": False,
+            "error_page.default": error_page,
+            "tools.trailing_slash.on": False,
+            "tools.log_headers.on": False,
+            "tools.log_tracebacks.on": True,
+        }
+    }
+    application = cherrypy.Application(root, "", config)
+    application.log.screen = False
+    application.log.access_log.propagate = False
+    application.log.access_log.disabled = True
+    return application
+
+
+def _ignore(*args: object, **kwargs: object) -> None:
+    """Drop what the server would write about connections that break."""
+
+
+class Listener:
+    """A server on one address.
+
+    Parameters
+    ----------
+    host : str
+        IP number to listen on.
+    port : int
+        Port, 0 for any free one.
+    root : object
+        CherryPy tree of handlers.
+    limits : ListenerLimits
+        Bounds.
+    """
+
+    def __init__(
+        self, host: str, port: int, root: object, limits: ListenerLimits
+    ) -> None:
+        self._server = wsgi.Server(
+            (host, port),
+            make_application(root),
+            numthreads=limits.threads,
+            max=limits.threads,
+            request_queue_size=128,
+            timeout=limits.sender_timeout_s,
+            shutdown_timeout=1,
+            accepted_queue_size=ACCEPT_QUEUE,
+            accepted_queue_timeout=1,
+        )
+        self._server.max_request_header_size = limits.max_header_bytes
+        self._server.max_request_body_size = limits.max_body_bytes
+        self._server.error_log = _ignore  # type: ignore[method-assign]
+        self._thread: threading.Thread | None = None
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` as bound."""
+        host, port = self._server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Bind, and serve on a thread of its own.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        self._server.prepare()
+        self._thread = threading.Thread(
+            target=self._server.serve, name=f"listener-{self.address}", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop to accept, and wait a moment for requests in progress."""
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(timeout=2.0)
