--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,134 @@
+"""Start a whole site, show five kinds of request and a reclaim, and end.
+
+Exit code 0 only if every answer was whole and every booking ran once.
+"""
+
+from __future__ import annotations
+
+import sys
+import threading
+from pathlib import Path
+
+from poplarrelay.client import CallerClient, CompletionResult
+from poplarrelay.standins.batching import token_text
+from poplarrelay.testing.processes import RunningSite, run_site, wait_until
+from poplarrelay.testing.site import Site
+
+SITE = Path(__file__).parent / "ceremony_booking_relay_western_province.json"
+TEAM = "registry-counters"
+MODEL = "packet-assistant"
+CASE_FILE = "Officer notes for the oath day packet of one family. " * 60
+NOTICE_S = 2.0
+
+checks: list[bool] = []
+
+
+def check(what: str, good: bool) -> None:
+    """Print what was seen and remember whether it was right."""
+    checks.append(good)
+    print(f"  {'ok ' if good else 'BAD'}  {what}", flush=True)
+
+
+def step(text: str) -> None:
+    """Print the heading of a step."""
+    print(f"\n{text}", flush=True)
+
+
+def whole(prompt: str, count: int) -> list[str]:
+    """Return the tokens that a whole answer has."""
+    return [token_text(prompt, index) for index in range(count)]
+
+
+def show_completions(client: CallerClient) -> None:
+    """Show a streamed completion and one that is not."""
+    step("1. A streamed completion")
+    result = client.complete(MODEL, CASE_FILE, 40)
+    check(f"40 tokens, {result.usage}", result.tokens == whole(CASE_FILE, 40))
+    step("2. The same, not streamed, with its prompt cached")
+    again = client.complete(MODEL, CASE_FILE, 40)
+    check(f"40 tokens, {again.usage}", again.tokens == result.tokens)
+
+
+def show_services(client: CallerClient, site: RunningSite) -> None:
+    """Show a plain call, and a booking that may not be repeated."""
+    step("3. A plain service")
+    seats = client.call_service("booking", "/seats?day=12", method="GET")
+    check(f"status {seats.status}", seats.status == 200)
+    step("4. A booking that may not be repeated, asked for twice under one key")
+    body = b'{"seat": "A-17", "family": "P-2201"}'
+    first = client.call_service("booking", "/confirm", body)
+    again = client.call_service("booking", "/confirm", body, key=first.key)
+    runs = [n for name, n in site.runs().items() if name.startswith("POST /confirm")]
+    check(f"the desk ran it {sum(runs)} time(s)", runs == [1])
+    check("both callers got the same answer", first.body == again.body)
+
+
+def show_deferred(client: CallerClient) -> None:
+    """Show a patient report that is fetched later."""
+    step("5. A patient report, fetched by its id")
+    body = {"model": MODEL, "prompt": "season report", "max_tokens": 30}
+    accepted = client.defer("/v1/completions", body)
+    found = client.wait_for(accepted.id, 30.0)
+    text = found.document["response"]["choices"][0]["text"]
+    check(f"{accepted.id}", text == "".join(whole("season report", 30)))
+
+
+def running_on(site: RunningSite) -> str:
+    """Return the endpoint that runs an attempt."""
+    for node in site.nodes:
+        status = site.status(node) or {"endpoints": {}}
+        for name, endpoint in status["endpoints"].items():
+            if endpoint["running"]:
+                return str(name)
+    return ""
+
+
+def show_reclaim(client: CallerClient, site: RunningSite) -> None:
+    """Show an endpoint that is reclaimed while it streams."""
+    step(f"An endpoint is reclaimed under a live stream, {NOTICE_S:.0f} s after notice")
+    prompt = CASE_FILE + "reclaimed"
+    result = CompletionResult()
+    stream = client.stream(MODEL, prompt, 400, 60.0, "standard", result)
+    for _ in range(20):
+        next(stream)
+    victim = wait_until(lambda: running_on(site), what="an attempt that runs")
+    print(f"       notice for {victim} after {len(result.tokens)} tokens", flush=True)
+    site.notice(NOTICE_S, endpoint=victim)
+    reclaim = threading.Timer(NOTICE_S, site.endpoints[victim].kill)
+    reclaim.start()
+    for _ in stream:
+        pass
+    reclaim.join()
+    check(f"400 tokens, {result.usage}", result.tokens == whole(prompt, 400))
+    check(f"{result.streams} stream(s) to the caller", result.streams == 1)
+    moves = [
+        line
+        for node in site.nodes.values()
+        for line in node.log_lines()
+        if line["message"] == "move"
+    ]
+    for move in moves:
+        print(f"       moved by {move['way']}: {move['from']} to {move['to']}")
+
+
+def main() -> int:
+    """Run the demonstration and return the exit code."""
+    site = Site.from_file(SITE)
+    print(
+        f"Starting {len(site.nodes)} nodes, {len(site.endpoints)} endpoints in "
+        f"{len(site.failure_domains)} failure domains, and the platform ...",
+        flush=True,
+    )
+    with run_site(site) as running:
+        client = running.client(TEAM)
+        show_completions(client)
+        show_services(client, running)
+        show_deferred(client)
+        show_reclaim(client, running)
+    good = all(checks)
+    print(f"\n{sum(checks)} of {len(checks)} checks were right", flush=True)
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/poplarrelay/testing/tests/test_whole_path.py
+++ b/poplarrelay/testing/tests/test_whole_path.py
@@ -6,7 +6,7 @@
 from poplarrelay.testing.builders import small_site
 from poplarrelay.testing.processes import run_site
 
-pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("whole-path")]
+pytestmark = pytest.mark.processes
 
 PROMPT = "please draft the oath day packet " * 5
 
--- a/poplarrelay/web/exchange.py
+++ b/poplarrelay/web/exchange.py
@@ -10,10 +10,12 @@
 
 from poplarrelay.exception import BodyTooLarge, CallerError, MalformedBody
 from poplarrelay.settings import faults_of
+from poplarrelay.web.listener import CLOSE_CONNECTION
 from poplarrelay.web.problems import Problem, ProblemResponse, problem_of_error
 
 __all__ = [
     "answer_json",
+    "close_connection",
     "header",
     "parse_body",
     "read_body",
@@ -64,6 +66,7 @@
     """
     length = header("Content-Length")
     if length is not None and (not length.isdigit() or int(length) > limit):
+        close_connection()
         raise BodyTooLarge(f"at most {limit} bytes are taken")
     chunked = (header("Transfer-Encoding") or "").lower() == "chunked"
     if length is None and not chunked:
@@ -76,13 +79,25 @@
             if size > limit:
                 raise BodyTooLarge(f"at most {limit} bytes are taken")
             parts.append(chunk)
+    except BodyTooLarge:
+        close_connection()
+        raise
     except (OSError, ValueError) as error:
+        close_connection()
         raise MalformedBody("the body did not arrive whole") from error
     if length is not None and size != int(length):
+        close_connection()
         raise MalformedBody("the body did not arrive whole")
     return b"".join(parts)
 
 
+def close_connection() -> None:
+    """Close the connection after the answer, with the body left unread."""
+    close = cherrypy.request.wsgi_environ.get(CLOSE_CONNECTION)
+    if close is not None:
+        close()
+
+
 def parse_body(body: bytes, model: type[ModelT]) -> ModelT:
     """Return a JSON body as a checked model.
 
--- a/poplarrelay/web/listener.py
+++ b/poplarrelay/web/listener.py
@@ -11,10 +11,15 @@
 
 from poplarrelay.web.problems import error_page
 
-__all__ = ["Listener", "ListenerLimits", "make_application"]
+__all__ = ["CLOSE_CONNECTION", "Listener", "ListenerLimits", "make_application"]
 
 #: Seconds that a sender may pause within a request.
 SENDER_TIMEOUT_S = 10
+#: Key in the WSGI environment of a function that closes the connection.
+CLOSE_CONNECTION = "poplarrelay.close_connection"
+#: Bytes by which the server's own bound on bodies is wider than the handlers', so
+#: that handlers refuse with a typed problem and the server only backs them up.
+BODY_SLACK_BYTES = 262_144
 #: Connections that wait for a thread; more are refused at once, since a request
 #: that waits unread has no deadline that anyone watches.
 ACCEPT_QUEUE = 64
@@ -55,6 +60,24 @@
     return application
 
 
+class _ClosingGateway(wsgi.Gateway_10):
+    """Lets a handler close the connection after its answer.
+
+    Notes
+    -----
+    Without it the server reads the rest of a body that the handler has refused
+    before it sends the answer, so a sender that stops would never get one.
+    """
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        environ: dict[str, Any] = super().get_environ()  # type: ignore[assignment,func-returns-value]
+        environ[CLOSE_CONNECTION] = self._close
+        return environ
+
+    def _close(self) -> None:
+        self.req.close_connection = True
+
+
 def _ignore(*args: object, **kwargs: object) -> None:
     """Drop what the server would write about connections that break."""
 
@@ -88,8 +111,9 @@
             accepted_queue_size=ACCEPT_QUEUE,
             accepted_queue_timeout=1,
         )
+        self._server.gateway = _ClosingGateway
         self._server.max_request_header_size = limits.max_header_bytes
-        self._server.max_request_body_size = limits.max_body_bytes
+        self._server.max_request_body_size = limits.max_body_bytes + BODY_SLACK_BYTES
         self._server.error_log = _ignore  # type: ignore[method-assign]
         self._thread: threading.Thread | None = None
 
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that build the project; not part of the package."""
--- /dev/null
+++ b/tools/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Build poplarrelay as one file."""
