Prove at-most-once with a state machine and directed tests

Cause: nothing showed that a booking runs at most once, or that "not run" is true. A hypothesis state machine over the real systems, with fakes for the log, the peers and the desk, crashes, freezes, restarts and cuts nodes, loses answers and reorders actions. It found, and each now has a test:

- A restarted node that had not read the log yet said "not run" for a key that its predecessor had run (no peers known counted as all peers absent).
- A peer that restarted in an outage vouched for keys of its predecessor.
- A forwarded ticket that got stuck on its way ran after its caller had been told "not run".
Forwards now carry the newest reading of the home's own clock that the sender had heard; a duration cannot cover the time on the wire.
- A request found in the socket buffer after a freeze counted as new.
What is read right after a freeze now counts as having come when it began, and a request's time starts when its connection is queued, not when a thread takes it.
- A key that ended as unknown before anything was sent stayed blocked here.

"Not run" is now a statement about the key and not only about this node: a clerk who is told so books again under another key. Without the log it is said only if every peer answers that it knows nothing of the key.

Ruled out: "not run" by the node that was asked alone (the state machine shows it false after a retry at a second node), a majority of promises collected from nodes (a consensus group of our own).

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; run with ``make bench`` and ``make capacity``."""
--- a/poplarrelay/engines/http.py
+++ b/poplarrelay/engines/http.py
@@ -37,6 +37,8 @@
 DONE = b"[DONE]"
 #: Statuses by which an engine says that it did not start.
 _REFUSALS = (429, 503)
+#: Seconds that a read may last beyond the deadline.
+DEADLINE_SLACK_S = 0.05
 #: Longest answer of a plain service, in bytes.
 MAX_ANSWER_BYTES = 16_000_000
 
@@ -137,8 +139,12 @@
             response.close()
 
     def _open(self, attempt: Attempt, body: bytes) -> BaseHTTPResponse:
+        # A stall is noticed at the deadline at the latest, so that the caller is
+        # told at once and not when the stall has been waited out.
+        left = max(0.01, attempt.deadline - time.monotonic())
         timeout = urllib3.Timeout(
-            connect=self._connect_timeout_s, read=self._progress_timeout_s
+            connect=min(self._connect_timeout_s, left),
+            read=min(self._progress_timeout_s, left + DEADLINE_SLACK_S),
         )
         try:
             response = self._pool.request(
--- a/poplarrelay/messages/convert.py
+++ b/poplarrelay/messages/convert.py
@@ -96,7 +96,9 @@
     return Answered(stored.tokens, service, usage)
 
 
-def store_request(request: Request, now: float) -> StoredRequest:
+def store_request(
+    request: Request, now: float, home_clock: float = 0.0
+) -> StoredRequest:
     """Return the travelling form of a request."""
     work = request.work
     outcome = request.outcome
@@ -119,6 +121,7 @@
         key=request.key,
         remaining_s=request.deadline - now,
         age_s=now - request.arrived,
+        home_clock=home_clock,
         first_token_s=request.first_token_s,
         deferred=request.deferred,
         outcome=None if outcome is None else store_outcome(outcome),
@@ -174,6 +177,7 @@
         peers=member.peers,
         ready=member.ready,
         epoch=member.epoch,
+        clock=member.clock,
         configuration_next=member.configuration_next,
         successor=member.successor,
     )
@@ -192,6 +196,7 @@
         peers=row.peers,
         ready=row.ready,
         epoch=row.epoch,
+        clock=row.clock,
         configuration_next=row.configuration_next,
         successor=None if row.successor is None else NodeId(row.successor),
         changed_at=now,
--- a/poplarrelay/messages/gossip.py
+++ b/poplarrelay/messages/gossip.py
@@ -33,6 +33,7 @@
     peers: str
     ready: bool
     epoch: int
+    clock: float = 0.0
     configuration_next: int
     successor: str | None = None
 
@@ -149,6 +150,9 @@
         See `poplarrelay.tables.requests`.
     remaining_s, age_s : float
         Seconds until the deadline and since the arrival.
+    home_clock : float
+        The newest time of the receiver's own clock that the sender had heard
+        when it took the request, so that one that got stuck on its way is known.
     outcome : StoredAnswer or None
         Set if it has ended and its answer is kept for the caller.
     """
@@ -171,6 +175,7 @@
     key: str | None = None
     remaining_s: float
     age_s: float
+    home_clock: float = 0.0
     first_token_s: float
     deferred: bool
     outcome: StoredAnswer | None = None
--- a/poplarrelay/messages/inbox.py
+++ b/poplarrelay/messages/inbox.py
@@ -85,6 +85,8 @@
         Monotonic time at which the request's head was read.
     age_s : float
         Seconds that it spent at another node before.
+    home_clock : float or None
+        For a forwarded request, see `StoredRequest`.
     deferred : bool
         The caller will fetch the answer by id later.
     forwarded : bool
@@ -102,6 +104,7 @@
     forwarded: bool = False
     team: TeamId | None = None
     age_s: float = 0.0
+    home_clock: float | None = None
 
 
 class AttemptResult(Enum):
--- a/poplarrelay/node/callers.py
+++ b/poplarrelay/node/callers.py
@@ -164,7 +164,7 @@
     def index(self, **query: str) -> bytes | Iterator[bytes]:
         """Answer a completion, streamed or whole."""
         require_method("POST")
-        received = self._gateway.now()
+        received = self._gateway.received()
         try:
             terms = read_terms()
             work, stream = self._read()
@@ -244,7 +244,7 @@
     @cherrypy.expose
     def default(self, service: str = "", *path: str, **query: str) -> bytes:
         """Answer with what the service answers."""
-        received = self._gateway.now()
+        received = self._gateway.received()
         try:
             terms = read_terms()
             work = service_work(
@@ -289,7 +289,7 @@
         return self._accept()
 
     def _accept(self) -> bytes:
-        received = self._gateway.now()
+        received = self._gateway.received()
         try:
             terms = read_terms(RequestClass.PATIENT)
             limit = self._gateway.settings.limits.max_body_bytes
--- a/poplarrelay/node/gateway.py
+++ b/poplarrelay/node/gateway.py
@@ -8,15 +8,19 @@
 from itertools import count
 from typing import Any
 
+import cherrypy
+
 from poplarrelay.engines.protocols import Engine, PlainService
 from poplarrelay.identifiers import RequestId
 from poplarrelay.messages.inbox import CallId, Message, RequestArrived
+from poplarrelay.node.arrivals import ArrivalClock
 from poplarrelay.node.loop import TickLoop
 from poplarrelay.node.mailboxes import Mailbox, Mailboxes
 from poplarrelay.node.metrics import NodeMetrics
 from poplarrelay.node.sessions import CallerEvent, Session
 from poplarrelay.settings import NodeSettings
 from poplarrelay.tables.requests import Attempt
+from poplarrelay.web.listener import QUEUED_AT
 
 __all__ = ["Gateway"]
 
@@ -42,6 +46,7 @@
         loop: TickLoop,
         mailboxes: Mailboxes,
         metrics: NodeMetrics,
+        arrivals: ArrivalClock,
         engine: Engine,
         service: PlainService,
     ) -> None:
@@ -50,6 +55,7 @@
         self._loop = loop
         self._mailboxes = mailboxes
         self._metrics = metrics
+        self._arrivals = arrivals
         self._serial = count(1)
         self._cancels = ThreadPoolExecutor(2, "cancel")
         self.engine = engine
@@ -108,10 +114,10 @@
         """Count an event that was not passed on."""
         self._metrics.drop(why)
 
-    @staticmethod
-    def now() -> float:
-        """Return the monotonic time."""
-        return time.monotonic()
+    def received(self) -> float:
+        """Return the monotonic time at which the current request came."""
+        queued_at = cherrypy.request.wsgi_environ.get(QUEUED_AT, time.monotonic())
+        return self._arrivals.arrived(queued_at)
 
 
 class SessionEvents:
--- a/poplarrelay/node/loop.py
+++ b/poplarrelay/node/loop.py
@@ -33,9 +33,17 @@
         The tables; nobody else may touch them once the loop runs.
     perform : callable
         Carries out an effect without blocking.
+    beat : callable
+        Is told the time of every tick.
     """
 
-    def __init__(self, world: World, perform: Callable[[Effect], None]) -> None:
+    def __init__(
+        self,
+        world: World,
+        perform: Callable[[Effect], None],
+        beat: Callable[[float], None],
+    ) -> None:
+        self._beat = beat
         self._world = world
         self._perform = perform
         self._messages: SimpleQueue[Message] = SimpleQueue()
@@ -68,7 +76,9 @@
         try:
             while not self._stopping.is_set():
                 batch = self._take()
-                for effect in run_tick(self._world, Inbox(batch), time.monotonic()):
+                now = time.monotonic()
+                self._beat(now)
+                for effect in run_tick(self._world, Inbox(batch), now):
                     self._perform(effect)
         except BaseException:
             # Without its tick thread the process would accept connections and
--- a/poplarrelay/node/peers.py
+++ b/poplarrelay/node/peers.py
@@ -160,11 +160,12 @@
             work=load_work(stored),
             request_class=RequestClass(stored.request_class),
             timeout_s=stored.remaining_s,
-            received=self._gateway.now(),
+            received=self._gateway.received(),
             key=None if stored.key is None else IdempotencyKey(stored.key),
             forwarded=True,
             team=TeamId(stored.team),
             age_s=stored.age_s,
+            home_clock=stored.home_clock,
         )
         events = self._gateway.serve(arrived)
         try:
--- a/poplarrelay/node/process.py
+++ b/poplarrelay/node/process.py
@@ -14,6 +14,7 @@
 from poplarrelay.exception import PlatformError
 from poplarrelay.identifiers import Incarnation
 from poplarrelay.messages.inbox import ShutdownAsked
+from poplarrelay.node.arrivals import ArrivalClock
 from poplarrelay.node.callers import CallersRoot
 from poplarrelay.node.gateway import Gateway
 from poplarrelay.node.logworkers import LogAppender, LogReader
@@ -73,7 +74,8 @@
         self._caller = JsonCaller(timing.connect_timeout_s)
         self._mailboxes = Mailboxes()
         self._metrics = NodeMetrics()
-        self._loop = TickLoop(self._world, self._perform)
+        self._arrivals = ArrivalClock()
+        self._loop = TickLoop(self._world, self._perform, self._arrivals.beat)
         log = HttpLogService(settings.platform.log, timing.log_timeout_s, self._caller)
         rng = random.Random(self._seed)
         self._appender = LogAppender(log, self._loop.submit, rng)
@@ -100,6 +102,7 @@
             self._loop,
             self._mailboxes,
             self._metrics,
+            self._arrivals,
             HttpEngine(
                 timing.connect_timeout_s, timing.progress_timeout_s, self._caller
             ),
--- a/poplarrelay/node/sessions.py
+++ b/poplarrelay/node/sessions.py
@@ -257,6 +257,8 @@
         except EndpointRefused:
             return _Step(AttemptResult.NOT_STARTED, self._pending_plan())
         except EndpointBroken:
+            if time.monotonic() >= attempt.deadline:
+                return _Step(AttemptResult.EXPIRED)
             return _Step(AttemptResult.BROKEN, self._pending_plan())
         except _DeadlinePassed:
             self._runtime.cancel(attempt)
--- a/poplarrelay/systems/claiming.py
+++ b/poplarrelay/systems/claiming.py
@@ -19,7 +19,6 @@
 from collections.abc import Iterator
 
 from poplarrelay.exception import KeyReused
-from poplarrelay.identifiers import RequestId
 from poplarrelay.messages.convert import load_outcome
 from poplarrelay.messages.effects import (
     AppendRecord,
@@ -44,7 +43,7 @@
 from poplarrelay.systems.keys import PlainKey, plain_key_time
 from poplarrelay.systems.limits import enqueue
 from poplarrelay.tables.claims import Claim, KeyState, KeyUse, TeamKey
-from poplarrelay.tables.members import MemberStatus
+from poplarrelay.tables.members import Member, MemberStatus
 from poplarrelay.tables.requests import Request, RequestState
 from poplarrelay.tables.world import CLAIMS, World
 
@@ -59,6 +58,9 @@
 ASK_INTERVAL_S = 0.1
 #: Seconds until a caller may come back when the log cannot be reached.
 LOG_RETRY_S = 1.0
+#: Share of a request's time left that its claim may take, so that the peers can
+#: still be asked if the log does not answer.
+CLAIM_SHARE = 0.6
 #: Most peers that are asked about one key while the log is out of reach.
 MAX_PEERS_ASKED = 16
 
@@ -184,7 +186,8 @@
         return
     request.state = RequestState.CLAIMING
     timeout = world.settings.timing.claim_wait_s
-    request.claim_until = min(request.deadline, now + timeout)
+    time_left = CLAIM_SHARE * (request.deadline - now)
+    request.claim_until = now + min(timeout, time_left)
     world.claiming.add(request.id)
     value = ClaimRecord(
         id=record,
@@ -288,14 +291,14 @@
     -----
     Without the log this node cannot know whether another has run the key. If one
     peer does not answer, that peer may have run it, and the answer is "unknown".
+    A process that has not read the claims to their end since its start cannot
+    vouch for its own predecessor either, so neither this node nor a peer in that
+    state says that it knows nothing of a key.
     """
-    peers = [
-        member
-        for member in world.members.values()
-        if member.status is not MemberStatus.LEFT
-    ]
+    peers = [m for m in world.members.values() if not _vouched_for(m)]
     request.state = RequestState.VERIFYING
-    if len(peers) > MAX_PEERS_ASKED:
+    alone = not peers and bool(world.settings.seeds)
+    if alone or len(peers) > MAX_PEERS_ASKED or not world.streams[CLAIMS].caught_up:
         yield from _end_unverified(world, request, now)
         return
     if not peers:
@@ -305,23 +308,17 @@
     yield AskPeers(request.id, addresses, _question(request, "", None))
 
 
+def _vouched_for(member: Member) -> bool:
+    """Return whether a node that left has a successor that knows its keys."""
+    return member.status is MemberStatus.LEFT and member.successor is not None
+
+
 def _end_verified(world: World, request: Request, now: float) -> Iterator[Effect]:
     outcome = NotRun(NotRunReason.LOG_UNAVAILABLE, LOG_RETRY_S)
     yield from conclude(world, request, outcome, now)
 
 
 def _end_unverified(world: World, request: Request, now: float) -> Iterator[Effect]:
-    """End a request whose key may have run elsewhere.
-
-    The use is dropped first: this process has not run the key, so a later request
-    under the same key may settle it anew.
-    """
-    key = world.keyed(request)
-    use = None if key is None else world.uses.get(key)
-    if key is not None and use is not None and use.request == request.id:
-        use.state = KeyState.RELEASED
-        use.changed_at = now
-        use.request = RequestId("")
     outcome = Unknown(UnknownReason.LOG_UNAVAILABLE, LOG_RETRY_S)
     yield from conclude(world, request, outcome, now)
 
--- a/poplarrelay/systems/concluding.py
+++ b/poplarrelay/systems/concluding.py
@@ -63,11 +63,17 @@
 
 
 def _settle_key(use: KeyUse, outcome: Outcome, now: float) -> None:
+    """Note what became of a key.
+
+    A key under which nothing was sent is released whatever its caller was told:
+    this process has not run it, so a later request may settle it anew.
+    """
+    unsent = use.state is KeyState.OPEN
     use.changed_at = now
     use.outcome = outcome
     if isinstance(outcome, Answered):
         use.state = KeyState.FINISHED
-    elif isinstance(outcome, NotRun | Continued):
+    elif unsent or isinstance(outcome, NotRun | Continued):
         use.state = KeyState.RELEASED
     else:
         use.state = KeyState.BROKEN
--- a/poplarrelay/systems/configuring.py
+++ b/poplarrelay/systems/configuring.py
@@ -60,6 +60,7 @@
     "fold_configuration",
     "load_snapshot",
     "publish_changes",
+    "rebuild",
     "share_configuration",
     "take_snapshot",
 ]
@@ -138,7 +139,8 @@
     return value
 
 
-def _rebuild(table: ConfigurationTable) -> None:
+def rebuild(table: ConfigurationTable) -> None:
+    """Work out policies and tokens from the entries in force."""
     table.policies = {}
     table.team_of_token = {}
     for entry in table.entries.values():
@@ -180,7 +182,7 @@
     except InvalidConfiguration as error:
         return Verdict(False, winner, str(error))
     table.entries[change.subject] = InForce(offset, value)
-    _rebuild(table)
+    rebuild(table)
     return Verdict(True, offset)
 
 
@@ -204,7 +206,7 @@
     for entry in snapshot.entries:
         value = None if entry.body is None else _parse(entry.subject, entry.body)
         table.entries[entry.subject] = InForce(Offset(entry.offset), value)
-    _rebuild(table)
+    rebuild(table)
     return table
 
 
--- a/poplarrelay/systems/expiring.py
+++ b/poplarrelay/systems/expiring.py
@@ -20,7 +20,7 @@
 #: Seconds between two sweeps of old rows.
 SWEEP_INTERVAL_S = 5.0
 #: States in which nothing has been sent under the request.
-_UNSENT = (RequestState.RECEIVED, RequestState.CLAIMING, RequestState.QUEUED)
+_UNSENT = (RequestState.RECEIVED, RequestState.QUEUED)
 
 
 def _late_outcome(request: Request) -> Outcome:
@@ -28,13 +28,11 @@
 
     Notes
     -----
-    A request that waits for a claim cannot say "not run" for its key: another
-    node may have run the key, and this one has not read that far.
+    A request that still waits for its claim, or for another node's word, cannot
+    say "not run" for its key, which that node may have run.
     """
     if request.started or request.state not in _UNSENT:
         return Unknown(UnknownReason.DEADLINE)
-    if request.state is RequestState.CLAIMING:
-        return Unknown(UnknownReason.LOG_UNAVAILABLE, retry_after_s=1.0)
     return NotRun(NotRunReason.DEADLINE, retry_after_s=1.0)
 
 
--- a/poplarrelay/systems/gossiping.py
+++ b/poplarrelay/systems/gossiping.py
@@ -21,6 +21,7 @@
     """Return this node's own row, brought up to date."""
     me = world.me
     me.epoch = world.epoch(now)
+    me.clock = now - world.started_at
     me.configuration_next = world.streams[CONFIGURATION].next
     return store_member(me)
 
@@ -87,6 +88,7 @@
     if known is not None and not _newer(member, known):
         if member.incarnation == known.incarnation:
             known.epoch = max(known.epoch, member.epoch)
+            known.clock = max(known.clock, member.clock)
             known.configuration_next = max(
                 known.configuration_next, member.configuration_next
             )
--- a/poplarrelay/systems/homes.py
+++ b/poplarrelay/systems/homes.py
@@ -11,7 +11,7 @@
 from poplarrelay.messages.inbox import Inbox, KeyAsked
 from poplarrelay.tables.claims import KeyState, KeyUse, TeamKey
 from poplarrelay.tables.members import Member, MemberStatus
-from poplarrelay.tables.world import World
+from poplarrelay.tables.world import CLAIMS, World
 
 __all__ = ["answer_key_questions", "home_of"]
 
@@ -46,7 +46,8 @@
     use = world.uses.get(key)
     if not question.incarnation:
         in_use = use is not None and use.state is not KeyState.RELEASED
-        known = in_use or key in world.claims
+        unsure = not world.streams[CLAIMS].caught_up
+        known = in_use or unsure or key in world.claims
         return KeyReply(state="running" if known else "absent")
     answers_for = Incarnation(question.incarnation)
     if answers_for != world.incarnation and answers_for not in world.adopted:
--- a/poplarrelay/systems/ticketing.py
+++ b/poplarrelay/systems/ticketing.py
@@ -77,9 +77,9 @@
     key = world.keyed(request)
     assert key is not None
     use = world.uses.get(key)
-    if use is not None and request.arrived < use.changed_at:
-        # A caller was told "not run" after this request had come to another
-        # node, which sent it on late. It must not run any more.
+    if use is not None and _came_before(world, request, use.changed_at):
+        # A caller was told "not run" after this request had come, perhaps to
+        # another node that sent it on late. It must not run any more.
         outcome = NotRun(NotRunReason.REFUSED, HOME_RETRY_S)
         yield from conclude(world, request, outcome, now)
         return
@@ -87,6 +87,22 @@
     world.uses[key] = KeyUse(KeyState.OPEN, request.id, fingerprint, changed_at=now)
 
 
+def _came_before(world: World, request: Request, at: float) -> bool:
+    """Return whether a request may have come before a time of this node's clock.
+
+    Notes
+    -----
+    A forwarded request may have been stuck on its way for any time, and clocks of
+    two hosts cannot be compared. It bears the newest reading of this node's own
+    clock that its sender had heard; it certainly came after that, and nothing more
+    is certain.
+    """
+    came = request.arrived
+    if request.home_clock is not None:
+        came = min(came, world.started_at + request.home_clock)
+    return came < at
+
+
 def _unreachable(world: World, request: Request, now: float) -> Iterator[Effect]:
     outcome = Unknown(UnknownReason.HOME_UNREACHABLE, HOME_RETRY_S)
     yield from conclude(world, request, outcome, now)
@@ -109,7 +125,7 @@
         request.id,
         home.peers,
         ticket.incarnation,
-        store_request(request, now),
+        store_request(request, now, home.clock),
         request.deadline - now,
     )
 
--- a/poplarrelay/tables/members.py
+++ b/poplarrelay/tables/members.py
@@ -41,6 +41,8 @@
         be denied.
     epoch : int
         The node's current ticket epoch.
+    clock : float
+        Seconds since the node's start, by its own clock, when the row was made.
     configuration_next : int
         Offset after the newest configuration record that the node has folded.
     successor : NodeId or None
@@ -63,6 +65,7 @@
     peers: str
     ready: bool = False
     epoch: int = 0
+    clock: float = 0.0
     configuration_next: int = 0
     successor: NodeId | None = None
     heard_at: float = float("-inf")
--- a/poplarrelay/tables/requests.py
+++ b/poplarrelay/tables/requests.py
@@ -170,6 +170,8 @@
         Monotonic times.
     key : IdempotencyKey or None
         The caller's key; None if the work is repeatable or has no key.
+    home_clock : float or None
+        For a forwarded request, this node's own clock as its sender knew it.
     tokens : int
         Answer tokens received so far.
     tried : list of EndpointId
@@ -186,6 +188,7 @@
     deadline: float
     first_token_s: float
     key: IdempotencyKey | None = None
+    home_clock: float | None = None
     deferred: bool = False
     state: RequestState = RequestState.RECEIVED
     attempt: Attempt | None = None
--- /dev/null
+++ b/poplarrelay/testing/fakes.py
@@ -0,0 +1,545 @@
+"""Fakes at the interfaces: worlds that talk without processes, clocks or sockets.
+
+Nothing happens by itself. Every effect that leaves a world becomes an action, and
+the test decides when it is carried out, whether its answer is lost, and which node
+is frozen, crashed or cut off meanwhile.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from dataclasses import dataclass, field, replace
+
+from poplarrelay.configuration.schema import Deployment, Template
+from poplarrelay.identifiers import (
+    DomainId,
+    EndpointId,
+    IdempotencyKey,
+    Incarnation,
+    Offset,
+    RequestId,
+    StreamName,
+    TeamId,
+)
+from poplarrelay.messages.convert import load_work, store_outcome
+from poplarrelay.messages.effects import (
+    AppendRecord,
+    AskKey,
+    AskPeers,
+    Conclude,
+    Effect,
+    Forward,
+    HandOver,
+    Reject,
+    Reply,
+    RunAttempt,
+    StopProcess,
+)
+from poplarrelay.messages.gossip import HandoverReply, KeyReply
+from poplarrelay.messages.inbox import (
+    AttemptEnded,
+    AttemptResult,
+    CallId,
+    ForwardAnswered,
+    HandoverAnswered,
+    HandoverReceived,
+    Inbox,
+    KeyAnswered,
+    KeyAsked,
+    LogFailed,
+    Message,
+    PeersAnswered,
+    RecordsRead,
+    RequestArrived,
+    ShutdownAsked,
+)
+from poplarrelay.messages.records import Record, RecordValue
+from poplarrelay.outcomes import NotRun, Outcome, ServiceAnswer
+from poplarrelay.settings import NodeSettings
+from poplarrelay.systems.configuring import rebuild
+from poplarrelay.systems.gossiping import merge_row, news_rows, own_row
+from poplarrelay.systems.keys import ticket_prefix
+from poplarrelay.systems.schedule import run_tick
+from poplarrelay.tables.configuration import InForce
+from poplarrelay.tables.endpoints import Endpoint, EndpointKind
+from poplarrelay.tables.requests import RequestClass, Work, WorkKind
+from poplarrelay.tables.world import CLAIMS, CONFIGURATION, NodePhase, World
+from poplarrelay.testing.builders import deployment_body, template_body
+from poplarrelay.testing.site import hash_token, team_token
+
+__all__ = ["Action", "FakeLog", "FakeNode", "FakeSystem", "Presentation", "make_world"]
+
+TEAM = "alpha"
+DOMAINS = ("east", "west", "north", "south")
+
+
+def make_settings(name: str, index: int) -> NodeSettings:
+    """Return the settings of a node that listens nowhere."""
+    return NodeSettings.model_validate(
+        {
+            "node": name,
+            "failure_domain": DOMAINS[index % len(DOMAINS)],
+            "callers": {"host": "127.0.0.1", "port": 1000 + index},
+            "seeds": ["127.0.0.1:2001"],
+            "peers": {"host": "127.0.0.1", "port": 2000 + index},
+            "platform": {
+                "log": "127.0.0.1:1",
+                "hosts": "127.0.0.1:2",
+                "cloud": "127.0.0.1:3",
+            },
+        }
+    )
+
+
+def make_endpoint(name: str, kind: EndpointKind, domain: str, **changes) -> Endpoint:  # type: ignore[no-untyped-def]
+    """Return an endpoint's row."""
+    names = {"small"} if kind is EndpointKind.ENGINE else {"booking"}
+    endpoint = Endpoint(
+        id=EndpointId(name),
+        kind=kind,
+        address=f"{name}:1",
+        domain=DomainId(domain),
+        names=frozenset(names),
+        price=1.0,
+        poll_at=float("inf"),
+    )
+    for attribute, value in changes.items():
+        setattr(endpoint, attribute, value)
+    return endpoint
+
+
+def make_world(
+    name: str, index: int, incarnation: str, now: float, seed: int = 1
+) -> World:
+    """Return the world of a node that serves, with one plain service."""
+    world = World.from_settings(
+        make_settings(name, index), Incarnation(incarnation), int(now), now, seed
+    )
+    table = world.configuration
+    template = Template.model_validate(template_body())
+    deployment = Deployment.model_validate(deployment_body(TEAM))
+    table.entries["template/base"] = InForce(Offset(0), template)
+    table.entries[f"deployment/{TEAM}"] = InForce(Offset(1), deployment)
+    rebuild(table)
+    world.phase = NodePhase.SERVING
+    world.me.ready = True
+    world.next_hosts_at = world.next_probe_at = float("inf")
+    desk = make_endpoint("desk", EndpointKind.SERVICE, "east")
+    world.endpoints[desk.id] = desk
+    world.streams[CONFIGURATION].caught_up = True
+    return world
+
+
+class FakeLog:
+    """Streams in memory."""
+
+    def __init__(self) -> None:
+        self.up = True
+        self._streams: dict[StreamName, list[RecordValue]] = {}
+
+    def append(self, stream: StreamName, value: RecordValue) -> None:
+        """Append a record."""
+        self._streams.setdefault(stream, []).append(value)
+
+    def read(self, stream: StreamName, start: int) -> RecordsRead:
+        """Return all records from an offset on."""
+        values = self._streams.get(stream, [])
+        records = tuple(
+            Record(Offset(offset), value)
+            for offset, value in enumerate(values)
+            if offset >= start
+        )
+        following = Offset(len(values))
+        return RecordsRead(stream, Offset(start), Offset(0), following, None, records)
+
+
+@dataclass(slots=True)
+class Presentation:
+    """A request as its caller sees it."""
+
+    number: int
+    key: str
+    node: str
+    outcomes: list[Outcome] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Action:
+    """An effect that has left a node and has not been carried out yet."""
+
+    node: FakeNode
+    effect: Effect
+    sent: bool = False
+
+
+@dataclass(slots=True)
+class FakeNode:
+    """A world and whether its process runs."""
+
+    name: str
+    world: World = field(repr=False)
+    inbox: list[Message] = field(default_factory=list)
+    unread: list[RequestArrived] = field(default_factory=list)
+    frozen_at: float | None = None
+    dead: bool = False
+
+    @property
+    def frozen(self) -> bool:
+        """Return whether the process is stopped."""
+        return self.frozen_at is not None
+
+    @property
+    def answers(self) -> bool:
+        """Return whether it answers its peers."""
+        return not self.frozen and not self.dead
+
+
+class FakeSystem:
+    """Several nodes, a log, and a service that counts runs.
+
+    Attributes
+    ----------
+    runs : Counter of str
+        Runs at the service, by key.
+    forbidden : dict of str to int
+        By key, the newest presentation whose caller, or an earlier one's, was told
+        "not run"; none up to it may run any more.
+    """
+
+    def __init__(self, names: tuple[str, ...] = ("n1", "n2", "n3")) -> None:
+        self.now = 1000.0
+        self.log = FakeLog()
+        self.nodes: dict[str, FakeNode] = {}
+        self.actions: list[Action] = []
+        self.runs: Counter[str] = Counter()
+        self.forbidden: dict[str, int] = {}
+        self.violations: list[str] = []
+        self.presentations: dict[RequestId, Presentation] = {}
+        self.answered = 0
+        self._numbers = itertools.count(1)
+        self._incarnations = itertools.count(1)
+        self._calls = itertools.count(1)
+        self._replies: dict[int, object] = {}
+        self._origins: dict[RequestId, tuple[FakeNode, RequestId]] = {}
+        for name in names:
+            self.start(name)
+        self.meet()
+
+    # -- life of nodes -----------------------------------------------------
+
+    def start(self, name: str) -> None:
+        """Start a node's process, or start it again with a new incarnation."""
+        incarnation = f"{next(self._incarnations):08x}"
+        index = int(name[1:])
+        world = make_world(name, index, incarnation, self.now)
+        self.nodes[name] = FakeNode(name, world)
+
+    def meet(self) -> None:
+        """Let all nodes that answer know each other."""
+        for one in self.nodes.values():
+            for other in self.nodes.values():
+                if one is not other and one.answers and other.answers:
+                    self.gossip(one, other)
+
+    def gossip(self, one: FakeNode, other: FakeNode) -> None:
+        """Let a node hear the newest of another, and all that it knows."""
+        merge_row(one.world, own_row(other.world, self.now), self.now)
+        for row in news_rows(other.world, full=True):
+            merge_row(one.world, row, self.now)
+
+    def crash(self, name: str) -> None:
+        """End a process without any order."""
+        node = self.nodes[name]
+        node.dead = True
+        self.actions = [action for action in self.actions if action.node is not node]
+
+    def freeze(self, name: str) -> None:
+        """Stop a process; its sockets stay open."""
+        node = self.nodes[name]
+        if not node.frozen:
+            node.frozen_at = self.now
+
+    def thaw(self, name: str) -> None:
+        """Let a process go on; it now reads what came meanwhile.
+
+        Notes
+        -----
+        As the node's arrival clock has it, what is read then counts as having come
+        when the freeze began.
+        """
+        node = self.nodes[name]
+        if node.frozen_at is None:
+            return
+        frozen_at, node.frozen_at = node.frozen_at, None
+        for arrived in node.unread:
+            node.inbox.append(replace(arrived, received=frozen_at))
+        node.unread.clear()
+
+    # -- callers -----------------------------------------------------------
+
+    def ticket(self, home: str, nonce: str) -> str:
+        """Return a ticket that a node runs."""
+        world = self.nodes[home].world
+        prefix = ticket_prefix(world.node, world.incarnation, world.epoch(self.now))
+        return f"{prefix}.{nonce}"
+
+    def present(self, name: str, key: str, timeout_s: float = 8.0) -> Presentation:
+        """Bring a booking to a node."""
+        node = self.nodes[name]
+        number = next(self._numbers)
+        presentation = Presentation(number, key, name)
+        request = RequestId(f"r.{name}.{node.world.incarnation}.{number}")
+        self.presentations[request] = presentation
+        work = Work(WorkKind.SERVICE, "booking", path="/confirm", fingerprint=key)
+        self._bring(
+            node,
+            RequestArrived(
+                id=request,
+                token_sha256=hash_token(team_token(TEAM)),
+                work=work,
+                request_class=RequestClass.STANDARD,
+                timeout_s=timeout_s,
+                received=self.now,
+                key=IdempotencyKey(key),
+            ),
+        )
+        return presentation
+
+    @staticmethod
+    def _bring(node: FakeNode, arrived: RequestArrived) -> None:
+        (node.unread if node.frozen else node.inbox).append(arrived)
+
+    # -- time --------------------------------------------------------------
+
+    def tick(self, name: str) -> None:
+        """Run a node's systems once."""
+        node = self.nodes[name]
+        if not node.answers:
+            return
+        messages, node.inbox = node.inbox, []
+        messages.append(
+            RecordsRead(CONFIGURATION, Offset(2), Offset(0), Offset(2), None, ())
+        )
+        for effect in run_tick(node.world, Inbox(messages), self.now):
+            self._take(node, effect)
+
+    def tick_all(self) -> None:
+        """Run the systems of every node."""
+        for name in self.nodes:
+            self.tick(name)
+
+    def read_log(self, name: str) -> None:
+        """Let a node read its claims, or fail to."""
+        node = self.nodes[name]
+        if not node.answers:
+            return
+        if not self.log.up:
+            node.inbox.append(LogFailed(CLAIMS))
+            return
+        position = node.world.streams[CLAIMS]
+        node.inbox.append(self.log.read(CLAIMS, position.next))
+
+    def perform_all(self, kind: type, lost: bool = False) -> None:
+        """Carry out all actions of a kind, once each."""
+        for action in [a for a in self.actions if isinstance(a.effect, kind)]:
+            self.perform(action, lost)
+
+    def leave(self, name: str, within_s: float) -> None:
+        """Tell a node to leave."""
+        self.nodes[name].inbox.append(ShutdownAsked(within_s))
+
+    # -- effects -----------------------------------------------------------
+
+    def _take(self, node: FakeNode, effect: Effect) -> None:
+        match effect:
+            case Reply():
+                self._replies[effect.call] = effect.value
+            case Conclude():
+                self._conclude(node, effect)
+            case Reject():
+                self._origins.pop(effect.request, None)
+            case StopProcess():
+                node.dead = True
+            case (
+                AppendRecord()
+                | AskKey()
+                | AskPeers()
+                | Forward()
+                | RunAttempt()
+                | HandOver()
+            ):
+                self.actions.append(Action(node, effect))
+
+    def _conclude(self, node: FakeNode, effect: Conclude) -> None:
+        origin = self._origins.pop(effect.request, None)
+        if origin is not None:
+            asker, request = origin
+            reply = KeyReply(state="finished", outcome=store_outcome(effect.outcome))
+            asker.inbox.append(ForwardAnswered(request, True, reply))
+            return
+        presentation = self.presentations.get(effect.request)
+        if presentation is None:
+            return
+        presentation.outcomes.append(effect.outcome)
+        if isinstance(effect.outcome, NotRun):
+            self._told_not_run(presentation)
+
+    def _told_not_run(self, presentation: Presentation) -> None:
+        key = presentation.key
+        if self.runs[key]:
+            self.violations.append(f"{key}: told not run after it ran")
+        newest = max(p.number for p in self.presentations.values() if p.key == key)
+        self.forbidden[key] = max(self.forbidden.get(key, 0), newest)
+
+    def perform(self, action: Action, lost: bool = False) -> None:
+        """Carry out an action.
+
+        Parameters
+        ----------
+        action : Action
+            One of `actions`; it is taken off unless it will be sent again.
+        lost : bool
+            Whether its answer is lost.
+        """
+        if action.node.frozen:
+            return
+        self.actions.remove(action)
+        effect = action.effect
+        match effect:
+            case AppendRecord():
+                self._append(action, effect, lost)
+            case AskKey():
+                self._ask_key(action.node, effect, lost)
+            case AskPeers():
+                self._ask_peers(action.node, effect, lost)
+            case Forward():
+                self._forward(action.node, effect, lost)
+            case RunAttempt():
+                self._run(action.node, effect, lost)
+            case HandOver():
+                self._hand_over(action.node, effect, lost)
+
+    def _append(self, action: Action, effect: AppendRecord, lost: bool) -> None:
+        if self.now >= effect.until:
+            return
+        if self.log.up:
+            self.log.append(effect.stream, effect.value)
+        if not self.log.up or lost:
+            action.node.inbox.append(LogFailed(effect.stream))
+            self.actions.append(action)
+
+    def _at(self, peer: str) -> FakeNode | None:
+        for node in self.nodes.values():
+            if node.world.me.peers == peer:
+                return node
+        return None
+
+    def _call(self, peer: str, make) -> object | None:  # type: ignore[no-untyped-def]
+        """Call a peer; a frozen one finds the call when it is thawed."""
+        node = self._at(peer)
+        if node is None or node.dead:
+            return None
+        call = CallId(next(self._calls))
+        node.inbox.append(make(call))
+        self.tick(node.name)
+        return self._replies.pop(call, None)
+
+    def _ask_key(self, node: FakeNode, effect: AskKey, lost: bool) -> None:
+        reply = self._call(effect.peer, lambda call: KeyAsked(call, effect.question))
+        answer = reply if isinstance(reply, KeyReply) and not lost else None
+        node.inbox.append(KeyAnswered(effect.request, answer))
+
+    def _ask_peers(self, node: FakeNode, effect: AskPeers, lost: bool) -> None:
+        replies = [
+            self._call(peer, lambda call: KeyAsked(call, effect.question))
+            for peer in effect.peers
+        ]
+        absent = not lost and all(
+            isinstance(reply, KeyReply) and reply.state == "absent" for reply in replies
+        )
+        node.inbox.append(PeersAnswered(effect.request, absent))
+
+    def _forward(self, node: FakeNode, effect: Forward, lost: bool) -> None:
+        home = self._at(effect.peer)
+        unanswered = ForwardAnswered(effect.request, False)
+        if home is None or home.dead:
+            node.inbox.append(unanswered)
+            return
+        stored = effect.stored
+        request = RequestId(f"{effect.request}~{next(self._calls)}")
+        origin = self.presentations.get(effect.request)
+        if origin is not None:
+            self.presentations[request] = Presentation(
+                origin.number, origin.key, home.name
+            )
+        if home.frozen or lost:
+            node.inbox.append(unanswered)
+        else:
+            self._origins[request] = (node, effect.request)
+        self._bring(
+            home,
+            RequestArrived(
+                id=request,
+                token_sha256="",
+                work=load_work(stored),
+                request_class=RequestClass(stored.request_class),
+                timeout_s=stored.remaining_s,
+                received=self.now,
+                key=IdempotencyKey(stored.key or ""),
+                forwarded=True,
+                team=TeamId(stored.team),
+                age_s=stored.age_s,
+                home_clock=stored.home_clock,
+            ),
+        )
+
+    def _run(self, node: FakeNode, effect: RunAttempt, lost: bool) -> None:
+        attempt = effect.attempt
+        if self.now >= attempt.deadline:
+            result = AttemptResult.NOT_STARTED
+            node.inbox.append(AttemptEnded(attempt.request, attempt.id, result))
+            return
+        presentation = self.presentations[attempt.request]
+        self._note_run(presentation)
+        result = AttemptResult.BROKEN if lost else AttemptResult.FINISHED
+        answer = None if lost else ServiceAnswer(200, "text/plain", b"confirmed")
+        node.inbox.append(
+            AttemptEnded(attempt.request, attempt.id, result, service=answer)
+        )
+
+    def _note_run(self, presentation: Presentation) -> None:
+        key = presentation.key
+        self.runs[key] += 1
+        if self.runs[key] > 1:
+            self.violations.append(f"{key}: ran {self.runs[key]} times")
+        if presentation.number <= self.forbidden.get(key, 0):
+            self.violations.append(f"{key}: ran after it was told not run")
+
+    def refuse_attempt(self, action: Action) -> None:
+        """Let the endpoint refuse an attempt before it starts."""
+        self.actions.remove(action)
+        assert isinstance(action.effect, RunAttempt)
+        attempt = action.effect.attempt
+        ended = AttemptEnded(attempt.request, attempt.id, AttemptResult.NOT_STARTED)
+        action.node.inbox.append(ended)
+
+    def _hand_over(self, node: FakeNode, effect: HandOver, lost: bool) -> None:
+        message = effect.message
+        reply = self._call(effect.peer, lambda call: HandoverReceived(call, message))
+        answer = reply if isinstance(reply, HandoverReply) and not lost else None
+        node.inbox.append(HandoverAnswered(effect.node, message.id, answer))
+
+    # -- running on --------------------------------------------------------
+
+    def settle(self, rounds: int = 40) -> None:
+        """Carry out everything that waits, round by round."""
+        for _ in range(rounds):
+            for name in self.nodes:
+                self.read_log(name)
+            self.tick_all()
+            for action in list(self.actions):
+                if action in self.actions:
+                    self.perform(action)
+            self.tick_all()
+            self.now += 0.3
--- a/poplarrelay/testing/processes.py
+++ b/poplarrelay/testing/processes.py
@@ -282,9 +282,13 @@
             self._publish(node, subject, deployment.model_dump(mode="json"))
 
     def _publish(self, node: str, subject: str, body: Any) -> None:
-        answer = self.publish(node, subject, body)
-        if answer.get("status") != "accepted":
-            raise NotReached(f"{subject}: {answer}")
+        def accepted() -> bool:
+            answer = self.publish(node, subject, body)
+            if answer.get("status") in (409, 422):
+                raise NotReached(f"{subject}: {answer}")
+            return bool(answer.get("status") == "accepted")
+
+        wait_until(accepted, what=subject)
 
     def stop(self) -> None:
         """End all processes."""
--- a/poplarrelay/web/listener.py
+++ b/poplarrelay/web/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,12 +12,20 @@
 
 from poplarrelay.web.problems import error_page
 
-__all__ = ["CLOSE_CONNECTION", "Listener", "ListenerLimits", "make_application"]
+__all__ = [
+    "CLOSE_CONNECTION",
+    "QUEUED_AT",
+    "Listener",
+    "ListenerLimits",
+    "make_application",
+]
 
 #: Seconds that a sender may pause within a request.
 SENDER_TIMEOUT_S = 10
 #: Key in the WSGI environment of a function that closes the connection.
 CLOSE_CONNECTION = "poplarrelay.close_connection"
+#: Key in the WSGI environment of the monotonic time at which the request came.
+QUEUED_AT = "poplarrelay.queued_at"
 #: Bytes by which the server's own bound on bodies is wider than the handlers', so
 #: that handlers refuse with a typed problem and the server only backs them up.
 BODY_SLACK_BYTES = 262_144
@@ -60,18 +69,33 @@
     return application
 
 
-class _ClosingGateway(wsgi.Gateway_10):
-    """Lets a handler close the connection after its answer.
+class _StampingServer(wsgi.Server):
+    """Notes when a connection with a request was queued for a thread.
 
     Notes
     -----
-    Without it the server reads the rest of a body that the handler has refused
+    A request may wait for a free thread for longer than its caller does. Its
+    deadline counts from when it came, not from when a thread took it.
+    """
+
+    def process_conn(self, conn: Any) -> None:
+        conn.queued_at = time.monotonic()
+        super().process_conn(conn)
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Tells a handler when its request came, and lets it close the connection.
+
+    Notes
+    -----
+    Without the latter the server reads the rest of a body that the handler has refused
     before it sends the answer, so a sender that stops would never get one.
     """
 
     def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
-        environ: dict[str, Any] = super().get_environ()  # type: ignore[assignment,func-returns-value]
+        environ: dict[str, Any] = super().get_environ()
         environ[CLOSE_CONNECTION] = self._close
+        environ[QUEUED_AT] = getattr(self.req.conn, "queued_at", time.monotonic())
         return environ
 
     def _close(self) -> None:
@@ -100,7 +124,7 @@
     def __init__(
         self, host: str, port: int, root: object, limits: ListenerLimits
     ) -> None:
-        self._server = wsgi.Server(
+        self._server = _StampingServer(
             (host, port),
             make_application(root),
             numthreads=limits.threads,
@@ -111,7 +135,7 @@
             accepted_queue_size=ACCEPT_QUEUE,
             accepted_queue_timeout=1,
         )
-        self._server.gateway = _ClosingGateway
+        self._server.gateway = _Gateway
         self._server.max_request_header_size = limits.max_header_bytes
         self._server.max_request_body_size = limits.max_body_bytes + BODY_SLACK_BYTES
         self._server.error_log = _ignore  # type: ignore[method-assign]
