--- a/poplarrelay/configuration/schema.py
+++ b/poplarrelay/configuration/schema.py
@@ -55,7 +55,14 @@
 
 
 class Template(StrictModel):
-    """What the deployments of several teams share."""
+    """What the deployments of several teams share.
+
+    Attributes
+    ----------
+    runners : dict of str to int
+        Engines that must have a model loaded; a model that is not named here is
+        left as the engines have it.
+    """
 
     name: Name
     models: tuple[Name, ...] = ()
@@ -63,6 +70,7 @@
     failure_domains: tuple[Name, ...] = Field(min_length=1)
     classes: dict[RequestClass, ClassTargets]
     limits: TemplateLimits = TemplateLimits()
+    runners: dict[Name, int] = Field(default_factory=dict)
 
 
 class Deployment(StrictModel):
--- a/poplarrelay/engines/http.py
+++ b/poplarrelay/engines/http.py
@@ -25,12 +25,13 @@
 )
 from poplarrelay.exception import EndpointBroken, EndpointRefused
 from poplarrelay.identifiers import AttemptId, EndpointId, TeamId
+from poplarrelay.messages.effects import GiveOrder
 from poplarrelay.outcomes import ServiceAnswer
 from poplarrelay.platform.http import CallFailed, JsonCaller
 from poplarrelay.tables.endpoints import LoadReport
 from poplarrelay.tables.requests import Attempt, Work
 
-__all__ = ["HttpEngine", "HttpService", "read_load"]
+__all__ = ["HttpEngine", "HttpService", "give_order", "read_load"]
 
 EVENT_END = b"\n\n"
 DATA = b"data: "
@@ -284,8 +285,35 @@
         )
         leaving = value.get("leaving_s")
         own = str(value.get("endpoint", endpoint))
+        models = value.get("models")
     except (CallFailed, KeyError, TypeError, ValueError) as error:
         raise EndpointBroken("no load report") from error
     if own != endpoint:
         raise EndpointBroken("another endpoint answers at this address")
-    return LoadAnswer(endpoint, report, None if leaving is None else float(leaving))
+    return LoadAnswer(
+        endpoint,
+        report,
+        None if leaving is None else float(leaving),
+        None if models is None else frozenset(models),
+    )
+
+
+def give_order(order: GiveOrder, caller: JsonCaller, timeout_s: float) -> bool:
+    """Give an order to an engine; return whether it was taken.
+
+    Notes
+    -----
+    The lease's remaining term is compared right before the order is sent, since
+    the process may have been paused after the tick thread decided.
+    """
+    if time.monotonic() >= order.latest:
+        return False
+    body = {
+        "fencing": order.fencing,
+        "holder": order.holder,
+        "models": list(order.models),
+    }
+    try:
+        return caller.call("POST", order.address, "/orders", body, timeout_s).ok
+    except CallFailed:
+        return False
--- a/poplarrelay/engines/protocols.py
+++ b/poplarrelay/engines/protocols.py
@@ -92,6 +92,7 @@
     endpoint: EndpointId
     report: LoadReport
     leaving_s: float | None
+    models: frozenset[str] | None = None
 
 
 class Engine(Protocol):
--- a/poplarrelay/messages/effects.py
+++ b/poplarrelay/messages/effects.py
@@ -9,6 +9,7 @@
 from poplarrelay.identifiers import (
     EndpointId,
     NodeId,
+    Offset,
     RequestId,
     StreamName,
     TeamId,
@@ -37,6 +38,7 @@
     "Effect",
     "FetchConfiguration",
     "Forward",
+    "GiveOrder",
     "HandOver",
     "ListHosts",
     "MoveAttempt",
@@ -142,6 +144,26 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class GiveOrder:
+    """Order an engine to have just these models loaded.
+
+    Attributes
+    ----------
+    fencing : Offset
+        Fencing number of the lease under which the order is given.
+    latest : float
+        Monotonic time after which it must not be sent.
+    """
+
+    endpoint: EndpointId
+    address: str
+    fencing: Offset
+    holder: NodeId
+    models: tuple[str, ...]
+    latest: float
+
+
 @dataclass(frozen=True, slots=True)
 class ProbePeer:
     """Probe a peer, and through others if it does not answer.
@@ -295,6 +317,7 @@
     | FetchConfiguration
     | ListHosts
     | PollLoad
+    | GiveOrder
     | ProbePeer
     | SendNews
     | AskKey
--- a/poplarrelay/messages/inbox.py
+++ b/poplarrelay/messages/inbox.py
@@ -56,6 +56,7 @@
     "Message",
     "NoticeHeard",
     "NoticeSource",
+    "OrderAnswered",
     "PeersAnswered",
     "ProbeAnswered",
     "ProbeFailed",
@@ -241,6 +242,21 @@
 
     endpoint: EndpointId
     report: LoadReport
+    models: frozenset[str] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """An order was answered, or not.
+
+    Attributes
+    ----------
+    taken : bool
+        False if the engine refused, or gave no answer, or nothing was sent.
+    """
+
+    endpoint: EndpointId
+    taken: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -433,6 +449,7 @@
     | HostsListed
     | NoticeHeard
     | LoadReported
+    | OrderAnswered
     | LoadFailed
     | ProbeReceived
     | ProbeAnswered
--- a/poplarrelay/messages/records.py
+++ b/poplarrelay/messages/records.py
@@ -17,6 +17,7 @@
     "Record",
     "RecordValue",
     "SnapshotEntry",
+    "SnapshotLease",
     "SnapshotRecord",
     "UnreadableRecord",
     "encode_record",
@@ -54,6 +55,17 @@
     body: dict[str, Any] | None
 
 
+class SnapshotLease(StrictModel):
+    """One duty's lease within a snapshot."""
+
+    duty: str
+    offset: int
+    record: str
+    node: str
+    incarnation: str
+    term_s: float
+
+
 class SnapshotRecord(StrictModel):
     """All configuration in force below an offset, written again.
 
@@ -68,6 +80,7 @@
     id: str
     covers: int
     entries: tuple[SnapshotEntry, ...]
+    leases: tuple[SnapshotLease, ...] = ()
 
 
 class ClaimRecord(StrictModel):
--- a/poplarrelay/node/outbox.py
+++ b/poplarrelay/node/outbox.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from poplarrelay.engines.http import read_load
+from poplarrelay.engines.http import give_order, read_load
 from poplarrelay.exception import EndpointBroken, PlatformError
 from poplarrelay.identifiers import RequestId
 from poplarrelay.messages.effects import (
@@ -20,6 +20,7 @@
     Effect,
     FetchConfiguration,
     Forward,
+    GiveOrder,
     HandOver,
     ListHosts,
     MoveAttempt,
@@ -43,6 +44,7 @@
     Message,
     NoticeHeard,
     NoticeSource,
+    OrderAnswered,
     PeersAnswered,
     ProbeAnswered,
     ProbeFailed,
@@ -87,6 +89,7 @@
         host_list: HostList,
         caller: JsonCaller,
         deferred_threads: int,
+        order_timeout_s: float,
         stop: Callable[[bool], None],
     ) -> None:
         self._submit = submit
@@ -97,6 +100,7 @@
         self._host_list = host_list
         self._caller = caller
         self._stop = stop
+        self._order_timeout_s = order_timeout_s
         self._runtime: Runtime | None = None
         self._peer_pool = ThreadPoolExecutor(PEER_THREADS, "peer")
         self._poll_pool = ThreadPoolExecutor(POLL_THREADS, "poll")
@@ -135,6 +139,8 @@
         match effect:
             case PollLoad():
                 self._poll_pool.submit(self._guard, self._poll, effect)
+            case GiveOrder():
+                self._poll_pool.submit(self._guard, self._give_order, effect)
             case ListHosts():
                 self._poll_pool.submit(self._guard, self._list_hosts, effect)
             case Forward():
@@ -193,7 +199,11 @@
         if answer.leaving_s is not None:
             source = NoticeSource.ENDPOINT
             self._submit(NoticeHeard(answer.leaving_s, source, effect.endpoint))
-        self._submit(LoadReported(effect.endpoint, answer.report))
+        self._submit(LoadReported(effect.endpoint, answer.report, answer.models))
+
+    def _give_order(self, effect: GiveOrder) -> None:
+        taken = give_order(effect, self._caller, self._order_timeout_s)
+        self._submit(OrderAnswered(effect.endpoint, taken))
 
     def _list_hosts(self, effect: ListHosts) -> None:
         try:
--- a/poplarrelay/node/process.py
+++ b/poplarrelay/node/process.py
@@ -94,6 +94,7 @@
             host_list=HttpHostList(settings.platform.hosts, self._caller),
             caller=self._caller,
             deferred_threads=settings.limits.deferred_threads,
+            order_timeout_s=timing.order_timeout_s,
             stop=self._stop,
         )
         gateway = Gateway(
--- a/poplarrelay/settings.py
+++ b/poplarrelay/settings.py
@@ -71,6 +71,10 @@
     address_ttl_s: float = Field(default=5.0, gt=0)
     ticket_epoch_s: float = Field(default=60.0, gt=0)
     drain_s: float = Field(default=20.0, gt=0)
+    lease_term_s: float = Field(default=9.0, gt=0)
+    lease_margin_s: float = Field(default=3.0, gt=0)
+    order_timeout_s: float = Field(default=1.0, gt=0)
+    snapshot_s: float = Field(default=300.0, gt=0)
 
 
 class LimitSettings(StrictModel):
--- a/poplarrelay/systems/configuring.py
+++ b/poplarrelay/systems/configuring.py
@@ -22,7 +22,7 @@
     InvalidConfiguration,
     LogUnavailable,
 )
-from poplarrelay.identifiers import Offset, RecordId, TeamId
+from poplarrelay.identifiers import Incarnation, NodeId, Offset, RecordId, TeamId
 from poplarrelay.messages.effects import (
     AppendRecord,
     Decided,
@@ -43,15 +43,18 @@
     ChangeRecord,
     Record,
     SnapshotEntry,
+    SnapshotLease,
     SnapshotRecord,
 )
 from poplarrelay.settings import faults_of
+from poplarrelay.systems.leasing import fold_lease
 from poplarrelay.tables.configuration import (
     ConfigurationTable,
     HistoryEntry,
     InForce,
     Verdict,
 )
+from poplarrelay.tables.leases import Lease
 from poplarrelay.tables.members import MemberStatus
 from poplarrelay.tables.world import CONFIGURATION, PendingChange, World
 
@@ -187,7 +190,7 @@
 
 
 def take_snapshot(world: World, record: RecordId) -> SnapshotRecord:
-    """Return all configuration that is in force."""
+    """Return all configuration and all leases that are in force."""
     entries = tuple(
         SnapshotEntry(
             subject=subject,
@@ -197,7 +200,18 @@
         for subject, entry in sorted(world.configuration.entries.items())
     )
     covers = world.streams[CONFIGURATION].next
-    return SnapshotRecord(id=record, covers=covers, entries=entries)
+    leases = tuple(
+        SnapshotLease(
+            duty=duty,
+            offset=lease.offset,
+            record=lease.record,
+            node=lease.node,
+            incarnation=lease.incarnation,
+            term_s=lease.term_s,
+        )
+        for duty, lease in sorted(world.leases.items())
+    )
+    return SnapshotRecord(id=record, covers=covers, entries=entries, leases=leases)
 
 
 def load_snapshot(snapshot: SnapshotRecord) -> ConfigurationTable:
@@ -210,7 +224,23 @@
     return table
 
 
-def _adopt(world: World, snapshot: SnapshotRecord) -> None:
+def _adopt(world: World, snapshot: SnapshotRecord, now: float) -> None:
+    """Start from a snapshot.
+
+    A lease counts as read only now, which can only make this node wait longer
+    before it takes a duty over.
+    """
+    world.leases = {
+        lease.duty: Lease(
+            Offset(lease.offset),
+            RecordId(lease.record),
+            NodeId(lease.node),
+            Incarnation(lease.incarnation),
+            lease.term_s,
+            now,
+        )
+        for lease in snapshot.leases
+    }
     history = world.configuration.history
     world.configuration = load_snapshot(snapshot)
     world.configuration.history = history
@@ -234,11 +264,12 @@
         )
 
 
-def _fold_one(world: World, record: Record) -> Iterator[Effect]:
+def _fold_one(world: World, record: Record, now: float) -> Iterator[Effect]:
     position = world.streams[CONFIGURATION]
     if record.offset < position.next:
         return
     position.next = Offset(record.offset + 1)
+    yield from fold_lease(world, record, now)
     change = record.value
     if not isinstance(change, ChangeRecord):
         return
@@ -267,18 +298,18 @@
     return None
 
 
-def _fold_batch(world: World, batch: RecordsRead) -> Iterator[Effect]:
+def _fold_batch(world: World, batch: RecordsRead, now: float) -> Iterator[Effect]:
     position = world.streams[CONFIGURATION]
     if batch.oldest > position.next or world.collecting:
-        yield from _collect(world, batch)
+        yield from _collect(world, batch, now)
         return
     for record in batch.records:
-        yield from _fold_one(world, record)
+        yield from _fold_one(world, record, now)
     if position.next >= batch.next:
         position.caught_up = True
 
 
-def _collect(world: World, batch: RecordsRead) -> Iterator[Effect]:
+def _collect(world: World, batch: RecordsRead, now: float) -> Iterator[Effect]:
     """Read up to the end of a trimmed stream, then start from a snapshot.
 
     Notes
@@ -297,9 +328,9 @@
     if base is None or base.covers < position.next:
         return
     records, world.collecting = world.collecting, []
-    _adopt(world, base)
+    _adopt(world, base, now)
     for record in records:
-        yield from _fold_one(world, record)
+        yield from _fold_one(world, record, now)
 
 
 def fold_configuration(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
@@ -311,14 +342,14 @@
     for batch in inbox.of(RecordsRead):
         if batch.stream == CONFIGURATION:
             position.read_at = now
-            yield from _fold_batch(world, batch)
+            yield from _fold_batch(world, batch, now)
     for message in inbox.of(ConfigurationReceived):
         covers = message.snapshot.covers
         if covers > position.next or (
             not position.caught_up and covers == position.next
         ):
             world.collecting = []
-            _adopt(world, message.snapshot)
+            _adopt(world, message.snapshot, now)
             yield Decided(
                 Decision.CONFIGURATION,
                 (("from_peer", True), ("offset", covers)),
--- /dev/null
+++ b/poplarrelay/systems/placing.py
@@ -0,0 +1,161 @@
+"""Decide which models each engine has loaded, and give the orders.
+
+Notes
+-----
+Only the holder of the placement duty gives orders. An order states the whole target
+and bears the lease's fencing number. An engine that checks the number refuses the
+order of an earlier holder. One that does not may take such an order late, from a
+process that was paused right before it sent; the load report then shows a state that
+is not the target, and the holder orders again until it is.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import Counter as CountOf
+from collections.abc import Iterable, Iterator
+
+from poplarrelay.configuration.schema import Template
+from poplarrelay.identifiers import DomainId, EndpointId
+from poplarrelay.messages.effects import Decided, Decision, Effect, GiveOrder
+from poplarrelay.messages.inbox import Inbox, OrderAnswered
+from poplarrelay.systems.leasing import fencing_number, remaining_term
+from poplarrelay.tables.endpoints import Endpoint, EndpointKind, EndpointState
+from poplarrelay.tables.leases import Duty
+from poplarrelay.tables.world import World
+
+__all__ = ["give_orders", "place_models", "wanted_runners"]
+
+#: Orders whose models may be loading at a time, since the weight store is limited.
+MAX_LOADING = 2
+#: Seconds until an order that did not show in the load report is repeated.
+ORDER_REPEAT_S = 1.5
+#: Longest report age at which an engine's state is judged, in seconds.
+FRESH_REPORT_S = 3.0
+
+
+def wanted_runners(templates: Iterable[Template]) -> dict[str, int]:
+    """Return how many engines each model needs, over all templates."""
+    wanted: dict[str, int] = {}
+    for template in templates:
+        for model, runners in template.runners.items():
+            wanted[model] = max(wanted.get(model, 0), runners)
+    return wanted
+
+
+def _score(model: str, endpoint: EndpointId) -> bytes:
+    return hashlib.blake2b(f"{model}/{endpoint}".encode(), digest_size=8).digest()
+
+
+def place_models(
+    endpoints: Iterable[Endpoint], wanted: dict[str, int]
+) -> dict[EndpointId, frozenset[str]]:
+    """Return the models that each engine should have loaded.
+
+    Parameters
+    ----------
+    endpoints : iterable of Endpoint
+        All endpoints; only live engines are used.
+    wanted : dict of str to int
+        Engines that each model needs.
+
+    Notes
+    -----
+    An engine that has the model already is kept, then the failure domain with the
+    fewest runners of the model is filled first, then the cheapest engine. The same
+    tables give the same placement on every node, so a new holder of the duty does
+    not move anything.
+    """
+    engines = [
+        e
+        for e in endpoints
+        if e.kind is EndpointKind.ENGINE and e.state is EndpointState.LIVE
+    ]
+    targets = {e.id: set(e.loaded or ()) - set(wanted) for e in engines}
+    for model, runners in sorted(wanted.items()):
+        able = [e for e in engines if model in e.names]
+        in_domain: CountOf[DomainId] = CountOf()
+        for _ in range(min(runners, len(able))):
+            chosen = min(
+                able,
+                key=lambda e: (
+                    model not in (e.loaded or ()),
+                    in_domain[e.domain],
+                    len(targets[e.id]),
+                    e.price,
+                    _score(model, e.id),
+                ),
+            )
+            able.remove(chosen)
+            in_domain[chosen.domain] += 1
+            targets[chosen.id].add(model)
+    return {endpoint: frozenset(models) for endpoint, models in targets.items()}
+
+
+def give_orders(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Order what the engines should have loaded, if this node holds the duty."""
+    for answered in inbox.of(OrderAnswered):
+        endpoint = world.endpoints.get(answered.endpoint)
+        if endpoint is not None:
+            endpoint.ordering = False
+            yield Decided(
+                Decision.PLACEMENT,
+                (("endpoint", endpoint.id), ("order_taken", answered.taken)),
+            )
+    timeout = world.settings.timing.order_timeout_s
+    left = remaining_term(world, Duty.PLACEMENT, now)
+    if left <= 2 * timeout:
+        return
+    templates = [
+        entry.value
+        for entry in world.configuration.entries.values()
+        if isinstance(entry.value, Template)
+    ]
+    wanted = wanted_runners(templates)
+    if not wanted:
+        return
+    targets = place_models(world.endpoints.values(), wanted)
+    latest = now + left - 2 * timeout
+    for endpoint_id, models in sorted(targets.items()):
+        yield from _order(world, world.endpoints[endpoint_id], models, latest, now)
+
+
+def _loading(world: World) -> int:
+    return sum(1 for endpoint in world.endpoints.values() if endpoint.ordering)
+
+
+def _order(
+    world: World,
+    endpoint: Endpoint,
+    models: frozenset[str],
+    latest: float,
+    now: float,
+) -> Iterator[Effect]:
+    if endpoint.loaded is None or endpoint.loaded == models or endpoint.ordering:
+        return
+    reported_at = endpoint.reported_at
+    if reported_at is None or now - reported_at > FRESH_REPORT_S:
+        return
+    if now < endpoint.next_order_at or _loading(world) >= MAX_LOADING:
+        return
+    fencing = fencing_number(world, Duty.PLACEMENT)
+    if fencing is None:
+        return
+    endpoint.ordering = True
+    endpoint.next_order_at = now + ORDER_REPEAT_S
+    yield Decided(
+        Decision.PLACEMENT,
+        (
+            ("endpoint", endpoint.id),
+            ("models", ",".join(sorted(models))),
+            ("fencing", fencing),
+        ),
+    )
+    yield GiveOrder(
+        endpoint.id,
+        endpoint.address,
+        fencing,
+        world.node,
+        tuple(sorted(models)),
+        latest,
+    )
--- a/poplarrelay/systems/reporting.py
+++ b/poplarrelay/systems/reporting.py
@@ -62,6 +62,8 @@
         State, failure domain and running attempts of this node.
     requests : dict of str to int
         Requests by state.
+    duties : dict of str to dict
+        Holder and fencing number of each duty's lease.
     """
 
     node: str
@@ -77,6 +79,7 @@
     endpoints: dict[str, dict[str, object]]
     requests: dict[str, int]
     keys: int
+    duties: dict[str, dict[str, object]]
 
 
 def answer_lookups(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
@@ -149,11 +152,16 @@
                 "failure_domain": endpoint.domain,
                 "running": len(endpoint.sent),
                 "price": endpoint.price,
+                "models": sorted(endpoint.loaded or endpoint.names),
             }
             for endpoint in world.endpoints.values()
         },
         requests=_by_state(world),
         keys=len(world.uses),
+        duties={
+            duty: {"holder": lease.node, "fencing": lease.offset}
+            for duty, lease in world.leases.items()
+        },
     )
 
 
--- a/poplarrelay/systems/routing.py
+++ b/poplarrelay/systems/routing.py
@@ -163,7 +163,7 @@
         for endpoint in endpoints
         if endpoint.kind is kind
         and endpoint.state is EndpointState.LIVE
-        and request.work.name in endpoint.names
+        and endpoint.serves(request.work.name)
         and endpoint.domain in criteria.domains
         and endpoint.closed_until <= criteria.now
     ]
--- a/poplarrelay/systems/schedule.py
+++ b/poplarrelay/systems/schedule.py
@@ -19,6 +19,7 @@
 from poplarrelay.systems.draining import drain, take_handovers
 from poplarrelay.systems.expiring import expire_requests, forget_old_rows
 from poplarrelay.systems.homes import answer_key_questions
+from poplarrelay.systems.leasing import keep_leases
 from poplarrelay.systems.leaving import leave_endpoints
 from poplarrelay.systems.membership import (
     judge_self,
@@ -26,7 +27,9 @@
     take_news,
     watch_suspects,
 )
+from poplarrelay.systems.placing import give_orders
 from poplarrelay.systems.reporting import answer_lookups, answer_status
+from poplarrelay.systems.snapshotting import write_snapshots
 from poplarrelay.systems.ticketing import follow_forwards
 from poplarrelay.systems.watching import hear_notices, poll_endpoints, watch_hosts
 from poplarrelay.tables.world import World
@@ -60,6 +63,9 @@
     dispatch_queue,
     publish_changes,
     share_configuration,
+    keep_leases,
+    write_snapshots,
+    give_orders,
     answer_addresses,
     answer_lookups,
     answer_status,
--- a/poplarrelay/systems/watching.py
+++ b/poplarrelay/systems/watching.py
@@ -211,6 +211,7 @@
             endpoint.poll_failures = 0
             endpoint.report = reported.report
             endpoint.reported_at = now
+            endpoint.loaded = reported.models
             endpoint.sent_since_report.clear()
     for failed in inbox.of(LoadFailed):
         endpoint = world.endpoints.get(failed.endpoint)
--- a/poplarrelay/tables/endpoints.py
+++ b/poplarrelay/tables/endpoints.py
@@ -75,6 +75,10 @@
         Monotonic time until which no work is sent after failures.
     prefixes : dict of str to float
         Prefixes sent here, and when.
+    loaded : frozenset of str or None
+        Models that the engine reports as loaded; None if it does not say.
+    ordering : bool
+        Whether an order is on its way.
     """
 
     id: EndpointId
@@ -99,3 +103,11 @@
     attempt_s: float = 1.0
     closed_until: float = 0.0
     prefixes: dict[str, float] = field(default_factory=dict)
+    loaded: frozenset[str] | None = None
+    ordering: bool = False
+    next_order_at: float = 0.0
+
+    def serves(self, name: str) -> bool:
+        """Return whether work for a model or service can be sent here."""
+        names = self.names if self.loaded is None else self.loaded
+        return name in names
--- a/poplarrelay/tables/world.py
+++ b/poplarrelay/tables/world.py
@@ -27,6 +27,7 @@
 from poplarrelay.tables.claims import Claim, KeyUse, TeamKey
 from poplarrelay.tables.configuration import ConfigurationTable
 from poplarrelay.tables.endpoints import Endpoint
+from poplarrelay.tables.leases import Lease, LeaseBid
 from poplarrelay.tables.members import Member, MemberStatus
 from poplarrelay.tables.requests import Request, RequestState
 
@@ -150,6 +151,10 @@
     ----------
     collecting : list of Record
         Configuration records read so far by a node that has no base yet.
+    leases : dict of str to Lease
+        By duty, as folded from the log.
+    bids : dict of RecordId to LeaseBid
+        Lease records that this node has sent.
     queue : list of RequestId
         Requests that may run and wait for an endpoint.
     uses : dict of TeamKey to KeyUse
@@ -183,6 +188,12 @@
     pending_changes: dict[RecordId, PendingChange] = field(default_factory=dict)
     endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
     requests: dict[RequestId, Request] = field(default_factory=dict)
+    leases: dict[str, Lease] = field(default_factory=dict)
+    bids: dict[RecordId, LeaseBid] = field(default_factory=dict)
+    next_bid_at: dict[str, float] = field(default_factory=dict)
+    take_at: dict[str, float] = field(default_factory=dict)
+    given_up: set[str] = field(default_factory=set)
+    next_snapshot_at: float = 0.0
     queue: list[RequestId] = field(default_factory=list)
     claims: dict[TeamKey, Claim] = field(default_factory=dict)
     uses: dict[TeamKey, KeyUse] = field(default_factory=dict)
