--- /dev/null
+++ b/bench/source.py
@@ -0,0 +1,91 @@
+"""An engine that sends tokens as fast as it can, for measuring the relay."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Iterator
+
+import cherrypy
+import orjson
+
+from poplarrelay.standins.base import MAX_BODY_BYTES, run_stand_in
+from poplarrelay.standins.engine import EngineBody
+from poplarrelay.web.exchange import answer_json, read_json
+
+#: Tokens that are written together.
+GROUP = 8
+
+
+class Source:
+    """Root of the source; `pace_s` is the time between two groups."""
+
+    def __init__(self, name: str, pace_s: float) -> None:
+        self._name = name
+        self._pace_s = pace_s
+        self.v1 = Source.V1(self)
+
+    class V1:
+        """``/v1``."""
+
+        def __init__(self, source: Source) -> None:
+            self.completions = source.completions
+            self.cancel = source.cancel
+
+    @cherrypy.expose
+    def load(self) -> bytes:
+        """Report that there is always room."""
+        return answer_json(
+            {
+                "endpoint": self._name,
+                "running": 0,
+                "queued": 0,
+                "slots": 1000,
+                "queued_tokens": 0,
+                "prefill_tokens_per_s": 1e9,
+                "step_s": 0.001,
+            }
+        )
+
+    @cherrypy.expose
+    def cancel(self) -> bytes:
+        """Take notice of nothing."""
+        return answer_json({})
+
+    @cherrypy.expose
+    def completions(self) -> Iterator[bytes]:
+        """Stream tokens."""
+        body = read_json(EngineBody, MAX_BODY_BYTES)
+        cherrypy.response.headers["Content-Type"] = "text/event-stream"
+        cherrypy.response.stream = True
+        return self._events(body)
+
+    def _events(self, body: EngineBody) -> Iterator[bytes]:
+        import time
+
+        attempt = orjson.dumps(body.attempt)
+        event = b'data: {"attempt":%b,"index":%d,"choices":[{"text":"token "}]}\n\n'
+        for first in range(0, body.max_tokens, GROUP):
+            last = min(first + GROUP, body.max_tokens)
+            yield b"".join(event % (attempt, index) for index in range(first, last))
+            if self._pace_s:
+                time.sleep(self._pace_s)
+        yield (
+            b'data: {"attempt":%b,"finish":"stop","count":%d}\n\ndata: [DONE]\n\n'
+            % (attempt, body.max_tokens)
+        )
+
+
+def main() -> None:
+    """Run the source."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", required=True)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--pace-s", type=float, default=0.0)
+    options = parser.parse_args()
+    source = Source(options.name, options.pace_s)
+    run_stand_in(options.host, options.port, source, threads=256)
+
+
+if __name__ == "__main__":
+    main()
--- a/poplarrelay/cli.py
+++ b/poplarrelay/cli.py
@@ -13,6 +13,7 @@
 from poplarrelay.commands.config import config_app, template_app
 from poplarrelay.commands.operators import Operator
 from poplarrelay.commands.output import ExitCode, fail, print_json, print_lines
+from poplarrelay.commands.replay import replay, trace_app
 from poplarrelay.commands.standin import standin_app
 from poplarrelay.exception import SettingsError
 
@@ -27,6 +28,8 @@
 app.command(template_app)
 app.command(call_app)
 app.command(standin_app)
+app.command(trace_app)
+app.command(replay)
 
 Json = Annotated[bool, Parameter(name="--json", help="Print JSON.", negative="")]
 
--- /dev/null
+++ b/poplarrelay/commands/replay.py
@@ -0,0 +1,136 @@
+"""``poplarrelay replay`` and ``poplarrelay trace``."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import App, Parameter
+
+from poplarrelay.commands.output import ExitCode, fail, print_lines
+from poplarrelay.exception import SettingsError
+from poplarrelay.replay.generate import Day, generate_trace
+from poplarrelay.replay.judge import Judgement, judge_replay
+from poplarrelay.replay.report import report_html, report_json
+from poplarrelay.replay.runner import run_replay
+from poplarrelay.replay.target import ReplayTarget
+from poplarrelay.replay.trace import read_trace, write_trace
+from poplarrelay.settings import load_model
+from poplarrelay.testing.site import Site
+
+__all__ = ["replay", "trace_app"]
+
+trace_app = App(name="trace", help="Make and check traces.")
+
+Json = Annotated[bool, Parameter(name="--json", help="Print JSON.", negative="")]
+
+
+def _show(done: int, total: int) -> None:
+    if sys.stderr.isatty() or done == total or done % 100 == 0:
+        print(f"\r{done}/{total} requests", end="", file=sys.stderr, flush=True)
+
+
+def _lines(judgement: Judgement) -> list[str]:
+    lines = [f"{judgement.name}: {judgement.requests} requests"]
+    for name, figures in judgement.classes.items():
+        lines.append(
+            f"{name}: {figures.in_time} of {figures.requests} in time, "
+            f"first token median {figures.median_first_s} s, "
+            f"95th {figures.p95_first_s} s"
+        )
+    lines.append(
+        f"doubled {judgement.doubled}, lost {judgement.lost}, fragments "
+        f"{judgement.fragments}, false not-run {judgement.false_not_run}"
+    )
+    lines.append(
+        f"recomputed tokens: {judgement.recomputed_moving} moving or resuming, "
+        f"{judgement.recomputed_missing_cache} missing a cache"
+    )
+    for broken in judgement.broken:
+        lines.append(
+            f"BROKEN {broken.outcome}: stated {broken.stated}, found {broken.found}"
+        )
+    return lines
+
+
+def replay(
+    trace: Path,
+    *,
+    target: Path,
+    scale: float = 1.0,
+    report: Path | None = None,
+    json: Json = False,
+) -> None:
+    """Replay a trace against running nodes and judge its stated outcomes.
+
+    Parameters
+    ----------
+    trace
+        JSON lines.
+    target
+        JSON file with the addresses and tokens of the running system.
+    scale
+        Seconds of the replay for one second of the trace.
+    report
+        Where to write an HTML page.
+    """
+    try:
+        read = read_trace(trace)
+        where = load_model(ReplayTarget, target)
+    except SettingsError as error:
+        fail(ExitCode.CONFIGURATION, *(str(fault) for fault in error.faults))
+    done = run_replay(read, where, scale, _show)
+    print(file=sys.stderr)
+    judgement = judge_replay(done)
+    if report is not None:
+        report.write_text(report_html(judgement, done))
+    if json:
+        sys.stdout.buffer.write(report_json(judgement) + b"\n")
+    else:
+        print_lines(_lines(judgement))
+    raise SystemExit(int(ExitCode.OK if judgement.good else ExitCode.FAILED))
+
+
+@trace_app.command
+def check(trace: Path) -> None:
+    """Check a trace and tell every fault.
+
+    Parameters
+    ----------
+    trace
+        JSON lines.
+    """
+    try:
+        read = read_trace(trace)
+    except SettingsError as error:
+        fail(ExitCode.CONFIGURATION, *(str(fault) for fault in error.faults))
+    print(f"{trace}: {len(read.requests)} requests, {len(read.events)} events")
+
+
+@trace_app.command
+def generate(
+    site: Path,
+    trace: Path,
+    *,
+    day: Day = Day.HARBOUR,
+    seed: int = 1,
+    seconds: float = 60.0,
+    rate: float = 10.0,
+) -> None:
+    """Make a trace of a shortened day.
+
+    Parameters
+    ----------
+    site
+        Site file whose teams and endpoints are used.
+    trace
+        Where to write it.
+    rate
+        Requests a second at noon.
+    """
+    try:
+        read = Site.from_file(site)
+    except SettingsError as error:
+        fail(ExitCode.CONFIGURATION, *(str(fault) for fault in error.faults))
+    write_trace(trace, generate_trace(read, day, seed, seconds, rate))
--- a/poplarrelay/engines/http.py
+++ b/poplarrelay/engines/http.py
@@ -44,15 +44,14 @@
 MAX_ANSWER_BYTES = 16_000_000
 
 
-def _split(chunks: Iterator[bytes]) -> Iterator[bytes]:
+def _split(chunks: Iterator[bytes]) -> Iterator[list[bytes]]:
     """Return the data of server-sent events, however they are cut into chunks."""
     rest = b""
     for chunk in chunks:
-        rest += chunk
-        *events, rest = rest.split(EVENT_END)
-        for event in events:
-            if event.startswith(DATA):
-                yield event[len(DATA) :]
+        *events, rest = (rest + chunk).split(EVENT_END)
+        whole = [event[len(DATA) :] for event in events if event.startswith(DATA)]
+        if whole:
+            yield whole
 
 
 def _event(value: dict[str, Any]) -> CompletionEvent:
@@ -98,7 +97,7 @@
         team: TeamId,
         priority: int,
         source: CacheSource | None = None,
-    ) -> Generator[CompletionEvent, None, None]:
+    ) -> Generator[list[CompletionEvent], None, None]:
         """Return the events of an attempt, from `attempt.resume_from` on."""
         body = {
             "model": work.name,
@@ -118,11 +117,14 @@
         response = self._open(attempt, orjson.dumps(body))
         ended = False
         try:
-            for data in _split(response.stream(65_536)):
-                if data == DONE:
-                    ended = True
+            for datas in _split(response.stream(65_536)):
+                ended = datas[-1] == DONE
+                if ended:
+                    datas.pop()
+                if datas:
+                    yield [_event(orjson.loads(data)) for data in datas]
+                if ended:
                     break
-                yield _event(orjson.loads(data))
         except (HTTPError, OSError) as error:
             raise EndpointBroken(type(error).__name__) from error
         except (ValueError, KeyError, TypeError, IndexError) as error:
--- a/poplarrelay/engines/protocols.py
+++ b/poplarrelay/engines/protocols.py
@@ -105,9 +105,12 @@
         team: TeamId,
         priority: int,
         source: CacheSource | None = None,
-    ) -> Generator[CompletionEvent, None, None]:
+    ) -> Generator[list[CompletionEvent], None, None]:
         """Return the events of an attempt, from `attempt.resume_from` on.
 
+        Events that arrived together come together, so that they can be passed on
+        with one write.
+
         Raises
         ------
         EndpointRefused
--- a/poplarrelay/node/answers.py
+++ b/poplarrelay/node/answers.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from enum import Enum
 from typing import Any
 
 import orjson
 
 from poplarrelay.identifiers import RequestId
-from poplarrelay.node.sessions import CallerEvent, Ended, Token
+from poplarrelay.node.sessions import CallerEvent, Ended, Tokens
 from poplarrelay.outcomes import Answered, Continued, NotRun, Unknown, Usage
 from poplarrelay.web.problems import Problem, problem_of_outcome
 
@@ -99,10 +99,14 @@
             return head + b'"delta":{"content":', b'}}],"token_index":'
         return head + b'"text":', b'}],"token_index":'
 
-    def token(self, index: int, text: str) -> bytes:
-        """Return the event of one token."""
-        number = str(index).encode()
-        return self._head + orjson.dumps(text) + self._middle + number + b"}\n\n"
+    def tokens(self, first: int, texts: Sequence[str]) -> bytes:
+        """Return the events of tokens that follow each other, to write at once."""
+        head, middle, dumps = self._head, self._middle, orjson.dumps
+        skip = max(0, self._first_index - first)
+        return b"".join(
+            b"%b%b%b%d}\n\n" % (head, dumps(text), middle, index)
+            for index, text in enumerate(texts[skip:], first + skip)
+        )
 
     def end(self, usage: Usage) -> bytes:
         """Return the explicit end of a stream, with its token count."""
@@ -154,10 +158,11 @@
         sent = False
         event: CallerEvent | None = first
         while event is not None:
-            if isinstance(event, Token):
-                if event.index >= self._first_index:
-                    sent = True
-                    yield self.token(event.index, event.text)
+            if isinstance(event, Tokens):
+                written = self.tokens(event.first, event.texts)
+                sent = sent or bool(written)
+                if written:
+                    yield written
             elif isinstance(event, Ended):
                 yield from self._last(event, sent)
                 return
@@ -178,6 +183,6 @@
     def _whole(self, outcome: Answered) -> Iterator[bytes]:
         """Return the tokens of an answer that ran earlier under the same key."""
         start = outcome.usage.completion_tokens - len(outcome.tokens)
-        for index, text in enumerate(outcome.tokens, start):
-            if index >= self._first_index:
-                yield self.token(index, text)
+        written = self.tokens(start, outcome.tokens)
+        if written:
+            yield written
--- a/poplarrelay/node/sessions.py
+++ b/poplarrelay/node/sessions.py
@@ -10,10 +10,10 @@
 
 from poplarrelay.engines.protocols import (
     CacheSource,
+    CompletionEvent,
     EndReason,
     Engine,
     EngineEnd,
-    EngineToken,
     PlainService,
 )
 from poplarrelay.exception import (
@@ -47,7 +47,7 @@
     "Rejected",
     "Runtime",
     "Session",
-    "Token",
+    "Tokens",
 ]
 
 #: Tokens between two reports of progress to the tick thread.
@@ -55,11 +55,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Token:
-    """One token for the caller."""
+class Tokens:
+    """Tokens for the caller that came together.
 
-    index: int
-    text: str
+    Attributes
+    ----------
+    first : int
+        Index of the first one.
+    """
+
+    first: int
+    texts: list[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +88,7 @@
     """A deferred request was accepted."""
 
 
-CallerEvent = Token | Ended | Rejected | Accepted
+CallerEvent = Tokens | Ended | Rejected | Accepted
 
 
 class Runtime(Protocol):
@@ -297,10 +303,11 @@
             attempt, order.work, order.team, order.urgency, source
         )
         with closing(stream):
-            for event in stream:
-                if isinstance(event, EngineEnd):
-                    return self._take_end(attempt, event)
-                yield from self._accept(attempt, event)
+            for events in stream:
+                end = events.pop() if isinstance(events[-1], EngineEnd) else None
+                yield from self._accept_all(attempt, events)
+                if isinstance(end, EngineEnd):
+                    return self._take_end(attempt, end)
                 self._check_running(attempt)
                 plan = self._mailbox.take_plan()
                 if plan is not None and not self._export(attempt, plan):
@@ -332,24 +339,54 @@
         self._add_usage(attempt, end)
         return _Step(AttemptResult.FINISHED)
 
-    def _accept(self, attempt: Attempt, event: EngineToken) -> Iterator[Token]:
+    def _accept_all(
+        self, attempt: Attempt, events: list[CompletionEvent]
+    ) -> Iterator[Tokens]:
+        """Pass on the tokens that are next; what came before a fault is kept."""
+        first = self._progress.next_index
+        fault: EndpointBroken | None = None
+        texts: list[str] = []
+        try:
+            for event in events:
+                if self._is_next(attempt, event, first + len(texts)):
+                    texts.append(event.text)  # type: ignore[union-attr]
+        except EndpointBroken as error:
+            fault = error
+        if texts:
+            self._progress.next_index += len(texts)
+            self._progress.parts.extend(texts)
+            self._report(attempt, first)
+            yield Tokens(first, texts)
+        if fault is not None:
+            raise fault
+
+    def _is_next(
+        self, attempt: Attempt, event: CompletionEvent, next_index: int
+    ) -> bool:
+        """Return whether an event is this attempt's next token.
+
+        Raises
+        ------
+        EndpointBroken
+            If a token is missing before it, or the stream goes on after its end.
+        """
+        if isinstance(event, EngineEnd):
+            raise EndpointBroken("the stream goes on after its end")
         if event.attempt != attempt.id:
             self._runtime.drop("foreign")
-            return
-        if event.index < self._progress.next_index:
+            return False
+        if event.index < next_index:
             self._runtime.drop("repeated")
-            return
-        if event.index > self._progress.next_index:
+            return False
+        if event.index > next_index:
             raise EndpointBroken("a token is missing")
-        self._progress.next_index += 1
-        self._progress.parts.append(event.text)
-        self._report(attempt)
-        yield Token(event.index, event.text)
+        return True
 
-    def _report(self, attempt: Attempt) -> None:
+    def _report(self, attempt: Attempt, before: int) -> None:
+        """Tell the tick thread of the first token, and then now and then."""
         count = self._progress.next_index
-        first = len(self._progress.parts) == 1
-        if first or count % PROGRESS_TOKENS == 0:
+        first = len(self._progress.parts) == count - before
+        if first or count // PROGRESS_TOKENS > before // PROGRESS_TOKENS:
             self._runtime.submit(AttemptProgressed(self._request, attempt.id, count))
 
     def _check_running(self, attempt: Attempt) -> None:
--- /dev/null
+++ b/poplarrelay/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay recorded traces against running nodes and judge stated outcomes."""
--- /dev/null
+++ b/poplarrelay/replay/judge.py
@@ -0,0 +1,172 @@
+"""Judge a replay against the outcomes that its trace states."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from poplarrelay.replay.runner import Replay, RequestResult, Word
+from poplarrelay.replay.trace import Trace
+from poplarrelay.tables.requests import RequestClass
+
+__all__ = ["Broken", "ClassFigures", "Judgement", "judge_replay"]
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """A stated outcome that was not reached.
+
+    Attributes
+    ----------
+    requests : tuple of str
+        The requests that broke it, the first ones if there are many.
+    """
+
+    outcome: str
+    stated: float
+    found: float
+    requests: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ClassFigures:
+    """Figures of one request class; times in seconds."""
+
+    requests: int
+    answered: int
+    in_time: int
+    median_first_s: float
+    p95_first_s: float
+
+
+@dataclass(slots=True)
+class Judgement:
+    """All figures of a replay, and what was broken."""
+
+    name: str
+    requests: int
+    seconds: float
+    words: dict[str, int]
+    classes: dict[str, ClassFigures]
+    doubled: int
+    lost: int
+    fragments: int
+    false_not_run: int
+    prompt_tokens: int
+    cached_tokens: int
+    recomputed_moving: int
+    recomputed_missing_cache: int
+    broken: list[Broken] = field(default_factory=list)
+
+    @property
+    def good(self) -> bool:
+        """Return whether all stated outcomes were reached."""
+        return not self.broken
+
+
+def _percentile(values: list[float], share: float) -> float:
+    ordered = sorted(values) or [0.0]
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _in_time(trace: Trace, result: RequestResult) -> bool:
+    if result.word is not Word.ANSWERED:
+        return False
+    target = trace.head.targets_s.get(result.request.request_class)
+    reached = result.first_s if result.first_s is not None else result.total_s
+    return target is None or reached <= target
+
+
+def _figures(trace: Trace, results: list[RequestResult]) -> ClassFigures:
+    first = [r.first_s for r in results if r.first_s is not None]
+    return ClassFigures(
+        requests=len(results),
+        answered=sum(1 for r in results if r.word is Word.ANSWERED),
+        in_time=sum(1 for r in results if _in_time(trace, r)),
+        median_first_s=round(_percentile(first, 0.5), 4),
+        p95_first_s=round(_percentile(first, 0.95), 4),
+    )
+
+
+def _missed_cache(replay: Replay) -> int:
+    """Return shared prompt tokens that were computed again by an engine.
+
+    The head of a family's prompts has been computed when its first request was
+    answered; what later ones find missing is counted.
+    """
+    seen: set[tuple[str, str]] = set()
+    missed = 0
+    for result in sorted(replay.results, key=lambda r: r.request.at):
+        request = result.request
+        if not request.family or result.word is not Word.ANSWERED:
+            continue
+        family = (request.team, request.family)
+        if family in seen:
+            shared = int(result.prompt_tokens * 0.8)
+            missed += max(0, shared - result.cached_tokens - 16)
+        seen.add(family)
+    return missed
+
+
+def judge_replay(replay: Replay) -> Judgement:
+    """Return the figures of a replay and every stated outcome that it broke."""
+    trace, results = replay.trace, replay.results
+    doubled = [r for r in results if replay.runs.get(r.run_name, 0) > 1]
+    false = [
+        r
+        for r in results
+        if r.word is Word.NOT_RUN and replay.runs.get(r.run_name, 0) > 0
+    ]
+    lost = [r for r in results if r.word is Word.UNKNOWN]
+    fragments = [r for r in results if r.word is Word.FRAGMENT]
+    by_class = {
+        each: [r for r in results if r.request.request_class is each]
+        for each in RequestClass
+    }
+    judgement = Judgement(
+        name=trace.head.name,
+        requests=len(results),
+        seconds=round(replay.seconds, 2),
+        words=dict(Counter(r.word.value for r in results)),
+        classes={
+            each.value: _figures(trace, found)
+            for each, found in by_class.items()
+            if found
+        },
+        doubled=len(doubled),
+        lost=len(lost),
+        fragments=len(fragments),
+        false_not_run=len(false),
+        prompt_tokens=sum(r.prompt_tokens for r in results),
+        cached_tokens=sum(r.cached_tokens for r in results),
+        recomputed_moving=sum(r.recomputed_tokens for r in results),
+        recomputed_missing_cache=_missed_cache(replay),
+    )
+    stated = trace.head.stated
+    for name, bound, found in (
+        ("doubled", stated.max_doubled, doubled),
+        ("lost", stated.max_lost, lost),
+        ("fragments", stated.max_fragments, fragments),
+        ("false_not_run", stated.max_false_not_run, false),
+    ):
+        if len(found) > bound:
+            ids = tuple(r.request.id for r in found[:20])
+            judgement.broken.append(Broken(name, bound, len(found), ids))
+    for each, share in stated.in_time_share.items():
+        _judge_share(judgement, trace, each, by_class[each], share)
+    return judgement
+
+
+def _judge_share(
+    judgement: Judgement,
+    trace: Trace,
+    each: RequestClass,
+    results: list[RequestResult],
+    share: float,
+) -> None:
+    late = [r.request.id for r in results if not _in_time(trace, r)]
+    found = 1.0 - len(late) / len(results) if results else 1.0
+    if found < share:
+        name = f"in_time_share.{each.value}"
+        broken = Broken(name, share, round(found, 4), tuple(late[:20]))
+        judgement.broken.append(broken)
--- /dev/null
+++ b/poplarrelay/replay/runner.py
@@ -0,0 +1,287 @@
+"""Send a trace's requests at their times and note what became of each."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from enum import Enum
+
+from poplarrelay.client import AnswerNotRun, CallerClient, CallerFailure
+from poplarrelay.client.caller import CompletionResult
+from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.replay.target import ReplayTarget
+from poplarrelay.replay.trace import (
+    EventKind,
+    Trace,
+    TraceEvent,
+    TraceRequest,
+    TraceWork,
+    make_prompt,
+)
+from poplarrelay.standins.batching import token_text
+from poplarrelay.standins.service import call_name
+
+__all__ = ["Replay", "RequestResult", "Word", "run_replay"]
+
+WORKERS = 128
+
+
+class Word(Enum):
+    """What a caller was told in the end."""
+
+    ANSWERED = "answered"
+    FRAGMENT = "fragment"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class RequestResult:
+    """What became of one request.
+
+    Attributes
+    ----------
+    first_s : float or None
+        Seconds to the first token, or to a service's answer, at the trace's scale.
+    run_name : str
+        Name under which a service counts its runs; empty for completions.
+    """
+
+    request: TraceRequest
+    word: Word
+    first_s: float | None = None
+    total_s: float = 0.0
+    cached_tokens: int = 0
+    recomputed_tokens: int = 0
+    prompt_tokens: int = 0
+    run_name: str = ""
+
+
+@dataclass(slots=True)
+class Replay:
+    """Results of a replay.
+
+    Attributes
+    ----------
+    runs : dict of str to int
+        Runs that the services counted.
+    """
+
+    trace: Trace
+    results: list[RequestResult] = field(default_factory=list)
+    runs: dict[str, int] = field(default_factory=dict)
+    seconds: float = 0.0
+
+
+class _Sender:
+    def __init__(self, target: ReplayTarget, scale: float) -> None:
+        self._target = target
+        self._scale = scale
+        self._local = threading.local()
+
+    def _client(self, team: str) -> CallerClient:
+        """Return this thread's caller of a team, so that its addresses are kept."""
+        clients = self._local.__dict__.setdefault("clients", {})
+        if team not in clients:
+            token = self._target.tokens[team]
+            clients[team] = CallerClient(self._target.callers, token)
+        return clients[team]
+
+    def send(self, request: TraceRequest) -> RequestResult:
+        """Make a request and note what became of it."""
+        began = time.monotonic()
+        ways: dict[TraceWork, Callable[[TraceRequest], RequestResult]] = {
+            TraceWork.COMPLETION: self._complete,
+            TraceWork.SERVICE: self._book,
+            TraceWork.DEFERRED: self._defer,
+        }
+        try:
+            result = ways[request.work](request)
+        except AnswerNotRun:
+            result = RequestResult(request, Word.NOT_RUN)
+        except CallerFailure:
+            result = RequestResult(request, Word.UNKNOWN)
+        result.total_s = (time.monotonic() - began) / self._scale
+        if request.work is TraceWork.SERVICE:
+            result.run_name = call_name("POST", "/confirm", _booking(request))
+            if result.word is Word.ANSWERED:
+                result.first_s = result.total_s
+        return result
+
+    def _complete(self, request: TraceRequest) -> RequestResult:
+        prompt = make_prompt(request)
+        result = CompletionResult()
+        client = self._client(request.team)
+        for _ in client.stream(
+            request.name,
+            prompt,
+            request.answer_tokens,
+            request.timeout_s * self._scale,
+            request.request_class.value,
+            result,
+        ):
+            pass
+        first = result.first_token_s
+        return RequestResult(
+            request,
+            _judge_text(request, prompt, result.text),
+            None if first is None else first / self._scale,
+            cached_tokens=result.usage.get("cached_tokens", 0),
+            recomputed_tokens=result.usage.get("recomputed_tokens", 0),
+            prompt_tokens=result.usage.get("prompt_tokens", 0),
+        )
+
+    def _book(self, request: TraceRequest) -> RequestResult:
+        self._client(request.team).call_service(
+            request.name,
+            "/confirm",
+            _booking(request),
+            timeout_s=request.timeout_s * self._scale,
+            request_class=request.request_class.value,
+        )
+        return RequestResult(request, Word.ANSWERED)
+
+    def _defer(self, request: TraceRequest) -> RequestResult:
+        prompt = make_prompt(request)
+        client = self._client(request.team)
+        timeout = request.timeout_s * self._scale
+        body = {
+            "model": request.name,
+            "prompt": prompt,
+            "max_tokens": request.answer_tokens,
+        }
+        accepted = client.defer("/v1/completions", body, timeout)
+        found = client.wait_for(accepted.id, timeout)
+        if found.status != "answered":
+            return RequestResult(request, Word.UNKNOWN)
+        answer = found.document["response"]
+        usage = answer["usage"]
+        return RequestResult(
+            request,
+            _judge_text(request, prompt, answer["choices"][0]["text"]),
+            cached_tokens=usage["cached_tokens"],
+            recomputed_tokens=usage["recomputed_tokens"],
+            prompt_tokens=usage["prompt_tokens"],
+        )
+
+
+def _booking(request: TraceRequest) -> bytes:
+    return b'{"booking": "%b"}' % request.id.encode()
+
+
+def _judge_text(request: TraceRequest, prompt: str, text: str) -> Word:
+    """Return whether an answer is whole; tokens are a function of the prompt."""
+    whole = "".join(token_text(prompt, i) for i in range(request.answer_tokens))
+    return Word.ANSWERED if text == whole else Word.FRAGMENT
+
+
+class _Platform:
+    """Does what the trace says that the platform does."""
+
+    def __init__(self, target: ReplayTarget, scale: float) -> None:
+        self._target = target
+        self._scale = scale
+        self._caller = JsonCaller(1.0)
+
+    def _call(self, method: str, address: str | None, path: str, body: object) -> None:
+        if address is None:
+            return
+        try:
+            self._caller.call(method, address, path, body, timeout_s=2.0)
+        except CallFailed:
+            # An endpoint that is told to end gives no answer.
+            return
+
+    def do(self, event: TraceEvent) -> None:
+        """Bring about one event."""
+        target = self._target
+        if event.event is EventKind.NOTICE:
+            notice = {
+                "remaining_s": event.remaining_s * self._scale,
+                "endpoint": event.endpoint,
+                "failure_domain": event.failure_domain,
+            }
+            self._call("POST", target.cloud, "/notices", notice)
+        elif event.event is EventKind.RECLAIM and event.endpoint:
+            address = target.endpoints.get(event.endpoint)
+            self._call("POST", address, "/exit", {})
+            self._call("DELETE", target.hosts, f"/hosts/{event.endpoint}", None)
+        elif event.event is EventKind.LOG_OUTAGE:
+            self._call("PUT", target.log, "/faults", {"refuse": True})
+            time.sleep(event.duration_s * self._scale)
+            self._call("PUT", target.log, "/faults", {})
+        elif event.event is EventKind.REFUSED_STARTS:
+            self._call("PUT", target.cloud, "/faults", {"refuse_starts": True})
+            time.sleep(event.duration_s * self._scale)
+            self._call("PUT", target.cloud, "/faults", {})
+        elif event.event is EventKind.PRICE and event.endpoint:
+            body = {"price": event.price}
+            self._call("POST", target.hosts, f"/prices/{event.endpoint}", body)
+
+    def runs(self) -> dict[str, int]:
+        """Return the runs that the services counted."""
+        total: dict[str, int] = {}
+        for address in self._target.endpoints.values():
+            try:
+                reply = self._caller.call("GET", address, "/runs")
+            except CallFailed:
+                continue
+            runs = reply.value.get("runs", {}) if reply.ok else {}
+            for name, times in runs.items():
+                total[name] = total.get(name, 0) + times
+        return total
+
+
+def run_replay(
+    trace: Trace,
+    target: ReplayTarget,
+    scale: float = 1.0,
+    progress: Callable[[int, int], None] | None = None,
+) -> Replay:
+    """Replay a trace.
+
+    Parameters
+    ----------
+    trace : Trace
+        The trace.
+    target : ReplayTarget
+        The running system.
+    scale : float
+        Seconds of the replay for one second of the trace.
+    progress : callable or None
+        Is told the requests that have ended and their number.
+    """
+    replay = Replay(trace)
+    sender, platform = _Sender(target, scale), _Platform(target, scale)
+    began = time.monotonic()
+    lock = threading.Lock()
+
+    def at(moment: float) -> None:
+        time.sleep(max(0.0, began + moment * scale - time.monotonic()))
+
+    def send(request: TraceRequest) -> None:
+        result = sender.send(request)
+        with lock:
+            replay.results.append(result)
+            if progress is not None:
+                progress(len(replay.results), len(trace.requests))
+
+    def disturb() -> None:
+        with ThreadPoolExecutor(8) as pool:
+            for event in trace.events:
+                at(event.at)
+                pool.submit(platform.do, event)
+
+    disturber = threading.Thread(target=disturb)
+    disturber.start()
+    with ThreadPoolExecutor(WORKERS) as pool:
+        for request in trace.requests:
+            at(request.at)
+            pool.submit(send, request)
+    disturber.join()
+    replay.seconds = time.monotonic() - began
+    replay.runs = platform.runs()
+    return replay
--- /dev/null
+++ b/poplarrelay/replay/tests/test_replay.py
@@ -0,0 +1,110 @@
+"""Traces, judgement, and a replay against real processes."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from poplarrelay.exception import SettingsError
+from poplarrelay.replay.generate import Day, generate_trace
+from poplarrelay.replay.judge import judge_replay
+from poplarrelay.replay.report import report_html
+from poplarrelay.replay.runner import Replay, RequestResult, Word
+from poplarrelay.replay.trace import read_trace, write_trace
+from poplarrelay.testing.builders import small_site
+from poplarrelay.testing.processes import run_site
+
+
+@pytest.fixture
+def trace():
+    return generate_trace(small_site(engines=4), Day.HARBOUR, 3, 8.0, 6.0)
+
+
+def test_the_same_seed_gives_the_same_trace(trace):
+    again = generate_trace(small_site(engines=4), Day.HARBOUR, 3, 8.0, 6.0)
+    assert trace == again
+
+
+def test_a_trace_is_read_as_it_was_written(trace, tmp_path):
+    path = tmp_path / "trace.jsonl"
+    write_trace(path, trace)
+    assert read_trace(path) == trace
+
+
+def test_every_fault_of_a_trace_is_told(trace, tmp_path):
+    path = tmp_path / "trace.jsonl"
+    write_trace(path, trace)
+    lines = path.read_text().splitlines()
+    lines[2] = "{"
+    lines[3] = '{"kind": "event", "at": -1, "event": "flood"}'
+    path.write_text("\n".join(lines))
+    with pytest.raises(SettingsError) as caught:
+        read_trace(path)
+    places = [fault.place for fault in caught.value.faults]
+    assert places[0] == "line 3"
+    assert any(place.startswith("line 4") and "at" in place for place in places)
+    assert any(place.startswith("line 4") and "event" in place for place in places)
+
+
+def _replay(trace, **changes):
+    results = [
+        RequestResult(r, Word.ANSWERED, first_s=0.1, run_name=f"run {r.id}")
+        for r in trace.requests
+    ]
+    runs = {result.run_name: 1 for result in results}
+    for name, value in changes.items():
+        setattr(results[0], name, value)
+    return Replay(trace, results, runs, 8.0)
+
+
+def test_a_good_replay_breaks_nothing(trace):
+    assert judge_replay(_replay(trace)).good
+
+
+@pytest.mark.parametrize(
+    ("word", "outcome"),
+    [
+        (Word.UNKNOWN, "lost"),
+        (Word.FRAGMENT, "fragments"),
+        (Word.NOT_RUN, "false_not_run"),
+    ],
+)
+def test_each_broken_outcome_names_its_request(trace, word, outcome):
+    replay = _replay(trace, word=word)
+    broken = {b.outcome: b for b in judge_replay(replay).broken}
+    assert broken[outcome].requests == (trace.requests[0].id,)
+    assert outcome in report_html(judge_replay(replay), replay)
+
+
+def test_a_doubled_run_is_broken(trace):
+    replay = _replay(trace)
+    replay.runs[replay.results[0].run_name] = 2
+    assert [b.outcome for b in judge_replay(replay).broken] == ["doubled"]
+
+
+def test_late_answers_break_their_class(trace):
+    replay = _replay(trace)
+    for result in replay.results:
+        result.first_s = 50.0
+    names = {b.outcome for b in judge_replay(replay).broken}
+    assert "in_time_share.urgent" in names
+
+
+@pytest.mark.processes
+def test_replay_command_judges_running_nodes(trace, tmp_path):
+    # The trace has an outage of the log and reclaims of two domains in it.
+    trace_path, target = tmp_path / "trace.jsonl", tmp_path / "target.json"
+    page = tmp_path / "report.html"
+    write_trace(trace_path, trace)
+    with run_site(small_site(engines=4)) as site:
+        target.write_text(json.dumps(site.replay_target()))
+        command = [sys.executable, "-m", "poplarrelay", "replay", str(trace_path)]
+        command += ["--target", str(target), "--report", str(page), "--json"]
+        done = subprocess.run(command, capture_output=True, check=False, timeout=90)
+    report = json.loads(done.stdout)
+    assert report["doubled"] == report["fragments"] == report["false_not_run"] == 0
+    assert report["lost"] == 0
+    assert report["requests"] == len(trace.requests)
+    assert done.returncode == (0 if report["good"] else 1)
+    assert "<svg" in page.read_text()
--- a/poplarrelay/standins/base.py
+++ b/poplarrelay/standins/base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import threading
 from typing import Any, Generic, TypeVar
@@ -15,6 +16,8 @@
 
 __all__ = ["StandIn", "refuse", "run_stand_in"]
 
+#: Exit code of a stand-in whose host was reclaimed.
+EXIT_RECLAIMED = 137
 MAX_BODY_BYTES = 64_000_000
 
 FaultsT = TypeVar("FaultsT", bound=BaseModel)
@@ -63,6 +66,11 @@
             self.faults_changed()
         return answer_json(self._faults.model_dump())
 
+    @cherrypy.expose
+    def exit(self) -> None:
+        """End the process at once, as a reclaim does."""
+        os._exit(EXIT_RECLAIMED)
+
     @cherrypy.expose
     def health(self) -> bytes:
         """Tell that the stand-in runs."""
--- a/poplarrelay/standins/platform.py
+++ b/poplarrelay/standins/platform.py
@@ -71,6 +71,22 @@
             self._history.append((time.monotonic(), newest))
         return answer_json({"status": "ok"})
 
+    @cherrypy.expose
+    def prices(self, endpoint: str) -> bytes:
+        """Change the price of an endpoint's host."""
+        price = read_json(_Price, MAX_BODY_BYTES).price
+        with self.lock:
+            newest = [
+                {**h, "price": price} if h["endpoint"] == endpoint else h
+                for h in self._history[-1][1]
+            ]
+            self._history.append((time.monotonic(), newest))
+        return answer_json({"status": "ok"})
+
+
+class _Price(BaseModel):
+    price: float
+
 
 class _Host(BaseModel):
     endpoint: str
--- a/poplarrelay/systems/tests/test_configuration_fold.py
+++ b/poplarrelay/systems/tests/test_configuration_fold.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from poplarrelay.identifiers import Offset
+from poplarrelay.identifiers import Incarnation, Offset
 from poplarrelay.messages.inbox import (
     CallId,
     ChangeAsked,
@@ -61,7 +61,7 @@
         self.highest = {}
         self.sent = []
         self.paused = []
-        self.truth = [{}]
+        self.truth: list[dict] = [{}]
         self.table = ConfigurationTable()
         for name in ("n1", "n2", "n3"):
             self._start(name)
@@ -70,7 +70,7 @@
         self.incarnations += 1
         self.nodes[name] = World.from_settings(
             make_settings(name, int(name[1:])),
-            f"{self.incarnations:08x}",
+            Incarnation(f"{self.incarnations:08x}"),
             self.incarnations,
             self.now,
             seed=1,
@@ -202,7 +202,9 @@
 def test_a_trimmed_stream_without_a_snapshot_is_not_guessed():
     # The node starts when the log has trimmed its first records and holds no
     # snapshot. Folding the rest would show a configuration that nobody published.
-    world = World.from_settings(make_settings("n1", 1), "00000001", 1, 0.0, seed=1)
+    world = World.from_settings(
+        make_settings("n1", 1), Incarnation("00000001"), 1, 0.0, seed=1
+    )
     change = ChangeRecord(
         id="x", subject="template/base", after=None, body=template_body()
     )
--- a/poplarrelay/systems/tests/test_leasing.py
+++ b/poplarrelay/systems/tests/test_leasing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from poplarrelay.identifiers import Offset
+from poplarrelay.identifiers import Incarnation, Offset
 from poplarrelay.messages.effects import AppendRecord
 from poplarrelay.messages.inbox import Inbox, RecordsRead
 from poplarrelay.messages.records import LeaseRecord, Record
@@ -16,6 +16,12 @@
 DUTY = Duty.PLACEMENT
 
 
+def fencing(world):
+    number = fencing_number(world, DUTY)
+    assert number is not None
+    return number
+
+
 class Takers:
     """Nodes that bid for duties on one log, with a clock that the test moves."""
 
@@ -25,7 +31,11 @@
         self.worlds = []
         for index in range(1, count + 1):
             world = World.from_settings(
-                make_settings(f"n{index}", index), f"{index:08x}", 1, self.now, index
+                make_settings(f"n{index}", index),
+                Incarnation(f"{index:08x}"),
+                1,
+                self.now,
+                index,
             )
             world.phase = NodePhase.SERVING
             world.me.ready = True
@@ -88,16 +98,16 @@
     for world in takers.worlds:
         takers.read(world)
     assert takers.holders() == [one]
-    assert fencing_number(one, DUTY) == fencing_number(other, DUTY)
+    assert fencing(one) == fencing(other)
 
 
 def test_the_holder_renews_and_keeps_the_duty(takers):
     takers.run(5.0, takers.worlds)
     holder = takers.holders()
-    first = fencing_number(takers.worlds[0], DUTY)
+    first = fencing(takers.worlds[0])
     takers.run(40.0, takers.worlds)
     assert takers.holders() == holder
-    assert fencing_number(takers.worlds[0], DUTY) > first
+    assert fencing(takers.worlds[0]) > first
 
 
 def test_a_paused_holder_has_stopped_before_another_begins(takers):
@@ -106,11 +116,11 @@
     takers.run(5.0, takers.worlds)
     (holder,) = takers.holders()
     other = next(w for w in takers.worlds if w is not holder)
-    before = fencing_number(other, DUTY)
+    before = fencing(other)
     takers.run(TERM_S + MARGIN_S + 3.0, [other])
     assert takers.holders() == [other]
     assert remaining_term(holder, DUTY, takers.now) == 0.0
-    assert fencing_number(other, DUTY) > before
+    assert fencing(other) > before
     takers.run(5.0, takers.worlds)
     assert takers.holders() == [other]
 
@@ -145,7 +155,7 @@
         for offset, value in enumerate(takers.records)
         if value.duty == DUTY.value
     )
-    assert fencing_number(world, DUTY) == first
+    assert fencing(world) == first
 
 
 def test_without_the_log_the_duty_lapses(takers):
--- a/poplarrelay/systems/tests/test_placing.py
+++ b/poplarrelay/systems/tests/test_placing.py
@@ -55,7 +55,7 @@
 def test_models_that_nobody_manages_are_left(engines):
     engines[0].loaded = frozenset({"other"})
     targets = place_models(engines, {"small": 1})
-    assert "other" in targets["e0"]
+    assert "other" in targets[EndpointId("e0")]
 
 
 def test_placement_does_not_depend_on_the_order_of_the_table(engines):
--- a/poplarrelay/testing/processes.py
+++ b/poplarrelay/testing/processes.py
@@ -227,6 +227,21 @@
         value = {"subject": subject, "body": body}
         return self.post(self.peers_address(node), path, value)
 
+    def replay_target(self) -> dict[str, Any]:
+        """Return a target file's content for ``poplarrelay replay``."""
+        return {
+            "callers": [process.address for process in self.nodes.values()],
+            "peers": [self.peers_address(name) for name in self.nodes],
+            "tokens": {
+                deployment.team: team_token(deployment.team)
+                for deployment in self.site.configuration.deployments
+            },
+            "cloud": self.platform["cloud"],
+            "log": self.platform["log"],
+            "hosts": self.platform["hosts"],
+            "endpoints": {n: p.address for n, p in self.endpoints.items()},
+        }
+
     def client(self, team: str, seed: int = 1) -> CallerClient:
         """Return a caller of a team."""
         known = tuple(process.address for process in self.nodes.values())
