Prove configuration, duties and membership on real processes

Cause: the last two points of what must always hold had tests of the systems only.

A link that a test can cut stands between a node and the log.

Cuts between peers are proved by the systems' tests only.

--- a/poplarrelay/node/metrics.py
+++ b/poplarrelay/node/metrics.py
@@ -57,6 +57,11 @@
             "Events of endpoints that were late, doubled or foreign.",
             registry=self._registry,
         )
+        self._bytes = PrometheusCounter(
+            f"{PREFIX}control_bytes_total",
+            "Bytes of calls to peers, the platform and endpoints' reports, by kind.",
+            registry=self._registry,
+        )
         self._memory = Gauge(
             f"{PREFIX}peak_resident_bytes",
             "Peak resident memory of the process.",
@@ -78,6 +83,13 @@
         with self._lock:
             self._dropped.inc({"why": why})
 
+    def add(self, path: str, sent: int, received: int) -> None:
+        """Count the bytes of one call; see `poplarrelay.platform.http.CallMeter`."""
+        kind = path.split("/", 2)[1].split("?")[0]
+        with self._lock:
+            self._bytes.add({"kind": kind, "way": "sent"}, sent)
+            self._bytes.add({"kind": kind, "way": "received"}, received)
+
     def render(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
         """Return the exposition and its headers."""
         peak_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
--- a/poplarrelay/node/process.py
+++ b/poplarrelay/node/process.py
@@ -71,9 +71,9 @@
         self._world = World.from_settings(
             settings, incarnation, generation, time.monotonic(), self._seed
         )
-        self._caller = JsonCaller(timing.connect_timeout_s)
         self._mailboxes = Mailboxes()
         self._metrics = NodeMetrics()
+        self._caller = JsonCaller(timing.connect_timeout_s, meter=self._metrics)
         self._arrivals = ArrivalClock()
         self._loop = TickLoop(self._world, self._perform, self._arrivals.beat)
         log = HttpLogService(settings.platform.log, timing.log_timeout_s, self._caller)
--- a/poplarrelay/platform/http.py
+++ b/poplarrelay/platform/http.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 import orjson
 import urllib3
@@ -16,8 +16,10 @@
 
 from poplarrelay.exception import PoplarrelayError
 
-__all__ = ["CallFailed", "JsonCaller", "JsonReply"]
+__all__ = ["CallFailed", "CallMeter", "JsonCaller", "JsonReply"]
 
+#: Bytes of a call's request line and headers beyond its path, about.
+HEAD_BYTES = 140
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -56,6 +58,18 @@
         return None
 
 
+class CallMeter(Protocol):
+    """Counts the bytes of calls."""
+
+    def add(self, path: str, sent: int, received: int) -> None:
+        """Count one call."""
+        ...
+
+
+def _header_bytes(headers: Mapping[str, str]) -> int:
+    return sum(len(name) + len(value) + 4 for name, value in headers.items())
+
+
 class JsonCaller:
     """Makes calls to any address.
 
@@ -67,6 +81,8 @@
         Addresses to which connections are kept.
     connections : int
         Connections kept to one address.
+    meter : CallMeter or None
+        Counts the bytes of all calls.
 
     Notes
     -----
@@ -75,8 +91,13 @@
     """
 
     def __init__(
-        self, connect_timeout_s: float, pools: int = 64, connections: int = 16
+        self,
+        connect_timeout_s: float,
+        pools: int = 64,
+        connections: int = 16,
+        meter: CallMeter | None = None,
     ) -> None:
+        self._meter = meter
         self._connect_timeout_s = connect_timeout_s
         self._pool = urllib3.PoolManager(
             num_pools=pools, maxsize=connections, retries=False
@@ -110,11 +131,12 @@
             If there was no whole answer.
         """
         timeout = urllib3.Timeout(connect=self._connect_timeout_s, read=timeout_s)
+        content = None if body is None else orjson.dumps(body)
         try:
             response = self._pool.request(
                 method,
                 f"http://{address}{path}",
-                body=None if body is None else orjson.dumps(body),
+                body=content,
                 headers={**JSON_HEADERS, **(headers or {})},
                 timeout=timeout,
                 redirect=False,
@@ -123,4 +145,8 @@
             raise CallFailed(False, error) from error
         except (HTTPError, OSError) as error:
             raise CallFailed(True, error) from error
+        if self._meter is not None:
+            sent = len(content or b"") + len(path) + HEAD_BYTES
+            received = len(response.data) + _header_bytes(response.headers)
+            self._meter.add(path, sent, received)
         return JsonReply(response.status, _decode(response.data), response.headers)
--- /dev/null
+++ b/poplarrelay/testing/tests/test_configuration.py
@@ -0,0 +1,274 @@
+"""Configuration on real processes: accepted means in force, everywhere, for good."""
+
+import threading
+import time
+
+import pytest
+
+from poplarrelay.testing.builders import deployment_body, small_site, template_body
+from poplarrelay.testing.links import Link, LinkState
+from poplarrelay.testing.processes import run_site, wait_until
+
+pytestmark = pytest.mark.processes
+
+QUICK = {
+    "timing": {
+        "log_wait_s": 0.5,
+        "log_timeout_s": 0.5,
+        "isolation_s": 1.0,
+        "snapshot_s": 1.0,
+        "lease_term_s": 7.0,
+        "lease_margin_s": 1.0,
+    }
+}
+SUBJECT = "deployment/beta"
+
+
+@pytest.fixture
+def site():
+    with run_site(small_site(engines=1), settings=QUICK) as running:
+        yield running
+
+
+def change(site, node, priority, **extra):
+    body = {"subject": SUBJECT, "body": deployment_body("beta", priority=priority)}
+    return site.post(site.peers_address(node), "/operator/configuration", body | extra)
+
+
+def offsets(site):
+    return [
+        (site.status(node) or {"in_force": {}})["in_force"].get(SUBJECT)
+        for node in site.nodes
+    ]
+
+
+def wait_everywhere(site, offset, timeout_s=4.0):
+    wait_until(lambda: set(offsets(site)) == {offset}, timeout_s, "in force")
+
+
+def in_force(site, node):
+    value = site.get(site.peers_address(node), "/operator/configuration")
+    return {e["subject"]: e["body"] for e in value["entries"]}[SUBJECT]
+
+
+def test_an_accepted_change_is_in_force_everywhere_within_seconds(site):
+    answer = change(site, "node-1", 7)
+    assert answer["status"] == "accepted"
+    wait_everywhere(site, answer["offset"])
+    assert {in_force(site, node)["priority"] for node in site.nodes} == {7}
+
+
+def test_racing_operators_get_one_winner_and_typed_conflicts(site):
+    # Three operators have seen the same state and change it through three nodes at
+    # once. One change wins everywhere; the others learn which offset beat them.
+    seen = offsets(site)[0]
+    answers = []
+
+    def race(node, priority):
+        answers.append(change(site, node, priority, after=seen))
+
+    threads = [
+        threading.Thread(target=race, args=(node, 10 + index))
+        for index, node in enumerate(site.nodes)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    won = [a for a in answers if a["status"] == "accepted"]
+    lost = [a for a in answers if a["status"] == 409]
+    assert len(won) == 1
+    assert len(lost) == 2
+    assert {a["winner"] for a in lost} == {won[0]["offset"]}
+    wait_everywhere(site, won[0]["offset"])
+
+
+def test_a_lost_append_answer_does_not_double_or_undo_a_change(site):
+    site.faults("log", lose_answers=1, lost_s=1.5)
+    first = change(site, "node-1", 21)
+    assert first["status"] == "accepted"
+    second = change(site, "node-2", 22)
+    assert second["status"] == "accepted"
+    wait_everywhere(site, second["offset"])
+    time.sleep(2.0)
+    assert {in_force(site, node)["priority"] for node in site.nodes} == {22}
+
+
+def test_a_change_that_is_not_valid_is_refused_before_it_is_ordered(site):
+    before = site.get(site.platform["log"], "/statistics")["records"]["configuration"]
+    body = deployment_body("beta", failure_domains=["nowhere"], models=["none"])
+    answer = site.publish("node-1", SUBJECT, body)
+    assert answer["status"] == 422
+    assert len(answer["faults"]) == 2
+    narrowed = template_body(failure_domains=["east"], models=[])
+    site.publish("node-1", SUBJECT, deployment_body("beta", models=["small"]))
+    assert site.publish("node-1", "template/base", narrowed)["status"] == 422
+    kinds = site.get(site.platform["log"], "/statistics")["records"]["configuration"]
+    assert kinds >= before
+
+
+def test_an_old_record_put_back_by_a_script_changes_nothing(site):
+    first = change(site, "node-1", 31)
+    second = change(site, "node-1", 32)
+    log = site.platform["log"]
+    old = site.get(log, f"/streams/configuration/records?from={first['offset']}")
+    site.post(
+        log, "/streams/configuration/records", {"records": [old["records"][0]["value"]]}
+    )
+    third = change(site, "node-2", 33)
+    assert third["status"] == "accepted"
+    wait_everywhere(site, third["offset"])
+    assert second["offset"] < third["offset"]
+
+
+def test_no_change_is_accepted_while_the_log_is_away(site):
+    site.faults("log", refuse=True)
+    wait_until(lambda: not site.status("node-1")["log_available"])
+    answer = change(site, "node-1", 41)
+    assert answer["status"] == 503
+    assert answer["outcome"] == "not_run"
+    assert all(site.ready(node) for node in site.nodes)
+
+
+def test_a_node_that_starts_in_an_outage_learns_from_its_peers(site):
+    accepted = change(site, "node-1", 51)
+    wait_everywhere(site, accepted["offset"])
+    site.faults("log", refuse=True)
+    site.nodes["node-3"].kill()
+    site.start_node("node-3")
+    wait_until(lambda: site.ready("node-3"))
+    assert in_force(site, "node-3")["priority"] == 51
+
+
+def test_a_node_that_reaches_neither_log_nor_peers_is_not_ready(site):
+    site.faults("log", refuse=True)
+    for node in site.nodes:
+        site.nodes[node].kill()
+    site.start_node("node-1")
+    wait_until(lambda: site.status("node-1"))
+    time.sleep(1.0)
+    assert not site.ready("node-1")
+    site.faults("log")
+    wait_until(lambda: site.ready("node-1"))
+
+
+def test_trimmed_records_are_replaced_by_a_snapshot():
+    # The log keeps a few seconds only. After that a node starts, from a snapshot and
+    # the records behind it, and an outage longer than the retention is survived.
+    options = ["--retention-s", "6"]
+    with run_site(
+        small_site(engines=1), settings=QUICK, log_options=options
+    ) as running:
+        accepted = change(running, "node-1", 61)
+        log = running.platform["log"]
+
+        def trimmed():
+            read = running.get(log, "/streams/configuration/records?from=0")
+            return read["oldest"] > accepted["offset"]
+
+        wait_until(trimmed, 40.0, "records trimmed")
+        running.nodes["node-2"].kill()
+        running.start_node("node-2")
+        wait_until(lambda: running.ready("node-2"), 30.0)
+        assert in_force(running, "node-2")["priority"] == 61
+        running.faults("log", refuse=True)
+        time.sleep(8.0)
+        running.faults("log")
+        wait_until(lambda: running.status("node-1")["log_available"])
+        again = wait_until(
+            lambda: (a := change(running, "node-1", 62))["status"] == "accepted" and a,
+            20.0,
+        )
+        wait_everywhere(running, again["offset"], 10.0)
+
+
+def _linked(running, node):
+    """Put a link between a node and the log, and start the node again."""
+    link = Link("127.0.5.1", running.platform["log"])
+    running.node_settings[node]["platform"]["log"] = link.address
+    running.nodes[node].kill()
+    running.start_node(node)
+    wait_until(lambda: running.ready(node), what=f"{node} behind its link")
+    return link
+
+
+def test_a_node_cut_from_the_log_learns_changes_from_its_peers(site):
+    # Only this node loses the log. A change that the others accept reaches it
+    # through them, and it stays ready.
+    link = _linked(site, "node-3")
+    link.set(LinkState.CUT)
+    wait_until(lambda: not site.status("node-3")["log_available"])
+    accepted = change(site, "node-1", 71)
+    wait_everywhere(site, accepted["offset"])
+    assert site.ready("node-3")
+    link.set(LinkState.WHOLE)
+    link.stop()
+
+
+def test_a_node_whose_answers_from_the_log_are_lost_does_not_claim(site):
+    # Appends arrive and no answer comes back. A change sent through this node may
+    # come into force, and the operator is told that this is not known.
+    link = _linked(site, "node-3")
+    link.set(LinkState.ONE_WAY)
+    wait_until(lambda: not site.status("node-3")["log_available"])
+    answer = change(site, "node-3", 81)
+    assert answer["status"] in (503, 504)
+    link.set(LinkState.WHOLE)
+    wait_until(lambda: site.status("node-3")["log_available"])
+    accepted = change(site, "node-1", 82)
+    wait_everywhere(site, accepted["offset"])
+    link.stop()
+
+
+def test_a_lone_node_cut_from_the_log_steps_aside():
+    with run_site(small_site(nodes=1, engines=1), settings=QUICK) as running:
+        link = _linked(running, "node-1")
+        link.set(LinkState.CUT)
+        wait_until(lambda: not running.ready("node-1"), 10.0)
+        link.set(LinkState.WHOLE)
+        wait_until(lambda: running.ready("node-1"), 10.0)
+        link.stop()
+
+
+def test_a_frozen_holder_of_a_duty_is_replaced(site):
+    # The holder of the placement duty is frozen past its term. Another node takes
+    # the duty with a higher fencing number; thawed, the old one does not get it back.
+    def duty(node):
+        return (site.status(node) or {"duties": {}})["duties"].get("placement", {})
+
+    wait_until(lambda: duty("node-1").get("holder"))
+    holder = duty("node-1")["holder"]
+    before = duty("node-1")["fencing"]
+    other = next(node for node in site.nodes if node != holder)
+    site.nodes[holder].freeze()
+    wait_until(lambda: duty(other).get("holder") not in (None, holder), 30.0)
+    assert duty(other)["fencing"] > before
+    site.nodes[holder].thaw()
+    wait_until(lambda: duty(holder).get("holder") == duty(other)["holder"], 10.0)
+
+
+def test_a_stale_order_is_corrected():
+    # An engine that does not check fencing numbers takes an order of an earlier
+    # holder. Its load report shows a state that nobody wants, and the holder of the
+    # duty orders again.
+    template = {"runners": {"small": 1}, "models": ["small", "large"]}
+    engine = {"names": ["small", "large"], "checks_fencing": False}
+    with run_site(
+        small_site(engines=2, template=template, engine=engine), settings=QUICK
+    ) as running:
+        engines = [running.endpoints[f"engine-{n}"].address for n in (1, 2)]
+
+        def loaded():
+            return [set(running.get(a, "/orders")["models"]) for a in engines]
+
+        def settled():
+            return sum("small" in models for models in loaded()) == 1
+
+        wait_until(settled, 30.0, "one engine has the model")
+        placed = next(
+            a for a in engines if "small" in running.get(a, "/orders")["models"]
+        )
+        stale = {"fencing": 0, "holder": "old", "models": ["large"], "role": "serve"}
+        running.post(placed, "/orders", stale)
+        assert running.get(placed, "/orders")["models"] == ["large"]
+        wait_until(settled, 15.0, "the stale order is corrected")
