--- a/poplarrelay/settings.py
+++ b/poplarrelay/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from pathlib import Path
 from typing import TypeVar
 
@@ -13,6 +14,7 @@
 __all__ = [
     "LimitSettings",
     "ListenerSettings",
+    "MovePolicy",
     "NodeSettings",
     "PlatformSettings",
     "StrictModel",
@@ -77,8 +79,24 @@
     snapshot_s: float = Field(default=300.0, gt=0)
 
 
+class MovePolicy(Enum):
+    """How running work leaves an endpoint that is going.
+
+    CHEAPEST
+        Finish, move the KV cache or compute again, whichever costs least.
+    RECOMPUTE
+        Always compute again; for engines that cannot export their cache.
+    MOVE_CACHE
+        Always move the cache.
+    """
+
+    CHEAPEST = "cheapest"
+    RECOMPUTE = "recompute"
+    MOVE_CACHE = "move-cache"
+
+
 class LimitSettings(StrictModel):
-    """Bounds on what a node holds."""
+    """Bounds on what a node holds, and choices within them."""
 
     max_body_bytes: int = Field(default=4_000_000, ge=1024)
     max_header_bytes: int = Field(default=32_768, ge=1024)
@@ -89,6 +107,7 @@
     deferred_threads: int = Field(default=16, ge=1, le=256)
     max_attempts: int = Field(default=4, ge=1, le=20)
     watched_endpoints: int = Field(default=32, ge=1)
+    move_policy: MovePolicy = MovePolicy.CHEAPEST
     kv_tokens_per_s: float = Field(default=50_000.0, gt=0)
 
 
--- a/poplarrelay/systems/leaving.py
+++ b/poplarrelay/systems/leaving.py
@@ -22,6 +22,7 @@
     MoveAttempt,
 )
 from poplarrelay.messages.inbox import Inbox
+from poplarrelay.settings import MovePolicy
 from poplarrelay.systems.dispatching import book_attempt, criteria_for
 from poplarrelay.systems.routing import DEFAULT_REPORT, choose_endpoint
 from poplarrelay.tables.endpoints import Endpoint, EndpointState
@@ -46,7 +47,11 @@
 
 
 def choose_way(
-    request: Request, endpoint: Endpoint, kv_tokens_per_s: float, now: float
+    request: Request,
+    endpoint: Endpoint,
+    kv_tokens_per_s: float,
+    now: float,
+    policy: MovePolicy = MovePolicy.CHEAPEST,
 ) -> MoveWay:
     """Return how a running attempt leaves an endpoint.
 
@@ -60,9 +65,15 @@
         Speed at which cached tokens move between engines.
     now : float
         Monotonic time.
+    policy : MovePolicy
+        The operators' choice.
     """
     if request.work.kind is WorkKind.SERVICE or endpoint.leaving_at is None:
         return MoveWay.FINISH
+    if policy is MovePolicy.RECOMPUTE:
+        return MoveWay.RECOMPUTE
+    if policy is MovePolicy.MOVE_CACHE:
+        return MoveWay.MOVE_CACHE
     remaining = endpoint.leaving_at - now
     report = endpoint.report or DEFAULT_REPORT
     left = max(0, request.work.max_tokens - request.tokens) * report.step_s
@@ -100,8 +111,9 @@
 def _leave(
     world: World, request: Request, endpoint: Endpoint, now: float
 ) -> Iterator[Effect]:
-    speed = world.settings.limits.kv_tokens_per_s
-    way = choose_way(request, endpoint, speed, now)
+    limits = world.settings.limits
+    speed, policy = limits.kv_tokens_per_s, limits.move_policy
+    way = choose_way(request, endpoint, speed, now, policy)
     if way is MoveWay.FINISH:
         return
     criteria = criteria_for(world, request, now)
