Keep room for other teams beside a flood; give hopeless requests up early

Cause: beside one team's flood (80 callers that never pause, three engines of six slots) another team's first token went from 29 ms to 3,474 ms in the median. Every node filled all slots and the engines' queues with the flood, from reports half a second old, and requests were sent so late that they reached their deadline while they ran.

A team over its fair share leaves a fifth of an endpoint's slots free, counts what it added since the last report once for every node, and gets a lower priority at the engine. What a node sent or ended since the moment that a report shows stays counted (the report lags). A waiting request that can no longer be answered in time ends at once, with when to come back.

Ruled out: limits on running requests alone (64 for the team divided by three nodes is more than all slots); counting every sent request for every node (the flood's own answers halved, 193 to 95, since slots stayed empty).

Not "as it was" yet: the median is 2 to 7 times the quiet one. What is left is the age of the load reports; three nodes still send together into the same free slot.

--- a/poplarrelay/settings.py
+++ b/poplarrelay/settings.py
@@ -62,6 +62,7 @@
     probe_timeout_s: float = Field(default=0.3, gt=0)
     suspicion_s: float = Field(default=1.5, gt=0)
     forget_dead_s: float = Field(default=600.0, gt=0)
+    report_lag_s: float = Field(default=0.3, ge=0)
     load_poll_s: float = Field(default=0.5, gt=0)
     host_poll_s: float = Field(default=1.0, gt=0)
     log_wait_s: float = Field(default=2.0, gt=0)
--- a/poplarrelay/systems/attempting.py
+++ b/poplarrelay/systems/attempting.py
@@ -89,7 +89,7 @@
     """
     if result is AttemptResult.FINISHED:
         endpoint.failures = 0
-        elapsed = now - request.arrived
+        elapsed = now - (request.dispatched_at or request.arrived)
         endpoint.attempt_s += ATTEMPT_WEIGHT * (elapsed - endpoint.attempt_s)
         return
     request.tried.append(endpoint.id)
@@ -147,7 +147,7 @@
         yield Decided(Decision.RETRY, (("request", request.id), ("refused", "budget")))
         yield from conclude(world, request, outcome_if_last, now)
         return
-    release_endpoint(world, request)
+    release_endpoint(world, request, now)
     key = world.keyed(request)
     if key is not None and ended.result is AttemptResult.NOT_STARTED:
         world.uses[key].state = KeyState.OPEN
--- a/poplarrelay/systems/concluding.py
+++ b/poplarrelay/systems/concluding.py
@@ -36,15 +36,13 @@
     return outcome.reason.value
 
 
-def release_endpoint(world: World, request: Request) -> None:
+def release_endpoint(world: World, request: Request, now: float) -> None:
     """Take a request off the books of the endpoint that runs it."""
     if request.attempt is None:
         return
     endpoint = world.endpoints.get(request.attempt.endpoint)
     if endpoint is not None:
-        endpoint.sent.pop(request.id, None)
-        if request.id in endpoint.sent_since_report:
-            endpoint.sent_since_report.remove(request.id)
+        endpoint.note_ended(request.id, now)
     world.team_use(request.team).running -= 1
     request.attempt = None
 
@@ -123,7 +121,7 @@
     if request.state is RequestState.ENDED:
         return
     _leave_queue(world, request)
-    release_endpoint(world, request)
+    release_endpoint(world, request, now)
     was_joined = request.state is RequestState.JOINED
     request.state = RequestState.ENDED
     request.outcome = outcome
--- a/poplarrelay/systems/dispatching.py
+++ b/poplarrelay/systems/dispatching.py
@@ -14,8 +14,10 @@
     RunAttempt,
 )
 from poplarrelay.messages.inbox import Inbox
+from poplarrelay.outcomes import NotRun, NotRunReason
 from poplarrelay.systems.admitting import rank_of
-from poplarrelay.systems.limits import running_limit
+from poplarrelay.systems.concluding import conclude
+from poplarrelay.systems.limits import over_share, ready_nodes, running_limit
 from poplarrelay.systems.routing import Choice, Criteria, choose_endpoint
 from poplarrelay.tables.claims import KeyState
 from poplarrelay.tables.requests import Attempt, Request, RequestState, WorkKind
@@ -25,6 +27,8 @@
 
 #: Prefixes that are remembered for one endpoint.
 MAX_PREFIXES = 512
+#: Seconds until a caller may come back whose request could not be served in time.
+HOPELESS_RETRY_S = 1.0
 
 
 def criteria_for(world: World, request: Request, now: float) -> Criteria:
@@ -34,7 +38,14 @@
     avoided = frozenset(
         domain for domain, until in world.notified_domains.items() if until > now
     )
-    return Criteria(domains, avoided, frozenset(request.tried), now)
+    return Criteria(
+        domains,
+        avoided,
+        frozenset(request.tried),
+        now,
+        over_share(world, request.team),
+        ready_nodes(world),
+    )
 
 
 def book_attempt(
@@ -51,12 +62,13 @@
         deadline=request.deadline,
         recomputed=recomputed,
     )
-    endpoint.sent[request.id] = 0 if choice.cached else request.work.prompt_tokens
-    endpoint.sent_since_report.append(request.id)
+    tokens = 0 if choice.cached else request.work.prompt_tokens
+    endpoint.note_sent(request.id, tokens, now)
     if request.work.prefix:
         _remember_prefix(endpoint.prefixes, request, now)
     request.attempt = attempt
     request.attempts += 1
+    request.dispatched_at = now
     return attempt
 
 
@@ -92,6 +104,7 @@
     one request of a team finds no endpoint for a model, the others of that team,
     class and model are not tried in this tick, which bounds the work of a tick.
     """
+    yield from _give_up_hopeless(world, now)
     waiting = [world.requests[request_id] for request_id in world.queue]
     blocked: set[tuple[TeamId, str, int]] = set()
     endpoints = list(world.endpoints.values())
@@ -114,6 +127,38 @@
         yield from _dispatch(world, request, choice, now)
 
 
+def _shortest_run(world: World, request: Request) -> float:
+    """Return the seconds that the request needs at least, 0 if that is not known.
+
+    The longest answer allowed bounds it from above, and what attempts have taken
+    lately says how much of that is used.
+    """
+    needs = [
+        min(endpoint.report.step_s * request.work.max_tokens, endpoint.attempt_s)
+        for endpoint in world.endpoints.values()
+        if endpoint.report is not None and endpoint.serves(request.work.name)
+    ]
+    return min(needs, default=0.0)
+
+
+def _give_up_hopeless(world: World, now: float) -> Iterator[Effect]:
+    """End waiting requests that cannot be answered before their deadline.
+
+    Notes
+    -----
+    Under overload the oldest requests are served first. Without this they reach an
+    endpoint too late to be answered, so the endpoints are busy with answers that
+    nobody gets, and the callers wait until their deadline to learn it.
+    """
+    for request_id in list(world.queue):
+        request = world.requests[request_id]
+        if request.started or request.work.kind is not WorkKind.COMPLETION:
+            continue
+        if now + _shortest_run(world, request) > request.deadline:
+            outcome = NotRun(NotRunReason.DEADLINE, HOPELESS_RETRY_S)
+            yield from conclude(world, request, outcome, now)
+
+
 def _deferred_running(world: World) -> int:
     return sum(
         1
@@ -165,7 +210,7 @@
         attempt,
         request.work,
         request.team,
-        request.request_class.rank,
+        2 * request.request_class.rank + over_share(world, request.team),
         request.deferred,
         key is not None,
     )
--- a/poplarrelay/systems/draining.py
+++ b/poplarrelay/systems/draining.py
@@ -139,7 +139,7 @@
     handed = [r for r in world.requests.values() if _goes_along(r)]
     stored = tuple(store_request(request, now) for request in handed)
     for request in handed:
-        _let_go(world, request)
+        _let_go(world, request, now)
     yield from _end_the_rest(world, successor, now)
     message = HandoverMessage(
         id=f"h.{world.node}.{world.incarnation}",
@@ -172,12 +172,12 @@
     return ended or _waits(request) or request.work.repeatable
 
 
-def _let_go(world: World, request: Request) -> None:
+def _let_go(world: World, request: Request, now: float) -> None:
     """Take a request that goes to the successor off this node's tables."""
     if request.id in world.queue:
         world.queue.remove(request.id)
         world.team_use(request.team).queued -= 1
-    release_endpoint(world, request)
+    release_endpoint(world, request, now)
     key = world.keyed(request)
     use = None if key is None else world.uses.get(key)
     if key is not None and use is not None and use.request == request.id:
--- a/poplarrelay/systems/leaving.py
+++ b/poplarrelay/systems/leaving.py
@@ -121,9 +121,7 @@
     choice = choose_endpoint(endpoints, request, criteria, world.rng)
     if choice is None:
         return
-    endpoint.sent.pop(request.id, None)
-    if request.id in endpoint.sent_since_report:
-        endpoint.sent_since_report.remove(request.id)
+    endpoint.note_ended(request.id, now)
     recomputed = 0
     if way is MoveWay.RECOMPUTE and request.first_token_at is not None:
         recomputed = request.work.prompt_tokens + request.tokens
--- a/poplarrelay/systems/limits.py
+++ b/poplarrelay/systems/limits.py
@@ -10,6 +10,7 @@
 from poplarrelay.messages.effects import Effect
 from poplarrelay.outcomes import NotRun, NotRunReason
 from poplarrelay.systems.concluding import conclude, requeue
+from poplarrelay.tables.endpoints import EndpointState
 from poplarrelay.tables.members import MemberStatus
 from poplarrelay.tables.requests import Request
 from poplarrelay.tables.world import World
@@ -17,7 +18,9 @@
 __all__ = [
     "enqueue",
     "fill_retry_budget",
+    "over_share",
     "queue_refusal",
+    "ready_nodes",
     "running_limit",
     "share",
     "take_retry",
@@ -42,12 +45,39 @@
     the sum near the limit with no message between nodes on a request's path. The
     slack lets a node take a chance majority of the team's callers.
     """
-    ready = sum(
-        1
+    return max(1, ceil(SHARE_SLACK * limit / ready_nodes(world)))
+
+
+def ready_nodes(world: World) -> int:
+    """Return the nodes that take work, this one included."""
+    others = (
+        member.status is MemberStatus.ALIVE and member.ready
         for member in world.members.values()
-        if member.status is MemberStatus.ALIVE and member.ready
     )
-    return max(1, ceil(SHARE_SLACK * limit / (ready + 1)))
+    return 1 + sum(others)
+
+
+def over_share(world: World, team: TeamId) -> bool:
+    """Return whether a team runs more from this node than its fair share.
+
+    Notes
+    -----
+    The fair share is the node's part of all slots, divided among the deployed
+    teams by priority. A team may run more as long as there is room; it only loses
+    the right to the last slots.
+    """
+    policies = world.configuration.policies
+    policy = policies.get(team)
+    if policy is None:
+        return True
+    slots = sum(
+        endpoint.report.slots
+        for endpoint in world.endpoints.values()
+        if endpoint.report is not None and endpoint.state is EndpointState.LIVE
+    )
+    total = sum(each.priority for each in policies.values())
+    fair = slots * policy.priority / total / ready_nodes(world)
+    return world.team_use(team).running >= max(1.0, fair)
 
 
 def _policy(world: World, team: TeamId) -> TeamPolicy | None:
--- a/poplarrelay/systems/routing.py
+++ b/poplarrelay/systems/routing.py
@@ -41,6 +41,8 @@
     RequestClass.STANDARD: 0.5,
     RequestClass.PATIENT: 0.0,
 }
+#: Share of an endpoint's slots that stays free of teams over their fair share.
+RESERVED_SHARE = 0.2
 #: Seconds for which an engine is assumed to keep the head of a prompt.
 PREFIX_MEMORY_S = 120.0
 #: Seconds after which a report says nothing any more.
@@ -61,12 +63,19 @@
         Endpoints that failed this request: used only if there is nothing else.
     now : float
         Monotonic time.
+    over_share : bool
+        Whether the team runs more than its fair share already: it then leaves a
+        part of every endpoint free for the others.
+    nodes : int
+        Nodes that send to the same endpoints.
     """
 
     domains: frozenset[DomainId]
     avoided: frozenset[DomainId]
     tried: frozenset[EndpointId]
     now: float
+    over_share: bool = False
+    nodes: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,10 +120,15 @@
     return sent_at is not None and now - sent_at < PREFIX_MEMORY_S
 
 
+def _change(endpoint: Endpoint) -> int:
+    """Return by how many requests this node has changed the load since the report."""
+    return sum(change.requests for change in endpoint.changes)
+
+
 def _load(endpoint: Endpoint, report: LoadReport) -> int:
-    """Return the requests there: as reported, and as sent since by this node."""
+    """Return the requests there: as reported, and as changed since by this node."""
     reported = report.running + report.queued
-    return max(reported + len(endpoint.sent_since_report), len(endpoint.sent))
+    return max(reported + _change(endpoint), len(endpoint.sent), 0)
 
 
 def predict_first_token(endpoint: Endpoint, request: Request, now: float) -> float:
@@ -141,17 +155,37 @@
     wait_s = waiting * endpoint.attempt_s / max(1, report.slots)
     if endpoint.kind is EndpointKind.SERVICE:
         return wait_s + endpoint.attempt_s
-    since = sum(endpoint.sent.get(sent, 0) for sent in endpoint.sent_since_report)
+    since = sum(change.tokens for change in endpoint.changes)
     own = 0 if _has_prefix(endpoint, request, now) else request.work.prompt_tokens
     tokens = report.queued_tokens + since + own + request.tokens
     return wait_s + tokens / max(1.0, report.prefill_tokens_per_s) + report.step_s
 
 
-def _open(endpoint: Endpoint, request: Request, now: float) -> bool:
-    """Return whether the endpoint takes one more request of this class."""
-    report = _report(endpoint, now)
+def _open(endpoint: Endpoint, request: Request, criteria: Criteria) -> bool:
+    """Return whether the endpoint takes one more request.
+
+    Notes
+    -----
+    A team over its share could fill every slot and every engine's queue, and all
+    others would wait behind it. So it leaves a part of the slots free, and counts
+    what it added since the last report once for every node, since its callers come
+    to all of them and none sees what the others send. A request in place of one
+    that has ended adds nothing, so the endpoint stays in use between two reports.
+    """
+    report = _report(endpoint, criteria.now)
+    load = _load(endpoint, report)
+    if criteria.over_share:
+        load += (criteria.nodes - 1) * max(0, _change(endpoint))
+        return load < report.slots - _reserve(report)
     allowed = report.slots * (1.0 + QUEUE_PER_SLOT[request.request_class])
-    return _load(endpoint, report) < allowed
+    return load < allowed
+
+
+def _reserve(report: LoadReport) -> int:
+    """Return the slots that stay free of teams over their share."""
+    if report.slots == 1:
+        return 0
+    return max(1, round(RESERVED_SHARE * report.slots))
 
 
 def _eligible(
@@ -195,7 +229,7 @@
     candidates = [
         endpoint
         for endpoint in _preferred(eligible, criteria)
-        if _open(endpoint, request, now)
+        if _open(endpoint, request, criteria)
     ]
     if not candidates:
         return None
--- a/poplarrelay/systems/watching.py
+++ b/poplarrelay/systems/watching.py
@@ -209,10 +209,9 @@
         if endpoint is not None:
             endpoint.polling = False
             endpoint.poll_failures = 0
-            endpoint.report = reported.report
-            endpoint.reported_at = now
+            lag_s = world.settings.timing.report_lag_s
+            endpoint.note_report(reported.report, now, lag_s)
             endpoint.loaded = reported.models
-            endpoint.sent_since_report.clear()
     for failed in inbox.of(LoadFailed):
         endpoint = world.endpoints.get(failed.endpoint)
         if endpoint is not None:
--- a/poplarrelay/tables/endpoints.py
+++ b/poplarrelay/tables/endpoints.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 
 from poplarrelay.identifiers import DomainId, EndpointId, RequestId
 
-__all__ = ["Endpoint", "EndpointKind", "EndpointState", "LoadReport"]
+__all__ = ["Endpoint", "EndpointKind", "EndpointState", "LoadChange", "LoadReport"]
 
 
 class EndpointKind(Enum):
@@ -51,6 +52,23 @@
     step_s: float = 0.02
 
 
+@dataclass(frozen=True, slots=True)
+class LoadChange:
+    """A request that this node sent to an endpoint, or that ended there.
+
+    Attributes
+    ----------
+    requests : int
+        1 or -1.
+    tokens : int
+        Prompt tokens that were added to compute.
+    """
+
+    at: float
+    requests: int
+    tokens: int = 0
+
+
 @dataclass(slots=True)
 class Endpoint:
     """An endpoint.
@@ -65,8 +83,8 @@
         Monotonic time at which it goes, if it was announced.
     sent : dict of RequestId to int
         Running attempts of this node and the prompt tokens that each adds.
-    sent_since_report : list of RequestId
-        Attempts sent since the last report, which the report cannot include.
+    changes : deque of LoadChange
+        What this node has changed and the last report does not show yet.
     failures, poll_failures : int
         Failed attempts and failed polls, each in a row.
     attempt_s : float
@@ -97,7 +115,7 @@
     poll_at: float = 0.0
     polling: bool = False
     sent: dict[RequestId, int] = field(default_factory=dict)
-    sent_since_report: list[RequestId] = field(default_factory=list)
+    changes: deque[LoadChange] = field(default_factory=deque)
     failures: int = 0
     poll_failures: int = 0
     attempt_s: float = 1.0
@@ -107,6 +125,23 @@
     ordering: bool = False
     next_order_at: float = 0.0
 
+    def note_sent(self, request: RequestId, tokens: int, now: float) -> None:
+        """Note that a request was sent here, with prompt tokens to compute."""
+        self.sent[request] = tokens
+        self.changes.append(LoadChange(now, 1, tokens))
+
+    def note_ended(self, request: RequestId, now: float) -> None:
+        """Note that a request has ended here, or has left."""
+        if self.sent.pop(request, None) is not None:
+            self.changes.append(LoadChange(now, -1))
+
+    def note_report(self, report: LoadReport, now: float, lag_s: float) -> None:
+        """Take a report, which shows the load as it was `lag_s` seconds ago."""
+        self.report = report
+        self.reported_at = now
+        while self.changes and self.changes[0].at <= now - lag_s:
+            self.changes.popleft()
+
     def serves(self, name: str) -> bool:
         """Return whether work for a model or service can be sent here."""
         names = self.names if self.loaded is None else self.loaded
--- a/poplarrelay/tables/requests.py
+++ b/poplarrelay/tables/requests.py
@@ -176,6 +176,8 @@
         Answer tokens received so far.
     tried : list of EndpointId
         Endpoints of attempts that failed, not to be chosen again.
+    dispatched_at : float or None
+        When the last attempt was sent.
     started : bool
         Whether an attempt may have begun at an endpoint.
     """
@@ -198,5 +200,6 @@
     first_token_at: float | None = None
     tried: list[EndpointId] = field(default_factory=list)
     claim_until: float = 0.0
+    dispatched_at: float | None = None
     outcome: Outcome | None = None
     ended_at: float | None = None
