--- a/bench/campaign.py
+++ b/bench/campaign.py
@@ -85,9 +85,18 @@
     callers = 3 if rng.random() < TRIPLED else 1
 
     def ask(index: int) -> None:
+        # A lone caller lets the library choose the ticket, as callers do.
+        alone = callers == 1 and scheme is Scheme.TICKET
         caller = site.client("alpha", seed=number * 10 + index)
         try:
-            caller.call_service("booking", "/confirm", body, "POST", DEADLINE_S, key)
+            caller.call_service(
+                "booking",
+                "/confirm",
+                body,
+                "POST",
+                DEADLINE_S,
+                None if alone else key,
+            )
             word = "answered"
         except AnswerNotRun as failure:
             word = "not_run" if failure.problem else "not_reached"
--- a/poplarrelay/client/caller.py
+++ b/poplarrelay/client/caller.py
@@ -348,13 +348,16 @@
         """
         deadline = time.monotonic() + timeout_s
         wanted: str | None = None
-        if key is None and use_ticket and method not in ("GET", "HEAD"):
-            wanted, key = self.new_ticket()
+        own_ticket = key is None and use_ticket and method not in ("GET", "HEAD")
         headers = {"Request-Class": request_class}
-        if key is not None:
-            headers["Idempotency-Key"] = key
         maybe_ran = False
         while True:
+            if own_ticket and not maybe_ran:
+                # Nothing has run under an earlier ticket, so a node that cannot be
+                # reached is left together with its ticket.
+                wanted, key = self.new_ticket()
+            if key is not None:
+                headers["Idempotency-Key"] = key
             address = wanted or self._discovery.addresses()[0].address
             wanted = None
             try:
