Start and stop hosts by demand and price

Cause: nothing adjusted the hosts to a demand that halves at night, and nothing replaced hosts that were reclaimed.

The holder of the placement duty decides every two seconds for each model that a template lists: headroom over the smoothed demand, room for the loss of one failure domain for the urgent part, a base that cannot be reclaimed, cheapest offer in the emptiest domain, the dearest spare host stopped first with a notice. What is known of hosts is the cloud API's list alone, and a start's token is made from what is wanted and the lowest free number, so a lost answer, a crash or a second holder comes to the same token.

Ruled out: a list of starts of our own on the log (it would have to be brought in line with the cloud's anyway).

--- a/poplarrelay/configuration/schema.py
+++ b/poplarrelay/configuration/schema.py
@@ -11,9 +11,11 @@
 from poplarrelay.tables.requests import RequestClass
 
 __all__ = [
+    "CapacityPolicy",
     "ClassTargets",
     "ConfigurationFile",
     "Deployment",
+    "MachineOffer",
     "DeploymentLimits",
     "Service",
     "Template",
@@ -38,6 +40,36 @@
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
 
 
+class MachineOffer(StrictModel):
+    """A machine class that the cloud API offers, and its price per hour."""
+
+    machine_class: Name
+    price: float = Field(gt=0)
+    reclaimable: bool = True
+
+
+class CapacityPolicy(StrictModel):
+    """How many hosts run a model.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that one host runs at a time.
+    base_hosts : int
+        Hosts that cannot be reclaimed.
+    headroom : float
+        Factor on the demand.
+    """
+
+    model: Name
+    slots: int = Field(ge=1)
+    min_hosts: int = Field(default=1, ge=0)
+    max_hosts: int = Field(ge=1)
+    base_hosts: int = Field(default=0, ge=0)
+    headroom: float = Field(default=1.3, ge=1)
+    offers: tuple[MachineOffer, ...] = Field(min_length=1)
+
+
 class TemplateLimits(StrictModel):
     """Upper bounds that a team's limits may not pass."""
 
@@ -62,6 +94,8 @@
     runners : dict of str to int
         Engines that must have a model loaded; a model that is not named here is
         left as the engines have it.
+    capacity : tuple of CapacityPolicy
+        Hosts to start and stop; none for hosts that somebody else looks after.
     """
 
     name: Name
@@ -71,6 +105,7 @@
     classes: dict[RequestClass, ClassTargets]
     limits: TemplateLimits = TemplateLimits()
     runners: dict[Name, int] = Field(default_factory=dict)
+    capacity: tuple[CapacityPolicy, ...] = ()
 
 
 class Deployment(StrictModel):
--- a/poplarrelay/messages/effects.py
+++ b/poplarrelay/messages/effects.py
@@ -7,6 +7,7 @@
 
 from poplarrelay.exception import CallerError
 from poplarrelay.identifiers import (
+    DomainId,
     EndpointId,
     NodeId,
     Offset,
@@ -41,6 +42,7 @@
     "GiveOrder",
     "HandOver",
     "ListHosts",
+    "ListStarted",
     "MoveAttempt",
     "Observe",
     "PollLoad",
@@ -49,6 +51,8 @@
     "Reply",
     "RunAttempt",
     "SendNews",
+    "StartHost",
+    "StopHost",
     "StopProcess",
 ]
 
@@ -168,6 +172,37 @@
     latest: float
 
 
+@dataclass(frozen=True, slots=True)
+class ListStarted:
+    """Read the hosts that the cloud API has started."""
+
+
+@dataclass(frozen=True, slots=True)
+class StartHost:
+    """Start a host; the same token never starts a second one.
+
+    Attributes
+    ----------
+    latest : float
+        Monotonic time after which it must not be sent.
+    """
+
+    token: str
+    model: str
+    machine_class: str
+    domain: DomainId
+    latest: float
+
+
+@dataclass(frozen=True, slots=True)
+class StopHost:
+    """Stop a host, with a notice to what runs there."""
+
+    token: str
+    grace_s: float
+    latest: float
+
+
 @dataclass(frozen=True, slots=True)
 class ProbePeer:
     """Probe a peer, and through others if it does not answer.
@@ -322,6 +357,9 @@
     | ListHosts
     | PollLoad
     | GiveOrder
+    | ListStarted
+    | StartHost
+    | StopHost
     | ProbePeer
     | SendNews
     | AskKey
--- a/poplarrelay/messages/inbox.py
+++ b/poplarrelay/messages/inbox.py
@@ -65,6 +65,9 @@
     "RequestArrived",
     "RequestLookedUp",
     "ShutdownAsked",
+    "StartRefused",
+    "StartedHost",
+    "StartedListed",
     "StatusAsked",
 ]
 
@@ -259,6 +262,40 @@
     taken: bool
 
 
+@dataclass(frozen=True, slots=True)
+class StartedHost:
+    """A host that the cloud API has started.
+
+    Attributes
+    ----------
+    endpoint : EndpointId or None
+        The endpoint on it, once there is one.
+    """
+
+    token: str
+    model: str
+    machine_class: str
+    domain: DomainId
+    starting: bool
+    stopping: bool
+    endpoint: EndpointId | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StartedListed:
+    """All hosts that the cloud API has started."""
+
+    hosts: tuple[StartedHost, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StartRefused:
+    """The cloud API refused to start a host."""
+
+    domain: DomainId
+    machine_class: str
+
+
 @dataclass(frozen=True, slots=True)
 class LoadFailed:
     """An endpoint gave no load report."""
@@ -450,6 +487,8 @@
     | NoticeHeard
     | LoadReported
     | OrderAnswered
+    | StartedListed
+    | StartRefused
     | LoadFailed
     | ProbeReceived
     | ProbeAnswered
--- a/poplarrelay/node/outbox.py
+++ b/poplarrelay/node/outbox.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 
 from poplarrelay.engines.http import give_order, read_load
 from poplarrelay.exception import EndpointBroken, PlatformError
@@ -23,6 +24,7 @@
     GiveOrder,
     HandOver,
     ListHosts,
+    ListStarted,
     MoveAttempt,
     Observe,
     PollLoad,
@@ -31,6 +33,8 @@
     Reply,
     RunAttempt,
     SendNews,
+    StartHost,
+    StopHost,
     StopProcess,
 )
 from poplarrelay.messages.inbox import (
@@ -48,6 +52,8 @@
     PeersAnswered,
     ProbeAnswered,
     ProbeFailed,
+    StartedListed,
+    StartRefused,
 )
 from poplarrelay.node.logs import log_decision
 from poplarrelay.node.logworkers import LogAppender
@@ -55,7 +61,7 @@
 from poplarrelay.node.metrics import NodeMetrics
 from poplarrelay.node.peering import PeerClient
 from poplarrelay.node.sessions import Runtime, Session
-from poplarrelay.platform.hosts import HostList
+from poplarrelay.platform.hosts import CloudStarts, HostList
 from poplarrelay.platform.http import JsonCaller
 
 __all__ = ["Outbox"]
@@ -87,6 +93,7 @@
         appender: LogAppender,
         peers: PeerClient,
         host_list: HostList,
+        cloud: CloudStarts,
         caller: JsonCaller,
         deferred_threads: int,
         order_timeout_s: float,
@@ -98,6 +105,7 @@
         self._appender = appender
         self._peers = peers
         self._host_list = host_list
+        self._cloud = cloud
         self._caller = caller
         self._stop = stop
         self._order_timeout_s = order_timeout_s
@@ -141,6 +149,12 @@
                 self._poll_pool.submit(self._guard, self._poll, effect)
             case GiveOrder():
                 self._poll_pool.submit(self._guard, self._give_order, effect)
+            case ListStarted():
+                self._poll_pool.submit(self._guard, self._list_started, effect)
+            case StartHost():
+                self._poll_pool.submit(self._guard, self._start_host, effect)
+            case StopHost():
+                self._poll_pool.submit(self._guard, self._stop_host, effect)
             case ListHosts():
                 self._poll_pool.submit(self._guard, self._list_hosts, effect)
             case Forward():
@@ -205,6 +219,21 @@
         taken = give_order(effect, self._caller, self._order_timeout_s)
         self._submit(OrderAnswered(effect.endpoint, taken))
 
+    def _list_started(self, effect: ListStarted) -> None:
+        with suppress(PlatformError):
+            self._submit(StartedListed(self._cloud.started()))
+
+    def _start_host(self, effect: StartHost) -> None:
+        # A start without an answer shows in the next list or is repeated under the
+        # same token.
+        with suppress(PlatformError):
+            if not self._cloud.start(effect):
+                self._submit(StartRefused(effect.domain, effect.machine_class))
+
+    def _stop_host(self, effect: StopHost) -> None:
+        with suppress(PlatformError):
+            self._cloud.stop(effect)
+
     def _list_hosts(self, effect: ListHosts) -> None:
         try:
             rows = self._host_list.hosts()
--- a/poplarrelay/node/process.py
+++ b/poplarrelay/node/process.py
@@ -92,6 +92,7 @@
             appender=self._appender,
             peers=peers,
             host_list=HttpHostList(settings.platform.hosts, self._caller),
+            cloud=self._cloud,
             caller=self._caller,
             deferred_threads=settings.limits.deferred_threads,
             order_timeout_s=timing.order_timeout_s,
--- a/poplarrelay/platform/hosts.py
+++ b/poplarrelay/platform/hosts.py
@@ -2,16 +2,33 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 from poplarrelay.exception import PlatformError
 from poplarrelay.identifiers import DomainId, EndpointId
-from poplarrelay.messages.inbox import HostRow, NoticeHeard, NoticeSource
+from poplarrelay.messages.effects import StartHost, StopHost
+from poplarrelay.messages.inbox import (
+    HostRow,
+    NoticeHeard,
+    NoticeSource,
+    StartedHost,
+)
 from poplarrelay.platform.http import CallFailed, JsonCaller
 from poplarrelay.tables.endpoints import EndpointKind
 
-__all__ = ["CloudNotices", "HostList", "HttpCloud", "HttpHostList", "Notices"]
+__all__ = [
+    "CloudNotices",
+    "CloudStarts",
+    "HostList",
+    "HttpCloud",
+    "HttpHostList",
+    "Notices",
+]
+
+#: Seconds that a start or stop may take to be answered.
+START_TIMEOUT_S = 1.0
 
 
 class HostList(Protocol):
@@ -74,6 +91,47 @@
     )
 
 
+class CloudStarts(Protocol):
+    """The cloud API's hosts."""
+
+    def started(self) -> tuple[StartedHost, ...]:
+        """Return all hosts that were started and not yet stopped.
+
+        Raises
+        ------
+        PlatformError
+            If there was no answer.
+        """
+        ...
+
+    def start(self, order: StartHost) -> bool:
+        """Start a host; return False if it was refused.
+
+        Raises
+        ------
+        PlatformError
+            If it is not known whether it was started.
+        """
+        ...
+
+    def stop(self, order: StopHost) -> None:
+        """Stop a host after its grace; failures show in the next list."""
+        ...
+
+
+def _started(item: dict[str, Any]) -> StartedHost:
+    endpoint = item.get("endpoint")
+    return StartedHost(
+        token=item["token"],
+        model=item["model"],
+        machine_class=item["machine_class"],
+        domain=DomainId(item["failure_domain"]),
+        starting=item["state"] == "starting",
+        stopping=item["state"] == "stopping",
+        endpoint=None if endpoint is None else EndpointId(endpoint),
+    )
+
+
 class HttpHostList:
     """The host list over its HTTP interface."""
 
@@ -113,3 +171,47 @@
             return Notices(int(value["next"]), notices)
         except (CallFailed, KeyError, TypeError, ValueError) as error:
             raise PlatformError("the cloud API gave no answer") from error
+
+    def started(self) -> tuple[StartedHost, ...]:
+        """Return all hosts that were started and not yet stopped."""
+        try:
+            reply = self._caller.call("GET", self._address, "/starts")
+            if not reply.ok:
+                raise PlatformError(f"status {reply.status}")
+            return tuple(_started(item) for item in reply.value["starts"])
+        except (CallFailed, KeyError, TypeError, ValueError) as error:
+            raise PlatformError("the cloud API gave no answer") from error
+
+    def start(self, order: StartHost) -> bool:
+        """Start a host; return False if it was refused.
+
+        Notes
+        -----
+        The lease's remaining term is compared right before the call, since the
+        process may have been paused after the tick thread decided.
+        """
+        if time.monotonic() >= order.latest:
+            raise PlatformError("the lease is over")
+        body = {
+            "token": order.token,
+            "model": order.model,
+            "machine_class": order.machine_class,
+            "failure_domain": order.domain,
+        }
+        try:
+            reply = self._caller.call(
+                "POST", self._address, "/starts", body, START_TIMEOUT_S
+            )
+        except CallFailed as error:
+            raise PlatformError("the cloud API gave no answer") from error
+        return reply.ok
+
+    def stop(self, order: StopHost) -> None:
+        """Stop a host after its grace; failures show in the next list."""
+        if time.monotonic() >= order.latest:
+            return
+        body = {"token": order.token, "grace_s": order.grace_s}
+        try:
+            self._caller.call("POST", self._address, "/stops", body, START_TIMEOUT_S)
+        except CallFailed as error:
+            raise PlatformError("the cloud API gave no answer") from error
--- a/poplarrelay/standins/platform.py
+++ b/poplarrelay/standins/platform.py
@@ -15,6 +15,10 @@
 __all__ = ["CloudStandIn", "HostListStandIn", "WeightStoreStandIn"]
 
 
+#: Seconds that a host takes to start.
+START_S = 1.0
+
+
 class HostListFaults(BaseModel):
     """Faults of the host list.
 
@@ -129,10 +133,18 @@
     """Start a host; `token` makes the call idempotent."""
 
     token: str
+    model: str
     machine_class: str
     failure_domain: str
 
 
+class StopBody(BaseModel):
+    """Stop a host after a grace."""
+
+    token: str
+    grace_s: float
+
+
 class CloudStandIn(StandIn[CloudFaults]):
     """Notices of reclaims, and starts of hosts."""
 
@@ -140,6 +152,7 @@
         super().__init__(CloudFaults())
         self._notices: list[tuple[float, NoticeBody]] = []
         self._starts: dict[str, dict[str, Any]] = {}
+        self._calls = 0
         self._changed = threading.Condition()
 
     @cherrypy.expose
@@ -169,22 +182,50 @@
             following = len(self._notices)
         return answer_json({"next": following, "notices": told})
 
+    def _started(self) -> list[dict[str, Any]]:
+        """Return all hosts; one has started after a moment and goes after its grace."""
+        now = time.monotonic()
+        for token, host in list(self._starts.items()):
+            if host["stops_at"] is not None and now >= host["stops_at"]:
+                del self._starts[token]
+            elif host["state"] == "starting" and now >= host["ready_at"]:
+                host["state"] = "running"
+        return [
+            {name: value for name, value in host.items() if not name.endswith("_at")}
+            for host in self._starts.values()
+        ]
+
     @cherrypy.expose
     def starts(self) -> bytes:
         """Start a host, or tell those that were started."""
         require_method("GET", "POST")
         if cherrypy.request.method == "GET":
-            return answer_json({"starts": list(self._starts.values())})
-        if self.current_faults.refuse or self.current_faults.refuse_starts:
-            raise refuse(503, "no-capacity", 1.0)
+            with self.lock:
+                return answer_json({"starts": self._started(), "calls": self._calls})
         body = read_json(StartBody, MAX_BODY_BYTES)
         with self.lock:
-            made = self._starts.setdefault(body.token, body.model_dump())
+            self._calls += 1
+            if self.current_faults.refuse or self.current_faults.refuse_starts:
+                raise refuse(503, "no-capacity", 1.0)
+            ready_at = time.monotonic() + START_S
+            host = {"state": "starting", "ready_at": ready_at, "stops_at": None}
+            self._starts.setdefault(body.token, {**body.model_dump(), **host})
             lost = self.current_faults.lose_answers > 0
             self.current_faults.lose_answers -= lost
         if lost:
             time.sleep(self.current_faults.lost_s)
-        return answer_json(made, status=201)
+        return answer_json({"token": body.token}, status=201)
+
+    @cherrypy.expose
+    def stops(self) -> bytes:
+        """Stop a host after a grace."""
+        body = read_json(StopBody, MAX_BODY_BYTES)
+        with self.lock:
+            host = self._starts.get(body.token)
+            if host is not None and host["state"] != "stopping":
+                host["state"] = "stopping"
+                host["stops_at"] = time.monotonic() + body.grace_s
+        return answer_json({"token": body.token})
 
 
 class WeightFaults(BaseModel):
--- a/poplarrelay/systems/schedule.py
+++ b/poplarrelay/systems/schedule.py
@@ -8,6 +8,7 @@
 from poplarrelay.messages.inbox import Inbox
 from poplarrelay.systems.admitting import admit_requests, drop_callers
 from poplarrelay.systems.attempting import follow_attempts
+from poplarrelay.systems.capacity import steer_capacity
 from poplarrelay.systems.claiming import fold_claims, follow_claims, follow_questions
 from poplarrelay.systems.configuring import (
     fold_configuration,
@@ -66,6 +67,7 @@
     keep_leases,
     write_snapshots,
     give_orders,
+    steer_capacity,
     answer_addresses,
     answer_lookups,
     answer_status,
--- a/poplarrelay/tables/world.py
+++ b/poplarrelay/tables/world.py
@@ -24,6 +24,7 @@
 from poplarrelay.messages.inbox import CallId
 from poplarrelay.messages.records import Record
 from poplarrelay.settings import NodeSettings
+from poplarrelay.tables.capacity import Demand
 from poplarrelay.tables.claims import Claim, KeyUse, TeamKey
 from poplarrelay.tables.configuration import ConfigurationTable
 from poplarrelay.tables.endpoints import Endpoint
@@ -194,6 +195,9 @@
     take_at: dict[str, float] = field(default_factory=dict)
     given_up: set[str] = field(default_factory=set)
     next_snapshot_at: float = 0.0
+    next_capacity_at: float = 0.0
+    demand: dict[str, Demand] = field(default_factory=dict)
+    refused_starts: dict[tuple[DomainId, str], float] = field(default_factory=dict)
     queue: list[RequestId] = field(default_factory=list)
     claims: dict[TeamKey, Claim] = field(default_factory=dict)
     uses: dict[TeamKey, KeyUse] = field(default_factory=dict)
