--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,93 @@
+"""Compare routing policies on the same traces, in one run.
+
+The ceremony day: long case files that come back, bookings in bursts, an outage of the
+log and a wave of reclaims. The engines' prefix caches hold a few case files each.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from pathlib import Path
+
+from poplarrelay.replay.generate import Day, generate_trace
+from poplarrelay.replay.judge import judge_replay
+from poplarrelay.replay.runner import run_replay
+from poplarrelay.replay.target import ReplayTarget
+from poplarrelay.settings import RoutingPolicy
+from poplarrelay.testing.processes import run_site
+from poplarrelay.testing.site import Site
+
+EXAMPLE = Path(__file__).parent.parent / "examples"
+FILES = {
+    Day.CEREMONY: EXAMPLE / "ceremony_booking_relay_western_province.json",
+    Day.HARBOUR: EXAMPLE / "shared_harbour_tide_platform.json",
+}
+CACHE_BLOCKS = 400
+PREFILL = 4000.0
+
+
+def _site(day: Day) -> Site:
+    site = Site.from_file(FILES[day])
+    endpoints = tuple(
+        e.model_copy(
+            update={"cache_blocks": CACHE_BLOCKS, "prefill_tokens_per_s": PREFILL}
+        )
+        for e in site.endpoints
+    )
+    return site.model_copy(update={"endpoints": endpoints})
+
+
+def run(
+    day: Day, policy: RoutingPolicy, seed: int, seconds: float, rate: float
+) -> dict[str, object]:
+    """Return the figures of one policy on one trace."""
+    site = _site(day)
+    trace = generate_trace(site, day, seed, seconds, rate)
+    settings = {"limits": {"routing_policy": policy.value}}
+    with run_site(site, settings=settings) as running:
+        target = ReplayTarget.model_validate(running.replay_target())
+        judged = judge_replay(run_replay(trace, target))
+        computed = [
+            running.get(process.address, "/statistics")
+            for name, process in running.endpoints.items()
+            if name.startswith(("assistant", "tide"))
+        ]
+    late_urgent = judged.classes["urgent"].requests - judged.classes["urgent"].in_time
+    return {
+        "day": day.value,
+        "policy": policy.value,
+        "seed": seed,
+        "requests": judged.requests,
+        "missed_cache_tokens": judged.recomputed_missing_cache,
+        "recomputed_moving": judged.recomputed_moving,
+        "computed_prompt_tokens": sum(c["prompt"] for c in computed if c),
+        "late_urgent": late_urgent,
+        "in_time": sum(c.in_time for c in judged.classes.values()),
+        "urgent_p95_s": judged.classes["urgent"].p95_first_s,
+        "standard_p95_s": judged.classes["standard"].p95_first_s,
+        "doubled": judged.doubled,
+        "lost": judged.lost,
+        "fragments": judged.fragments,
+        "false_not_run": judged.false_not_run,
+    }
+
+
+def main() -> int:
+    """Print a line for each policy and seed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--day", choices=[d.value for d in Day], default="ceremony")
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
+    parser.add_argument("--seconds", type=float, default=25.0)
+    parser.add_argument("--rate", type=float, default=8.0)
+    options = parser.parse_args()
+    for seed in options.seeds:
+        for policy in RoutingPolicy:
+            figures = run(Day(options.day), policy, seed, options.seconds, options.rate)
+            print(json.dumps(figures), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/poplarrelay/settings.py
+++ b/poplarrelay/settings.py
@@ -17,6 +17,7 @@
     "MovePolicy",
     "NodeSettings",
     "PlatformSettings",
+    "RoutingPolicy",
     "StrictModel",
     "TimingSettings",
     "faults_of",
@@ -96,6 +97,19 @@
     MOVE_CACHE = "move-cache"
 
 
+class RoutingPolicy(Enum):
+    """How an endpoint is chosen; all but the first are baselines to measure against.
+
+    PREDICTED
+        By predicted first-token time, price and cached prompt heads.
+    """
+
+    PREDICTED = "predicted"
+    ROUND_ROBIN = "round-robin"
+    LEAST_REPORTED_LOAD = "least-reported-load"
+    AFFINITY_ONLY = "affinity-only"
+
+
 class LimitSettings(StrictModel):
     """Bounds on what a node holds, and choices within them."""
 
@@ -109,6 +123,7 @@
     max_attempts: int = Field(default=4, ge=1, le=20)
     watched_endpoints: int = Field(default=32, ge=1)
     move_policy: MovePolicy = MovePolicy.CHEAPEST
+    routing_policy: RoutingPolicy = RoutingPolicy.PREDICTED
     kv_tokens_per_s: float = Field(default=50_000.0, gt=0)
 
 
--- a/poplarrelay/systems/dispatching.py
+++ b/poplarrelay/systems/dispatching.py
@@ -45,6 +45,8 @@
         now,
         over_share(world, request.team),
         ready_nodes(world),
+        world.settings.limits.routing_policy,
+        world.sent,
     )
 
 
@@ -69,6 +71,7 @@
     request.attempt = attempt
     request.attempts += 1
     request.dispatched_at = now
+    world.sent += 1
     return attempt
 
 
--- a/poplarrelay/systems/routing.py
+++ b/poplarrelay/systems/routing.py
@@ -21,6 +21,8 @@
 from random import Random
 
 from poplarrelay.identifiers import DomainId, EndpointId
+from poplarrelay.settings import RoutingPolicy
+from poplarrelay.systems.baselines import BASELINES
 from poplarrelay.tables.endpoints import (
     Endpoint,
     EndpointKind,
@@ -68,6 +70,10 @@
         part of every endpoint free for the others.
     nodes : int
         Nodes that send to the same endpoints.
+    policy : RoutingPolicy
+        The design, or a baseline to measure it against.
+    turn : int
+        Requests sent so far, for the baseline that takes endpoints in turn.
     """
 
     domains: frozenset[DomainId]
@@ -76,6 +82,8 @@
     now: float
     over_share: bool = False
     nodes: int = 1
+    policy: RoutingPolicy = RoutingPolicy.PREDICTED
+    turn: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -234,6 +242,11 @@
     if not candidates:
         return None
     predicted = {e.id: predict_first_token(e, request, now) for e in candidates}
+    if criteria.policy is not RoutingPolicy.PREDICTED:
+        baseline = BASELINES[criteria.policy]
+        taken = baseline(candidates, request, criteria.turn, rng)
+        cached = _has_prefix(taken, request, now)
+        return Choice(taken, predicted[taken.id], cached, len(candidates))
     target = request.first_token_s - (now - request.arrived)
     good = [e for e in candidates if predicted[e.id] <= target]
     pool = _cheapest(good) if good else candidates
--- a/poplarrelay/tables/world.py
+++ b/poplarrelay/tables/world.py
@@ -217,6 +217,7 @@
     next_fetch_at: float = 0.0
     next_sweep_at: float = 0.0
     probe_round: int = 0
+    sent: int = 0
     peer_heard_at: float = float("-inf")
     probe_ring: list[NodeId] = field(default_factory=list)
     _counter: count[int] = field(default_factory=count)
