Split messages, fakes and failure tests by subject

Messages are now grouped as calls, platform, peers and questions; builders of worlds stand apart from the fake system; failure tests on real processes stand in five files that share their steps.

--- a/poplarrelay/messages/effects.py
+++ b/poplarrelay/messages/effects.py
@@ -21,7 +21,7 @@
     ProbeMessage,
     StoredRequest,
 )
-from poplarrelay.messages.inbox import CallId
+from poplarrelay.messages.questions import CallId
 from poplarrelay.messages.records import RecordValue
 from poplarrelay.outcomes import Outcome
 from poplarrelay.tables.requests import Attempt, MovePlan, Work
--- /dev/null
+++ b/poplarrelay/messages/peers.py
@@ -0,0 +1,131 @@
+"""What peers ask and answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from poplarrelay.identifiers import NodeId, RequestId
+from poplarrelay.messages.gossip import (
+    HandoverMessage,
+    HandoverReply,
+    KeyQuestion,
+    KeyReply,
+    ProbeMessage,
+)
+from poplarrelay.messages.questions import CallId
+from poplarrelay.messages.records import SnapshotRecord
+
+__all__ = [
+    "ConfigurationAsked",
+    "ConfigurationReceived",
+    "ForwardAnswered",
+    "HandoverAnswered",
+    "HandoverReceived",
+    "KeyAnswered",
+    "KeyAsked",
+    "PeersAnswered",
+    "ProbeAnswered",
+    "ProbeFailed",
+    "ProbeReceived",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeReceived:
+    """A peer's probe; the caller waits for a `ProbeMessage`."""
+
+    call: CallId
+    probe: ProbeMessage
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeAnswered:
+    """A peer answered a probe, directly or through another peer."""
+
+    node: NodeId | None
+    answer: ProbeMessage
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeFailed:
+    """A peer did not answer a probe, nor did the peers asked to try."""
+
+    node: NodeId | None
+
+
+@dataclass(frozen=True, slots=True)
+class KeyAsked:
+    """A peer asks what became of a key."""
+
+    call: CallId
+    question: KeyQuestion
+
+
+@dataclass(frozen=True, slots=True)
+class KeyAnswered:
+    """The answer to a question about a key, None if the home is unreachable."""
+
+    request: RequestId
+    reply: KeyReply | None
+
+
+@dataclass(frozen=True, slots=True)
+class PeersAnswered:
+    """All peers were asked about a key.
+
+    Attributes
+    ----------
+    absent : bool
+        Whether every peer answered that it knows nothing of the key.
+    """
+
+    request: RequestId
+    absent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardAnswered:
+    """A ticket's home ended a forwarded request.
+
+    Attributes
+    ----------
+    reached : bool
+        Whether the home answered at all.
+    reply : KeyReply or None
+        What it answered.
+    """
+
+    request: RequestId
+    reached: bool
+    reply: KeyReply | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationAsked:
+    """A peer asks for all configuration in force."""
+
+    call: CallId
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationReceived:
+    """A peer's configuration in force."""
+
+    snapshot: SnapshotRecord
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverReceived:
+    """A leaving peer hands over."""
+
+    call: CallId
+    handover: HandoverMessage
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverAnswered:
+    """The successor's answer, None if it gave none."""
+
+    node: NodeId
+    id: str
+    reply: HandoverReply | None
--- a/poplarrelay/node/callers.py
+++ b/poplarrelay/node/callers.py
@@ -18,7 +18,8 @@
     RequestNotFound,
 )
 from poplarrelay.identifiers import IdempotencyKey, RequestId
-from poplarrelay.messages.inbox import AddressesAsked, RequestArrived, RequestLookedUp
+from poplarrelay.messages.calls import RequestArrived
+from poplarrelay.messages.questions import AddressesAsked, RequestLookedUp
 from poplarrelay.node.answers import CompletionForm, CompletionWriter, outcome_document
 from poplarrelay.node.bodies import (
     ChatBody,
--- a/poplarrelay/node/gateway.py
+++ b/poplarrelay/node/gateway.py
@@ -12,7 +12,9 @@
 
 from poplarrelay.engines.protocols import Engine, PlainService
 from poplarrelay.identifiers import RequestId
-from poplarrelay.messages.inbox import CallId, Message, RequestArrived
+from poplarrelay.messages.calls import RequestArrived
+from poplarrelay.messages.inbox import Message
+from poplarrelay.messages.questions import CallId
 from poplarrelay.node.arrivals import ArrivalClock
 from poplarrelay.node.loop import TickLoop
 from poplarrelay.node.mailboxes import Mailbox, Mailboxes
--- a/poplarrelay/node/logworkers.py
+++ b/poplarrelay/node/logworkers.py
@@ -11,7 +11,8 @@
 from poplarrelay.exception import LogRefused, LogUnavailable
 from poplarrelay.identifiers import Offset, StreamName
 from poplarrelay.messages.effects import AppendRecord
-from poplarrelay.messages.inbox import LogFailed, Message, RecordsRead
+from poplarrelay.messages.inbox import Message
+from poplarrelay.messages.platform import LogFailed, RecordsRead
 from poplarrelay.platform.log import LogService
 
 __all__ = ["LogAppender", "LogReader"]
--- a/poplarrelay/node/mailboxes.py
+++ b/poplarrelay/node/mailboxes.py
@@ -16,7 +16,7 @@
     Reject,
     RunAttempt,
 )
-from poplarrelay.messages.inbox import CallId
+from poplarrelay.messages.questions import CallId
 from poplarrelay.tables.requests import MovePlan
 
 __all__ = ["CallTimedOut", "Instruction", "Mailbox", "Mailboxes"]
--- a/poplarrelay/node/outbox.py
+++ b/poplarrelay/node/outbox.py
@@ -37,21 +37,23 @@
     StopHost,
     StopProcess,
 )
-from poplarrelay.messages.inbox import (
+from poplarrelay.messages.inbox import Message
+from poplarrelay.messages.peers import (
     ConfigurationReceived,
     ForwardAnswered,
     HandoverAnswered,
-    HostsListed,
     KeyAnswered,
+    PeersAnswered,
+    ProbeAnswered,
+    ProbeFailed,
+)
+from poplarrelay.messages.platform import (
+    HostsListed,
     LoadFailed,
     LoadReported,
-    Message,
     NoticeHeard,
     NoticeSource,
     OrderAnswered,
-    PeersAnswered,
-    ProbeAnswered,
-    ProbeFailed,
     StartedListed,
     StartRefused,
 )
--- a/poplarrelay/node/peers.py
+++ b/poplarrelay/node/peers.py
@@ -18,6 +18,7 @@
     LogUnavailable,
 )
 from poplarrelay.identifiers import IdempotencyKey, Offset, RequestId, TeamId
+from poplarrelay.messages.calls import RequestArrived
 from poplarrelay.messages.convert import load_work, store_outcome
 from poplarrelay.messages.gossip import (
     HandoverMessage,
@@ -26,14 +27,15 @@
     StoredAnswer,
     StoredRequest,
 )
-from poplarrelay.messages.inbox import (
-    ChangeAsked,
+from poplarrelay.messages.peers import (
     ConfigurationAsked,
     HandoverReceived,
-    HistoryAsked,
     KeyAsked,
     ProbeReceived,
-    RequestArrived,
+)
+from poplarrelay.messages.questions import (
+    ChangeAsked,
+    HistoryAsked,
     RequestLookedUp,
     ShutdownAsked,
     StatusAsked,
--- a/poplarrelay/node/process.py
+++ b/poplarrelay/node/process.py
@@ -13,7 +13,7 @@
 from poplarrelay.engines.http import HttpEngine, HttpService
 from poplarrelay.exception import PlatformError
 from poplarrelay.identifiers import Incarnation
-from poplarrelay.messages.inbox import ShutdownAsked
+from poplarrelay.messages.questions import ShutdownAsked
 from poplarrelay.node.arrivals import ArrivalClock
 from poplarrelay.node.callers import CallersRoot
 from poplarrelay.node.gateway import Gateway
--- a/poplarrelay/node/sessions.py
+++ b/poplarrelay/node/sessions.py
@@ -23,19 +23,19 @@
     PoplarrelayError,
 )
 from poplarrelay.identifiers import RequestId
+from poplarrelay.messages.calls import (
+    AttemptEnded,
+    AttemptProgressed,
+    AttemptResult,
+    CallerGone,
+)
 from poplarrelay.messages.effects import (
     AcceptDeferred,
     Conclude,
     Reject,
     RunAttempt,
 )
-from poplarrelay.messages.inbox import (
-    AttemptEnded,
-    AttemptProgressed,
-    AttemptResult,
-    CallerGone,
-    Message,
-)
+from poplarrelay.messages.inbox import Message
 from poplarrelay.node.mailboxes import Mailbox
 from poplarrelay.outcomes import Answered, Outcome, ServiceAnswer, Usage
 from poplarrelay.tables.requests import Attempt, MovePlan, MoveWay, WorkKind
--- a/poplarrelay/platform/hosts.py
+++ b/poplarrelay/platform/hosts.py
@@ -9,7 +9,7 @@
 from poplarrelay.exception import PlatformError
 from poplarrelay.identifiers import DomainId, EndpointId
 from poplarrelay.messages.effects import StartHost, StopHost
-from poplarrelay.messages.inbox import (
+from poplarrelay.messages.platform import (
     HostRow,
     NoticeHeard,
     NoticeSource,
--- a/poplarrelay/systems/admitting.py
+++ b/poplarrelay/systems/admitting.py
@@ -14,6 +14,7 @@
     UnknownService,
 )
 from poplarrelay.identifiers import TeamId
+from poplarrelay.messages.calls import CallerGone, RequestArrived
 from poplarrelay.messages.effects import (
     AcceptDeferred,
     Conclude,
@@ -24,7 +25,7 @@
     Effect,
     Reject,
 )
-from poplarrelay.messages.inbox import CallerGone, Inbox, RequestArrived
+from poplarrelay.messages.inbox import Inbox
 from poplarrelay.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
 from poplarrelay.systems.concluding import conclude, outcome_tag
 from poplarrelay.systems.keying import settle_arrival
--- a/poplarrelay/systems/attempting.py
+++ b/poplarrelay/systems/attempting.py
@@ -4,13 +4,9 @@
 
 from collections.abc import Iterator
 
+from poplarrelay.messages.calls import AttemptEnded, AttemptProgressed, AttemptResult
 from poplarrelay.messages.effects import Count, Counter, Decided, Decision, Effect
-from poplarrelay.messages.inbox import (
-    AttemptEnded,
-    AttemptProgressed,
-    AttemptResult,
-    Inbox,
-)
+from poplarrelay.messages.inbox import Inbox
 from poplarrelay.outcomes import (
     Answered,
     NotRun,
--- a/poplarrelay/systems/capacity.py
+++ b/poplarrelay/systems/capacity.py
@@ -25,7 +25,8 @@
     StartHost,
     StopHost,
 )
-from poplarrelay.messages.inbox import Inbox, StartedHost, StartedListed, StartRefused
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.platform import StartedHost, StartedListed, StartRefused
 from poplarrelay.systems.leasing import remaining_term
 from poplarrelay.systems.limits import ready_nodes
 from poplarrelay.tables.capacity import Demand
--- a/poplarrelay/systems/claiming.py
+++ b/poplarrelay/systems/claiming.py
@@ -29,13 +29,9 @@
     Effect,
 )
 from poplarrelay.messages.gossip import KeyQuestion, KeyReply
-from poplarrelay.messages.inbox import (
-    Inbox,
-    KeyAnswered,
-    LogFailed,
-    PeersAnswered,
-    RecordsRead,
-)
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.peers import KeyAnswered, PeersAnswered
+from poplarrelay.messages.platform import LogFailed, RecordsRead
 from poplarrelay.messages.records import ClaimRecord, Record
 from poplarrelay.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
 from poplarrelay.systems.concluding import conclude
--- a/poplarrelay/systems/configuring.py
+++ b/poplarrelay/systems/configuring.py
@@ -31,14 +31,10 @@
     FetchConfiguration,
     Reply,
 )
-from poplarrelay.messages.inbox import (
-    ChangeAsked,
-    ConfigurationAsked,
-    ConfigurationReceived,
-    Inbox,
-    LogFailed,
-    RecordsRead,
-)
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.peers import ConfigurationAsked, ConfigurationReceived
+from poplarrelay.messages.platform import LogFailed, RecordsRead
+from poplarrelay.messages.questions import ChangeAsked
 from poplarrelay.messages.records import (
     ChangeRecord,
     Record,
--- a/poplarrelay/systems/discovering.py
+++ b/poplarrelay/systems/discovering.py
@@ -8,7 +8,8 @@
 from poplarrelay.exception import AuthenticationFailed
 from poplarrelay.identifiers import DomainId
 from poplarrelay.messages.effects import Effect, Reply
-from poplarrelay.messages.inbox import AddressesAsked, Inbox
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.questions import AddressesAsked
 from poplarrelay.systems.admitting import team_of
 from poplarrelay.systems.keys import ticket_prefix
 from poplarrelay.tables.members import Member, MemberStatus
--- a/poplarrelay/systems/draining.py
+++ b/poplarrelay/systems/draining.py
@@ -36,12 +36,9 @@
     ProbeMessage,
     StoredKey,
 )
-from poplarrelay.messages.inbox import (
-    HandoverAnswered,
-    HandoverReceived,
-    Inbox,
-    ShutdownAsked,
-)
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.peers import HandoverAnswered, HandoverReceived
+from poplarrelay.messages.questions import ShutdownAsked
 from poplarrelay.outcomes import Continued, Outcome, Unknown, UnknownReason
 from poplarrelay.systems.concluding import conclude, release_endpoint, requeue
 from poplarrelay.systems.gossiping import own_row, raise_version
--- a/poplarrelay/systems/homes.py
+++ b/poplarrelay/systems/homes.py
@@ -8,7 +8,8 @@
 from poplarrelay.messages.convert import store_outcome
 from poplarrelay.messages.effects import Effect, Reply
 from poplarrelay.messages.gossip import KeyQuestion, KeyReply
-from poplarrelay.messages.inbox import Inbox, KeyAsked
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.peers import KeyAsked
 from poplarrelay.tables.claims import KeyState, KeyUse, TeamKey
 from poplarrelay.tables.members import Member, MemberStatus
 from poplarrelay.tables.world import CLAIMS, World
--- a/poplarrelay/systems/membership.py
+++ b/poplarrelay/systems/membership.py
@@ -21,14 +21,9 @@
 from poplarrelay.identifiers import EndpointId, NodeId
 from poplarrelay.messages.effects import Decided, Decision, Effect, ProbePeer, Reply
 from poplarrelay.messages.gossip import ProbeMessage
-from poplarrelay.messages.inbox import (
-    Inbox,
-    NoticeHeard,
-    NoticeSource,
-    ProbeAnswered,
-    ProbeFailed,
-    ProbeReceived,
-)
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.peers import ProbeAnswered, ProbeFailed, ProbeReceived
+from poplarrelay.messages.platform import NoticeHeard, NoticeSource
 from poplarrelay.systems.gossiping import (
     current_notices,
     merge_row,
--- a/poplarrelay/systems/placing.py
+++ b/poplarrelay/systems/placing.py
@@ -18,7 +18,8 @@
 from poplarrelay.configuration.schema import Template
 from poplarrelay.identifiers import DomainId, EndpointId
 from poplarrelay.messages.effects import Decided, Decision, Effect, GiveOrder
-from poplarrelay.messages.inbox import Inbox, OrderAnswered
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.platform import OrderAnswered
 from poplarrelay.systems.leasing import fencing_number, remaining_term
 from poplarrelay.tables.endpoints import Endpoint, EndpointKind, EndpointState
 from poplarrelay.tables.leases import Duty
--- a/poplarrelay/systems/reporting.py
+++ b/poplarrelay/systems/reporting.py
@@ -9,12 +9,8 @@
 from poplarrelay.exception import AuthenticationFailed, RequestNotFound
 from poplarrelay.identifiers import Incarnation, NodeId, TeamId
 from poplarrelay.messages.effects import Effect, Reply
-from poplarrelay.messages.inbox import (
-    HistoryAsked,
-    Inbox,
-    RequestLookedUp,
-    StatusAsked,
-)
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.questions import HistoryAsked, RequestLookedUp, StatusAsked
 from poplarrelay.outcomes import Outcome
 from poplarrelay.systems.admitting import team_of
 from poplarrelay.systems.homes import home_of
--- a/poplarrelay/systems/tests/test_capacity.py
+++ b/poplarrelay/systems/tests/test_capacity.py
@@ -4,7 +4,7 @@
 
 from poplarrelay.configuration.schema import CapacityPolicy
 from poplarrelay.identifiers import DomainId
-from poplarrelay.messages.inbox import StartedHost
+from poplarrelay.messages.platform import StartedHost
 from poplarrelay.systems.capacity import _free_token, plan_capacity
 from poplarrelay.tables.capacity import Demand
 from poplarrelay.testing.builders import small_site
--- a/poplarrelay/systems/tests/test_configuration_fold.py
+++ b/poplarrelay/systems/tests/test_configuration_fold.py
@@ -12,13 +12,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from poplarrelay.identifiers import Incarnation, Offset
-from poplarrelay.messages.inbox import (
-    CallId,
-    ChangeAsked,
-    ConfigurationReceived,
-    Inbox,
-    RecordsRead,
-)
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.peers import ConfigurationReceived
+from poplarrelay.messages.platform import RecordsRead
+from poplarrelay.messages.questions import CallId, ChangeAsked
 from poplarrelay.messages.records import ChangeRecord, Record, encode_record
 from poplarrelay.systems.configuring import (
     fold_change,
@@ -29,7 +26,7 @@
 from poplarrelay.tables.configuration import ConfigurationTable
 from poplarrelay.tables.world import CONFIGURATION, World
 from poplarrelay.testing.builders import deployment_body, template_body
-from poplarrelay.testing.fakes import make_settings
+from poplarrelay.testing.worlds import make_settings
 
 NODES = st.sampled_from(["n1", "n2", "n3"])
 SUBJECTS = st.sampled_from(["template/base", "deployment/alpha", "deployment/beta"])
--- a/poplarrelay/systems/tests/test_leasing.py
+++ b/poplarrelay/systems/tests/test_leasing.py
@@ -4,13 +4,14 @@
 
 from poplarrelay.identifiers import Incarnation, Offset
 from poplarrelay.messages.effects import AppendRecord
-from poplarrelay.messages.inbox import Inbox, RecordsRead
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.platform import RecordsRead
 from poplarrelay.messages.records import LeaseRecord, Record
 from poplarrelay.systems.configuring import fold_configuration
 from poplarrelay.systems.leasing import fencing_number, keep_leases, remaining_term
 from poplarrelay.tables.leases import Duty
 from poplarrelay.tables.world import CONFIGURATION, NodePhase, World
-from poplarrelay.testing.fakes import make_settings
+from poplarrelay.testing.worlds import make_settings
 
 TERM_S, MARGIN_S = 9.0, 3.0
 DUTY = Duty.PLACEMENT
--- a/poplarrelay/systems/tests/test_limits.py
+++ b/poplarrelay/systems/tests/test_limits.py
@@ -13,17 +13,15 @@
     RequestId,
     TeamId,
 )
-from poplarrelay.messages.effects import Conclude, MoveAttempt, RunAttempt
-from poplarrelay.messages.inbox import (
+from poplarrelay.messages.calls import (
     AttemptEnded,
     AttemptProgressed,
     AttemptResult,
-    Inbox,
-    NoticeHeard,
-    NoticeSource,
-    RecordsRead,
     RequestArrived,
 )
+from poplarrelay.messages.effects import Conclude, MoveAttempt, RunAttempt
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.platform import NoticeHeard, NoticeSource, RecordsRead
 from poplarrelay.outcomes import NotRun, NotRunReason
 from poplarrelay.systems.configuring import rebuild
 from poplarrelay.systems.schedule import run_tick
@@ -32,8 +30,8 @@
 from poplarrelay.tables.requests import MoveWay, RequestClass, Work, WorkKind
 from poplarrelay.tables.world import CONFIGURATION
 from poplarrelay.testing.builders import deployment_body, template_body
-from poplarrelay.testing.fakes import make_endpoint, make_world
 from poplarrelay.testing.site import hash_token, team_token
+from poplarrelay.testing.worlds import make_endpoint, make_world
 
 ALPHA, E0 = TeamId("alpha"), EndpointId("e0")
 REPORT = LoadReport(slots=4, prefill_tokens_per_s=1000.0, step_s=0.01)
--- a/poplarrelay/systems/tests/test_placing.py
+++ b/poplarrelay/systems/tests/test_placing.py
@@ -8,7 +8,7 @@
 from poplarrelay.platform.http import JsonCaller
 from poplarrelay.systems.placing import place_models
 from poplarrelay.tables.endpoints import EndpointKind, EndpointState
-from poplarrelay.testing.fakes import make_endpoint
+from poplarrelay.testing.worlds import make_endpoint
 
 
 @pytest.fixture
--- a/poplarrelay/systems/tests/test_routing.py
+++ b/poplarrelay/systems/tests/test_routing.py
@@ -14,7 +14,7 @@
 )
 from poplarrelay.tables.endpoints import EndpointKind, EndpointState, LoadReport
 from poplarrelay.tables.requests import Request, RequestClass, Work, WorkKind
-from poplarrelay.testing.fakes import make_endpoint
+from poplarrelay.testing.worlds import make_endpoint
 
 NOW = 100.0
 DOMAINS = ("east", "west", "north", "south")
--- a/poplarrelay/systems/ticketing.py
+++ b/poplarrelay/systems/ticketing.py
@@ -15,7 +15,8 @@
 from poplarrelay.exception import KeyMalformed
 from poplarrelay.messages.convert import load_outcome, store_request
 from poplarrelay.messages.effects import Decided, Decision, Effect, Forward
-from poplarrelay.messages.inbox import ForwardAnswered, Inbox
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.peers import ForwardAnswered
 from poplarrelay.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
 from poplarrelay.systems.concluding import conclude
 from poplarrelay.systems.homes import home_of
--- a/poplarrelay/systems/watching.py
+++ b/poplarrelay/systems/watching.py
@@ -16,10 +16,10 @@
     SendNews,
 )
 from poplarrelay.messages.gossip import NoticeRow, ProbeMessage
-from poplarrelay.messages.inbox import (
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.platform import (
     HostRow,
     HostsListed,
-    Inbox,
     LoadFailed,
     LoadReported,
     NoticeHeard,
--- a/poplarrelay/tables/world.py
+++ b/poplarrelay/tables/world.py
@@ -21,7 +21,7 @@
     TeamId,
 )
 from poplarrelay.messages.gossip import HandoverMessage
-from poplarrelay.messages.inbox import CallId
+from poplarrelay.messages.questions import CallId
 from poplarrelay.messages.records import Record
 from poplarrelay.settings import NodeSettings
 from poplarrelay.tables.capacity import Demand
--- a/poplarrelay/testing/fakes.py
+++ b/poplarrelay/testing/fakes.py
@@ -11,17 +11,14 @@
 from collections import Counter
 from dataclasses import dataclass, field, replace
 
-from poplarrelay.configuration.schema import Deployment, Template
 from poplarrelay.identifiers import (
-    DomainId,
-    EndpointId,
     IdempotencyKey,
-    Incarnation,
     Offset,
     RequestId,
     StreamName,
     TeamId,
 )
+from poplarrelay.messages.calls import AttemptEnded, AttemptResult, RequestArrived
 from poplarrelay.messages.convert import load_work, store_outcome
 from poplarrelay.messages.effects import (
     AppendRecord,
@@ -37,98 +34,28 @@
     StopProcess,
 )
 from poplarrelay.messages.gossip import HandoverReply, KeyReply
-from poplarrelay.messages.inbox import (
-    AttemptEnded,
-    AttemptResult,
-    CallId,
+from poplarrelay.messages.inbox import Inbox, Message
+from poplarrelay.messages.peers import (
     ForwardAnswered,
     HandoverAnswered,
     HandoverReceived,
-    Inbox,
     KeyAnswered,
     KeyAsked,
-    LogFailed,
-    Message,
     PeersAnswered,
-    RecordsRead,
-    RequestArrived,
-    ShutdownAsked,
 )
+from poplarrelay.messages.platform import LogFailed, RecordsRead
+from poplarrelay.messages.questions import CallId, ShutdownAsked
 from poplarrelay.messages.records import Record, RecordValue
 from poplarrelay.outcomes import NotRun, Outcome, ServiceAnswer
-from poplarrelay.settings import NodeSettings
-from poplarrelay.systems.configuring import rebuild
 from poplarrelay.systems.gossiping import merge_row, news_rows, own_row
 from poplarrelay.systems.keys import ticket_prefix
 from poplarrelay.systems.schedule import run_tick
-from poplarrelay.tables.configuration import InForce
-from poplarrelay.tables.endpoints import Endpoint, EndpointKind
 from poplarrelay.tables.requests import RequestClass, Work, WorkKind
-from poplarrelay.tables.world import CLAIMS, CONFIGURATION, NodePhase, World
-from poplarrelay.testing.builders import deployment_body, template_body
+from poplarrelay.tables.world import CLAIMS, CONFIGURATION, World
 from poplarrelay.testing.site import hash_token, team_token
+from poplarrelay.testing.worlds import TEAM, make_world
 
-__all__ = ["Action", "FakeLog", "FakeNode", "FakeSystem", "Presentation", "make_world"]
-
-TEAM = "alpha"
-DOMAINS = ("east", "west", "north", "south")
-
-
-def make_settings(name: str, index: int) -> NodeSettings:
-    """Return the settings of a node that listens nowhere."""
-    return NodeSettings.model_validate(
-        {
-            "node": name,
-            "failure_domain": DOMAINS[index % len(DOMAINS)],
-            "callers": {"host": "127.0.0.1", "port": 1000 + index},
-            "seeds": ["127.0.0.1:2001"],
-            "peers": {"host": "127.0.0.1", "port": 2000 + index},
-            "platform": {
-                "log": "127.0.0.1:1",
-                "hosts": "127.0.0.1:2",
-                "cloud": "127.0.0.1:3",
-            },
-        }
-    )
-
-
-def make_endpoint(name: str, kind: EndpointKind, domain: str, **changes) -> Endpoint:  # type: ignore[no-untyped-def]
-    """Return an endpoint's row."""
-    names = {"small"} if kind is EndpointKind.ENGINE else {"booking"}
-    endpoint = Endpoint(
-        id=EndpointId(name),
-        kind=kind,
-        address=f"{name}:1",
-        domain=DomainId(domain),
-        names=frozenset(names),
-        price=1.0,
-        poll_at=float("inf"),
-    )
-    for attribute, value in changes.items():
-        setattr(endpoint, attribute, value)
-    return endpoint
-
-
-def make_world(
-    name: str, index: int, incarnation: str, now: float, seed: int = 1
-) -> World:
-    """Return the world of a node that serves, with one plain service."""
-    world = World.from_settings(
-        make_settings(name, index), Incarnation(incarnation), int(now), now, seed
-    )
-    table = world.configuration
-    template = Template.model_validate(template_body())
-    deployment = Deployment.model_validate(deployment_body(TEAM))
-    table.entries["template/base"] = InForce(Offset(0), template)
-    table.entries[f"deployment/{TEAM}"] = InForce(Offset(1), deployment)
-    rebuild(table)
-    world.phase = NodePhase.SERVING
-    world.me.ready = True
-    world.next_hosts_at = world.next_probe_at = float("inf")
-    desk = make_endpoint("desk", EndpointKind.SERVICE, "east")
-    world.endpoints[desk.id] = desk
-    world.streams[CONFIGURATION].caught_up = True
-    return world
+__all__ = ["Action", "FakeLog", "FakeNode", "FakeSystem", "Presentation"]
 
 
 class FakeLog:
--- /dev/null
+++ b/poplarrelay/testing/tests/test_whole_answers.py
@@ -0,0 +1,70 @@
+"""Whole answers, whatever an engine or a node does."""
+
+import pytest
+
+from poplarrelay.testing.builders import small_site
+from poplarrelay.testing.processes import run_site, wait_until
+from poplarrelay.testing.steps import (
+    PROMPT,
+    QUICK,
+    busy_endpoint,
+    busy_node,
+    drain_stream,
+    start_stream,
+    whole,
+)
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+def site():
+    with run_site(small_site(engines=4), settings=QUICK) as running:
+        yield running
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {"die_after_tokens": 20},
+        {"die_before_end": True},
+        {"cut_before_end": True},
+        {"skip_index": 15},
+        {"repeat_index": 15},
+        {"foreign_index": 15},
+        {"stall_after_tokens": 20},
+    ],
+    ids=lambda faults: next(iter(faults)),
+)
+def test_faulty_engine_does_not_show_in_the_answer(site, faults):
+    # The engine that runs the stream dies, stalls, cuts it, leaves a token out,
+    # sends one twice or sends another attempt's. The node drops what does not
+    # belong and goes on at another engine from the next index.
+    site.faults("engine-1", **faults)
+    site.faults("engine-2", **faults)
+    results = []
+    for number in range(4):
+        prompt = f"{PROMPT} {number}"
+        result = site.client("alpha", seed=number).complete("small", prompt, 40)
+        results.append(result.tokens == whole(prompt, 40))
+    assert results == [True] * 4
+
+
+def test_frozen_engine_is_left_for_another(site):
+    # The engine accepts and never goes on; its sockets stay open.
+    stream, result = start_stream(site, 200)
+    victim = wait_until(lambda: busy_endpoint(site))
+    site.endpoints[victim].freeze()
+    drain_stream(stream)
+    assert result.tokens == whole(PROMPT, 200)
+    assert result.streams == 1
+
+
+def test_crashed_node_costs_the_caller_no_token(site):
+    # The node dies in the middle of a stream. The caller's library goes on at
+    # another node from the next index.
+    stream, result = start_stream(site, 200)
+    site.nodes[wait_until(lambda: busy_node(site))].kill()
+    drain_stream(stream)
+    assert result.tokens == whole(PROMPT, 200)
+    assert result.streams >= 2
