Bound the answers that a node keeps; keep keyed answers whole

Cause: two settings for the answers kept did nothing, so memory was bounded only by time; and a stream under a key that was resumed in its middle kept an answer that began there, which a repetition from the start would have got as if it were whole.

When the memory is full, new keys and deferred requests are refused (own tickets as not run, other keys as unknown) and none is forgotten. Under a key the answer is always computed from its start and cut for the caller.

--- a/poplarrelay/outcomes.py
+++ b/poplarrelay/outcomes.py
@@ -39,7 +39,7 @@
 class UnknownReason(Enum):
     """Why it cannot be said whether a request ran.
 
-    The last three are said for requests with a key that this node has not looked
+    The last four are said for requests with a key that this node has not looked
     into: another node may have run the key before.
     """
 
@@ -50,6 +50,7 @@
     LOG_UNAVAILABLE = "log-unavailable"
     NODE_LEAVING = "node-leaving"
     NODE_NOT_READY = "node-not-ready"
+    QUEUE_FULL = "queue-full"
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/platform/http.py
+++ b/poplarrelay/platform/http.py
@@ -39,11 +39,12 @@
 
 @dataclass(frozen=True, slots=True)
 class JsonReply:
-    """An answer; `value` is None if the body is no JSON."""
+    """An answer; `value` is None if the body, `raw`, is no JSON."""
 
     status: int
     value: Any
     headers: Mapping[str, str] = field(default_factory=dict)
+    raw: bytes = b""
 
     @property
     def ok(self) -> bool:
@@ -149,4 +150,5 @@
             sent = len(content or b"") + len(path) + HEAD_BYTES
             received = len(response.data) + _header_bytes(response.headers)
             self._meter.add(path, sent, received)
-        return JsonReply(response.status, _decode(response.data), response.headers)
+        data = response.data
+        return JsonReply(response.status, _decode(data), response.headers, data)
--- a/poplarrelay/settings.py
+++ b/poplarrelay/settings.py
@@ -111,7 +111,20 @@
 
 
 class LimitSettings(StrictModel):
-    """Bounds on what a node holds, and choices within them."""
+    """Bounds on what a node holds, and choices within them.
+
+    Attributes
+    ----------
+    answers_kept, answers_kept_bytes : int
+        Answers kept for repetitions under a key and for deferred requests; when
+        they are full, new keys and deferred requests are refused.
+    key_memory_s : float
+        Seconds for which a key is remembered.
+    watched_endpoints : int
+        Endpoints of one kind that this node uses, if there are more.
+    kv_tokens_per_s : float
+        Speed at which cached tokens move between engines.
+    """
 
     max_body_bytes: int = Field(default=4_000_000, ge=1024)
     max_header_bytes: int = Field(default=32_768, ge=1024)
--- a/poplarrelay/systems/admitting.py
+++ b/poplarrelay/systems/admitting.py
@@ -29,7 +29,12 @@
 from poplarrelay.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
 from poplarrelay.systems.concluding import conclude, outcome_tag
 from poplarrelay.systems.keying import settle_arrival
-from poplarrelay.systems.limits import enqueue, fill_retry_budget, queue_refusal
+from poplarrelay.systems.limits import (
+    enqueue,
+    fill_retry_budget,
+    memory_full,
+    queue_refusal,
+)
 from poplarrelay.tables.requests import Request, RequestState, Work, WorkKind
 from poplarrelay.tables.world import NodePhase, World
 
@@ -74,10 +79,14 @@
     timeout = targets.deadline_s
     if arrived.timeout_s is not None:
         timeout = min(timeout, arrived.timeout_s)
+    work = _checked_work(policy, arrived.work)
+    if arrived.key is not None:
+        # The answer is kept for repetitions that may want it from its start.
+        work = replace(work, resume_from=0)
     return Request(
         id=arrived.id,
         team=policy.team,
-        work=_checked_work(policy, arrived.work),
+        work=work,
         request_class=arrived.request_class,
         arrived=arrived.received - arrived.age_s,
         deadline=arrived.received + timeout,
@@ -127,6 +136,8 @@
         return None
     if now >= world.refuse_from:
         return NotRun(NotRunReason.NODE_LEAVING, ELSEWHERE_RETRY_S)
+    if request.deferred and memory_full(world):
+        return NotRun(NotRunReason.QUEUE_FULL, ELSEWHERE_RETRY_S)
     return queue_refusal(world, request.team)
 
 
--- a/poplarrelay/systems/expiring.py
+++ b/poplarrelay/systems/expiring.py
@@ -6,7 +6,14 @@
 
 from poplarrelay.messages.effects import Count, Counter, Effect
 from poplarrelay.messages.inbox import Inbox
-from poplarrelay.outcomes import NotRun, NotRunReason, Outcome, Unknown, UnknownReason
+from poplarrelay.outcomes import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    UnknownReason,
+)
 from poplarrelay.systems.concluding import conclude
 from poplarrelay.tables.claims import KeyState
 from poplarrelay.tables.requests import Request, RequestState
@@ -71,4 +78,21 @@
     for incarnation, at in list(world.adopted.items()):
         if now - at > kept:
             del world.adopted[incarnation]
+    _measure_kept(world)
     yield from ()
+
+
+def _size(outcome: Outcome | None) -> int:
+    if not isinstance(outcome, Answered):
+        return 0
+    body = 0 if outcome.service is None else len(outcome.service.body)
+    return body + sum(len(token) for token in outcome.tokens)
+
+
+def _measure_kept(world: World) -> None:
+    """Note how much is kept for callers that may come back."""
+    deferred = [r for r in world.requests.values() if r.ended_at is not None]
+    outcomes = [use.outcome for use in world.uses.values()]
+    outcomes += [request.outcome for request in deferred]
+    world.kept_answers = len(outcomes)
+    world.kept_bytes = sum(_size(outcome) for outcome in outcomes)
--- a/poplarrelay/systems/keying.py
+++ b/poplarrelay/systems/keying.py
@@ -10,6 +10,7 @@
 from poplarrelay.systems.claiming import settle_plain_key
 from poplarrelay.systems.concluding import conclude
 from poplarrelay.systems.keys import PlainKey, Ticket, read_key
+from poplarrelay.systems.limits import memory_full
 from poplarrelay.systems.ticketing import settle_ticket
 from poplarrelay.tables.claims import KeyState, KeyUse, TeamKey
 from poplarrelay.tables.requests import Request, RequestState
@@ -18,7 +19,7 @@
 __all__ = ["settle_arrival"]
 
 #: Seconds until a caller may ask again at another node.
-LEAVING_RETRY_S = 0.2
+ELSEWHERE_RETRY_S = 0.2
 
 
 def settle_arrival(
@@ -47,9 +48,15 @@
     if request.key is None:
         return
     form = read_key(request.key)
-    if now >= world.refuse_from and not _known(world, request):
-        yield from _leave_alone(world, request, form, now)
-        return
+    if not _known(world, request):
+        if now >= world.refuse_from:
+            reasons = NotRunReason.NODE_LEAVING, UnknownReason.NODE_LEAVING
+            yield from _leave_alone(world, request, form, reasons, now)
+            return
+        if memory_full(world):
+            reasons = NotRunReason.QUEUE_FULL, UnknownReason.QUEUE_FULL
+            yield from _leave_alone(world, request, form, reasons, now)
+            return
     use = world.uses.get(TeamKey(request.team, request.key))
     if use is not None and use.state is not KeyState.RELEASED:
         yield from _repeat(world, request, use, now)
@@ -65,19 +72,23 @@
 
 
 def _leave_alone(
-    world: World, request: Request, form: PlainKey | Ticket, now: float
+    world: World,
+    request: Request,
+    form: PlainKey | Ticket,
+    reasons: tuple[NotRunReason, UnknownReason],
+    now: float,
 ) -> Iterator[Effect]:
-    """End a request with a key that a leaving node does not look into.
+    """End a request with a key that this node does not look into.
 
     The node's own tickets are certain not to have run, until it has handed over
     the right to run them.
     """
     own = isinstance(form, Ticket) and form.incarnation == world.incarnation
     if own and world.handover is None:
-        outcome = NotRun(NotRunReason.NODE_LEAVING, LEAVING_RETRY_S)
+        outcome = NotRun(reasons[0], ELSEWHERE_RETRY_S)
         yield from conclude(world, request, outcome, now)
     else:
-        unknown = Unknown(UnknownReason.NODE_LEAVING, LEAVING_RETRY_S)
+        unknown = Unknown(reasons[1], ELSEWHERE_RETRY_S)
         yield from conclude(world, request, unknown, now)
 
 
--- a/poplarrelay/systems/limits.py
+++ b/poplarrelay/systems/limits.py
@@ -18,6 +18,7 @@
 __all__ = [
     "enqueue",
     "fill_retry_budget",
+    "memory_full",
     "over_share",
     "queue_refusal",
     "ready_nodes",
@@ -95,6 +96,21 @@
     return NotRun(NotRunReason.QUEUE_FULL, retry_after_s)
 
 
+def memory_full(world: World) -> bool:
+    """Return whether no more answers can be kept for callers that come back.
+
+    Notes
+    -----
+    What ran under a key must be remembered for as long as the key may be used
+    again. So when the memory is full, new keys are refused and none is forgotten.
+    """
+    limits = world.settings.limits
+    return (
+        world.kept_answers >= limits.answers_kept
+        or world.kept_bytes >= limits.answers_kept_bytes
+    )
+
+
 def enqueue(world: World, request: Request, now: float) -> Iterator[Effect]:
     """Put a request that may run into its team's queue, or end it as not run."""
     refusal = queue_refusal(world, request.team)
--- a/poplarrelay/systems/tests/test_safeguards.py
+++ b/poplarrelay/systems/tests/test_safeguards.py
@@ -480,6 +480,22 @@
     assert isinstance(again.outcomes[0], Unknown)
 
 
+def test_full_memory_refuses_new_keys_and_forgets_none(system):
+    # No more answers can be kept. A new ticket is refused, and a repetition of an
+    # old one still gets its answer.
+    ticket = system.ticket("n1", "old")
+    first = system.present("n1", ticket)
+    system.settle()
+    world = system.nodes["n1"].world
+    world.kept_answers = world.settings.limits.answers_kept
+    new = system.present("n1", system.ticket("n1", "new"))
+    again = system.present("n1", ticket)
+    system.tick("n1")
+    assert isinstance(new.outcomes[0], NotRun)
+    assert again.outcomes == first.outcomes
+    world.kept_answers = 0
+
+
 def test_repetition_while_it_runs_joins(system):
     ticket = system.ticket("n1", "a")
     first = system.present("n1", ticket)
--- a/poplarrelay/tables/world.py
+++ b/poplarrelay/tables/world.py
@@ -172,6 +172,8 @@
         Incarnations that left and gave their tickets to this node, and when.
     refuse_from : float
         Monotonic time from which a leaving node takes no new requests.
+    kept_answers, kept_bytes : int
+        Answers kept for repetitions and for later, as of the last sweep.
     log_clock : float or None
         The log's time of day less this process's monotonic time.
     """
@@ -210,6 +212,8 @@
     adopted: dict[Incarnation, float] = field(default_factory=dict)
     handover: HandoverState | None = None
     refuse_from: float = float("inf")
+    kept_answers: int = 0
+    kept_bytes: int = 0
     handover_at: float = float("inf")
     log_clock: float | None = None
     next_probe_at: float = 0.0
