Remember claims by the node's own clock; answer for a predecessor's claims

Cause: a review of the clocks found that a claim's age was taken from the log's clock. A successor also said "unknown" for released keys of a node that had left to it, since it looked for itself among its peers. Callers' listeners had 24 threads by default, which is 24 streams.

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -70,7 +70,7 @@
 def without_incarnation(stack: ExitStack) -> None:
     """Ask a restarted process about its predecessor's keys."""
     _patch(stack, claiming, "home_of", lambda world, node, _: world.members.get(node))
-    original = homes._key_reply
+    original = homes.key_reply
 
     def reply(world, question, now):
         if question.incarnation:
@@ -80,7 +80,7 @@
             return answer.model_copy(update={"state": "released"})
         return answer
 
-    _patch(stack, homes, "_key_reply", reply)
+    _patch(stack, homes, "key_reply", reply)
 
 
 def without_release_age(stack: ExitStack) -> None:
@@ -100,7 +100,7 @@
 def without_catching_up(stack: ExitStack) -> None:
     """Vouch for keys before the claims have been read to their end."""
     original = claiming._verify
-    original_reply = homes._key_reply
+    original_reply = homes.key_reply
 
     def caught_up(world):
         world.streams[claiming.CLAIMS].caught_up = True
@@ -114,7 +114,7 @@
         return original_reply(world, question, now)
 
     _patch(stack, claiming, "_verify", verify)
-    _patch(stack, homes, "_key_reply", reply)
+    _patch(stack, homes, "key_reply", reply)
 
 
 def without_running_mark(stack: ExitStack) -> None:
--- a/poplarrelay/settings.py
+++ b/poplarrelay/settings.py
@@ -12,6 +12,7 @@
 from poplarrelay.exception import Fault, SettingsError
 
 __all__ = [
+    "CallersSettings",
     "LimitSettings",
     "ListenerSettings",
     "MovePolicy",
@@ -47,6 +48,12 @@
         return f"{self.host}:{self.port}"
 
 
+class CallersSettings(ListenerSettings):
+    """The callers' listener; each open stream takes one of its threads."""
+
+    threads: int = Field(default=220, ge=2, le=1024)
+
+
 class PlatformSettings(StrictModel):
     """Addresses of the platform's services."""
 
@@ -150,7 +157,7 @@
         The node's name, unique among the nodes.
     failure_domain : str
         The failure domain of the node's host.
-    callers, peers : ListenerSettings
+    callers, peers : CallersSettings, ListenerSettings
         The callers' listener, and the one for peers, operators and metrics.
     seeds : tuple of str
         Peer addresses to join by.
@@ -160,7 +167,7 @@
 
     node: str = Field(pattern=NAME_PATTERN)
     failure_domain: str = Field(pattern=NAME_PATTERN)
-    callers: ListenerSettings
+    callers: CallersSettings
     peers: ListenerSettings
     seeds: tuple[str, ...] = ()
     platform: PlatformSettings
--- a/poplarrelay/systems/claiming.py
+++ b/poplarrelay/systems/claiming.py
@@ -35,7 +35,7 @@
 from poplarrelay.messages.records import ClaimRecord, Record
 from poplarrelay.outcomes import NotRun, NotRunReason, Unknown, UnknownReason
 from poplarrelay.systems.concluding import conclude
-from poplarrelay.systems.homes import home_of
+from poplarrelay.systems.homes import home_of, key_reply
 from poplarrelay.systems.keys import PlainKey, plain_key_time
 from poplarrelay.systems.limits import enqueue
 from poplarrelay.tables.claims import Claim, KeyState, KeyUse, TeamKey
@@ -107,7 +107,9 @@
     current = world.claims.get(key)
     if claim.after != (None if current is None else current.offset):
         return
-    world.claims[key] = Claim.from_record(record.offset, claim, now - record.age_s)
+    # The age by the log's clock is not used: were that clock set forward, claims
+    # would be forgotten early, and a key could run again.
+    world.claims[key] = Claim.from_record(record.offset, claim, now)
 
 
 def settle_plain_key(
@@ -266,13 +268,17 @@
 
 
 def _ask(world: World, request: Request, claim: Claim, now: float) -> Iterator[Effect]:
+    """Ask the process that answers for a claim, which may be this one."""
+    request.state = RequestState.ASKING
+    question = _question(request, claim.incarnation, claim.offset)
+    if claim.incarnation in world.adopted:
+        yield from _take_answer(world, request, key_reply(world, question, now), now)
+        return
     home = home_of(world, claim.node, claim.incarnation)
     if home is None:
         yield from _unreachable(world, request, now)
-        return
-    request.state = RequestState.ASKING
-    question = _question(request, claim.incarnation, claim.offset)
-    yield AskKey(request.id, home.peers, question)
+    else:
+        yield AskKey(request.id, home.peers, question)
 
 
 def _unreachable(world: World, request: Request, now: float) -> Iterator[Effect]:
--- a/poplarrelay/systems/homes.py
+++ b/poplarrelay/systems/homes.py
@@ -14,7 +14,7 @@
 from poplarrelay.tables.members import Member, MemberStatus
 from poplarrelay.tables.world import CLAIMS, World
 
-__all__ = ["answer_key_questions", "home_of"]
+__all__ = ["answer_key_questions", "home_of", "key_reply"]
 
 
 def home_of(world: World, node: NodeId, incarnation: Incarnation) -> Member | None:
@@ -39,10 +39,11 @@
 def answer_key_questions(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
     """Tell peers what became of keys."""
     for asked in inbox.of(KeyAsked):
-        yield Reply(asked.call, _key_reply(world, asked.question, now))
+        yield Reply(asked.call, key_reply(world, asked.question, now))
 
 
-def _key_reply(world: World, question: KeyQuestion, now: float) -> KeyReply:
+def key_reply(world: World, question: KeyQuestion, now: float) -> KeyReply:
+    """Return what became of a key, as far as this process answers for it."""
     key = TeamKey.of(question.team, question.key)
     use = world.uses.get(key)
     if not question.incarnation:
--- a/poplarrelay/systems/tests/test_safeguards.py
+++ b/poplarrelay/systems/tests/test_safeguards.py
@@ -3,6 +3,8 @@
 `bench.safeguards` removes each safeguard in turn and shows which of these fails.
 """
 
+from dataclasses import replace
+
 import pytest
 
 from poplarrelay.exception import KeyMalformed
@@ -480,6 +482,54 @@
     assert isinstance(again.outcomes[0], Unknown)
 
 
+def test_log_clock_set_forward_does_not_forget_claims(system):
+    # The log's clock is set forward by hours. Claims read after that look old; the
+    # node must remember them all the same, or the key could run again.
+    system.present("n1", "seat")
+    system.settle()
+    system.crash("n1")
+    world = system.nodes["n2"].world
+    position = world.streams["claims"]
+    position.next = 0
+    world.claims.clear()
+    read = system.log.read("claims", 0)
+    aged = tuple(replace(record, age_s=90_000.0) for record in read.records)
+    system.nodes["n2"].inbox.append(replace(read, records=aged, log_time=9e9))
+    system.tick("n2")
+    system.now += 6.0
+    system.tick("n2")
+    again = system.present("n2", "seat")
+    system.settle()
+    assert system.runs["seat"] == 1
+    assert isinstance(again.outcomes[0], Unknown)
+
+
+def test_successor_answers_for_a_claim_of_a_node_that_left(system):
+    # A plain key was released before its home left. Presented at the successor, it
+    # is claimed anew and runs.
+    system.present("n1", "seat", timeout_s=3.0)
+    system.tick_all()
+    system.perform_all(AppendRecord)
+    system.read_log("n1")
+    system.tick("n1")
+    for _ in range(8):
+        for action in list(system.actions):
+            if isinstance(action.effect, RunAttempt):
+                system.refuse_attempt(action)
+        system.tick("n1")
+        system.now += 0.5
+    _leave(system)
+    system.perform_all(HandOver)
+    system.tick("n1")
+    successor = system.nodes["n1"].world.handover.successor
+    for name in ("n2", "n3"):
+        system.gossip(system.nodes[name], system.nodes["n1"])
+    again = system.present(successor, "seat")
+    system.settle()
+    assert system.runs["seat"] == 1
+    assert isinstance(again.outcomes[0], Answered)
+
+
 def test_full_memory_refuses_new_keys_and_forgets_none(system):
     # No more answers can be kept. A new ticket is refused, and a repetition of an
     # old one still gets its answer.
