Keep copies of deferred requests; keep their tokens over attempts

Cause: a deferred request was lost when its home crashed, and its caller, who had been told "accepted", learned only that there was no such request. The test for it led to a second fault: each attempt of a deferred request had a session of its own, so after an engine had stalled the answer lacked the tokens of the first attempt and was kept as if it were whole - a fragment.

A deferred request is accepted once a peer in another failure domain holds a copy (or two tries have failed, which is logged); its answer is copied too. A home that is dead or restarted is replaced by the peer, which runs what can be repeated and has no key; the rest ends as unknown. Any node finds the request through the home or the peers. A deferred request keeps its session until it has ended.

Ruled out: deferred requests on the log (prompts of whole case files against a budget of several hundred appends a second).

--- a/poplarrelay/messages/effects.py
+++ b/poplarrelay/messages/effects.py
@@ -16,6 +16,7 @@
     TeamId,
 )
 from poplarrelay.messages.gossip import (
+    CopyMessage,
     HandoverMessage,
     KeyQuestion,
     ProbeMessage,
@@ -41,6 +42,7 @@
     "Forward",
     "GiveOrder",
     "HandOver",
+    "KeepCopy",
     "ListHosts",
     "ListStarted",
     "MoveAttempt",
@@ -258,6 +260,15 @@
     timeout_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class KeepCopy:
+    """Give a peer a copy of a deferred request to keep."""
+
+    request: RequestId
+    peer: str
+    message: CopyMessage
+
+
 @dataclass(frozen=True, slots=True)
 class HandOver:
     """Hand over to a successor."""
@@ -365,6 +376,7 @@
     | AskKey
     | AskPeers
     | Forward
+    | KeepCopy
     | HandOver
     | StopProcess
     | Decided
--- a/poplarrelay/messages/gossip.py
+++ b/poplarrelay/messages/gossip.py
@@ -7,6 +7,7 @@
 from poplarrelay.settings import StrictModel
 
 __all__ = [
+    "CopyMessage",
     "HandoverMessage",
     "HandoverReply",
     "KeyQuestion",
@@ -197,7 +198,21 @@
     requests: tuple[StoredRequest, ...]
 
 
+class CopyMessage(StrictModel):
+    """A deferred request, or its answer, for a peer to keep.
+
+    Attributes
+    ----------
+    node, incarnation : str
+        The request's home.
+    """
+
+    node: str
+    incarnation: str
+    request: StoredRequest
+
+
 class HandoverReply(StrictModel):
-    """Whether the successor took a handover."""
+    """Whether a peer took a handover or a copy."""
 
     taken: bool
--- a/poplarrelay/messages/inbox.py
+++ b/poplarrelay/messages/inbox.py
@@ -15,6 +15,8 @@
 from poplarrelay.messages.peers import (
     ConfigurationAsked,
     ConfigurationReceived,
+    CopyAnswered,
+    CopyReceived,
     ForwardAnswered,
     HandoverAnswered,
     HandoverReceived,
@@ -75,6 +77,8 @@
     | ChangeAsked
     | ConfigurationAsked
     | ConfigurationReceived
+    | CopyReceived
+    | CopyAnswered
     | HandoverReceived
     | HandoverAnswered
     | ShutdownAsked
--- a/poplarrelay/messages/peers.py
+++ b/poplarrelay/messages/peers.py
@@ -6,6 +6,7 @@
 
 from poplarrelay.identifiers import NodeId, RequestId
 from poplarrelay.messages.gossip import (
+    CopyMessage,
     HandoverMessage,
     HandoverReply,
     KeyQuestion,
@@ -16,6 +17,8 @@
 from poplarrelay.messages.records import SnapshotRecord
 
 __all__ = [
+    "CopyAnswered",
+    "CopyReceived",
     "ConfigurationAsked",
     "ConfigurationReceived",
     "ForwardAnswered",
@@ -114,6 +117,22 @@
     snapshot: SnapshotRecord
 
 
+@dataclass(frozen=True, slots=True)
+class CopyReceived:
+    """A peer gives a copy of a deferred request to keep."""
+
+    call: CallId
+    copy: CopyMessage
+
+
+@dataclass(frozen=True, slots=True)
+class CopyAnswered:
+    """A peer answered whether it keeps a copy."""
+
+    request: RequestId
+    taken: bool
+
+
 @dataclass(frozen=True, slots=True)
 class HandoverReceived:
     """A leaving peer hands over."""
--- a/poplarrelay/node/callers.py
+++ b/poplarrelay/node/callers.py
@@ -30,7 +30,6 @@
     service_work,
 )
 from poplarrelay.node.gateway import Gateway, SessionEvents
-from poplarrelay.node.peering import TRANSFER_TIMEOUT_S
 from poplarrelay.node.sessions import Accepted, CallerEvent, Ended, Rejected
 from poplarrelay.outcomes import Answered, Outcome
 from poplarrelay.platform.http import CallFailed, JsonCaller
@@ -53,6 +52,8 @@
 KEY_HEADER = "Idempotency-Key"
 OUTCOME_HEADER = "Request-Outcome"
 MAX_TIMEOUT_S = 86_400.0
+#: Seconds that each node may take to tell of a deferred request.
+LOOKUP_TIMEOUT_S = 0.7
 _BEARER = "Bearer "
 
 
@@ -325,23 +326,26 @@
 
     def _look_elsewhere(self, request: RequestId, found: LookupElsewhere) -> bytes:
         path = f"/peer/requests/{quote(request)}?team={quote(found.team)}"
-        try:
-            reply = self._caller.call(
-                "GET", found.peer, path, timeout_s=TRANSFER_TIMEOUT_S
-            )
-        except CallFailed:
-            raise ProblemResponse(
-                Problem(
-                    502,
-                    "home-unreachable",
-                    "The node that keeps the request does not answer",
-                    outcome="unknown",
-                    retry_after_s=1.0,
-                )
-            ) from None
-        if not reply.ok:
+        answered = True
+        for peer in found.peers:
+            try:
+                reply = self._caller.call("GET", peer, path, timeout_s=LOOKUP_TIMEOUT_S)
+            except CallFailed:
+                answered = False
+                continue
+            if reply.ok:
+                return answer_json(reply.value)
+        if answered:
             raise reject(RequestNotFound("the team has no such request"))
-        return answer_json(reply.value)
+        raise ProblemResponse(
+            Problem(
+                502,
+                "home-unreachable",
+                "The node that keeps the request does not answer",
+                outcome="unknown",
+                retry_after_s=1.0,
+            )
+        )
 
 
 def lookup_document(request: RequestId, found: LookupResult) -> dict[str, object]:
--- a/poplarrelay/node/outbox.py
+++ b/poplarrelay/node/outbox.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
+from dataclasses import dataclass
 
 from poplarrelay.engines.http import give_order, read_load
 from poplarrelay.exception import EndpointBroken, PlatformError
@@ -23,6 +24,7 @@
     Forward,
     GiveOrder,
     HandOver,
+    KeepCopy,
     ListHosts,
     ListStarted,
     MoveAttempt,
@@ -40,6 +42,7 @@
 from poplarrelay.messages.inbox import Message
 from poplarrelay.messages.peers import (
     ConfigurationReceived,
+    CopyAnswered,
     ForwardAnswered,
     HandoverAnswered,
     KeyAnswered,
@@ -59,7 +62,7 @@
 )
 from poplarrelay.node.logs import log_decision
 from poplarrelay.node.logworkers import LogAppender
-from poplarrelay.node.mailboxes import Mailboxes
+from poplarrelay.node.mailboxes import Mailbox, Mailboxes
 from poplarrelay.node.metrics import NodeMetrics
 from poplarrelay.node.peering import PeerClient
 from poplarrelay.node.sessions import Runtime, Session
@@ -78,6 +81,14 @@
 _LOG = logging.getLogger("poplarrelay.outbox")
 
 
+@dataclass(frozen=True, slots=True)
+class _DeferredRun:
+    """The session of a deferred request, over all its attempts."""
+
+    mailbox: Mailbox
+    session: Session
+
+
 class Outbox:
     """Hands each effect to the thread, or pool of threads, that carries it out.
 
@@ -112,6 +123,7 @@
         self._stop = stop
         self._order_timeout_s = order_timeout_s
         self._runtime: Runtime | None = None
+        self._runs: dict[RequestId, _DeferredRun] = {}
         self._peer_pool = ThreadPoolExecutor(PEER_THREADS, "peer")
         self._poll_pool = ThreadPoolExecutor(POLL_THREADS, "poll")
         self._forward_pool = ThreadPoolExecutor(FORWARD_THREADS, "forward")
@@ -174,6 +186,8 @@
                 self._forward_pool.submit(self._guard, self._ask_peers, effect)
             case FetchConfiguration():
                 self._peer_pool.submit(self._guard, self._fetch, effect)
+            case KeepCopy():
+                self._forward_pool.submit(self._guard, self._keep_copy, effect)
             case HandOver():
                 self._peer_pool.submit(self._guard, self._hand_over, effect)
 
@@ -191,20 +205,35 @@
         request: RequestId,
         effect: RunAttempt | MoveAttempt | Conclude | Reject | AcceptDeferred,
     ) -> None:
+        """Give an instruction to the thread that waits, and to a deferred run.
+
+        A deferred request may be run before its caller has been told that it is
+        accepted, so the two have mailboxes of their own.
+        """
         mailbox = self._mailboxes.find(request)
         if mailbox is not None:
             mailbox.put(effect)
+        run = self._runs.get(request)
+        if run is not None:
+            run.mailbox.put(effect)
+        if isinstance(effect, Conclude):
+            self._runs.pop(request, None)
 
     def _run_deferred(self, effect: RunAttempt) -> None:
+        """Run an attempt of a deferred request.
+
+        The session stays until the request has ended: it holds the tokens of
+        earlier attempts, which belong to the answer.
+        """
         assert self._runtime is not None
         request = effect.attempt.request
-        mailbox = self._mailboxes.open(request)
-        try:
-            session = Session(self._runtime, request, mailbox)
-            for _ in session.run_attempt(effect):
-                pass
-        finally:
-            self._mailboxes.close(request, mailbox)
+        run = self._runs.get(request)
+        if run is None:
+            mailbox = Mailbox()
+            run = _DeferredRun(mailbox, Session(self._runtime, request, mailbox))
+            self._runs[request] = run
+        for _ in run.session.run_attempt(effect):
+            pass
 
     def _poll(self, effect: PollLoad) -> None:
         try:
@@ -272,6 +301,11 @@
         if snapshot is not None:
             self._submit(ConfigurationReceived(snapshot))
 
+    def _keep_copy(self, effect: KeepCopy) -> None:
+        reply = self._peers.keep_copy(effect.peer, effect.message)
+        taken = reply is not None and reply.taken
+        self._submit(CopyAnswered(effect.request, taken))
+
     def _hand_over(self, effect: HandOver) -> None:
         reply = self._peers.hand_over(effect.peer, effect.message)
         self._submit(HandoverAnswered(effect.node, effect.message.id, reply))
--- a/poplarrelay/node/peering.py
+++ b/poplarrelay/node/peering.py
@@ -9,6 +9,7 @@
 from pydantic import BaseModel, ValidationError
 
 from poplarrelay.messages.gossip import (
+    CopyMessage,
     HandoverMessage,
     HandoverReply,
     KeyQuestion,
@@ -28,6 +29,8 @@
 FORWARD_GRACE_S = 0.5
 #: Seconds that a larger transfer may take.
 TRANSFER_TIMEOUT_S = 2.0
+#: Seconds that a copy may take, while its caller waits to hear "accepted".
+COPY_TIMEOUT_S = 0.7
 
 ModelT = TypeVar("ModelT", bound=BaseModel)
 
@@ -133,6 +136,10 @@
             TRANSFER_TIMEOUT_S,
         )
 
+    def keep_copy(self, peer: str, message: CopyMessage) -> HandoverReply | None:
+        """Give a peer a copy of a deferred request."""
+        return self._post(peer, "/peer/copy", message, HandoverReply, COPY_TIMEOUT_S)
+
     def hand_over(self, peer: str, message: HandoverMessage) -> HandoverReply | None:
         """Hand over to a peer."""
         return self._post(
--- a/poplarrelay/node/peers.py
+++ b/poplarrelay/node/peers.py
@@ -21,6 +21,7 @@
 from poplarrelay.messages.calls import RequestArrived
 from poplarrelay.messages.convert import load_work, store_outcome
 from poplarrelay.messages.gossip import (
+    CopyMessage,
     HandoverMessage,
     KeyQuestion,
     ProbeMessage,
@@ -29,6 +30,7 @@
 )
 from poplarrelay.messages.peers import (
     ConfigurationAsked,
+    CopyReceived,
     HandoverReceived,
     KeyAsked,
     ProbeReceived,
@@ -139,6 +141,12 @@
         handover = read_json(HandoverMessage, MAX_PEER_BYTES)
         return _dump(self._ask(lambda call: HandoverReceived(call, handover)))
 
+    @cherrypy.expose
+    def copy(self) -> bytes:
+        """Keep a copy of a deferred request."""
+        message = read_json(CopyMessage, MAX_PEER_BYTES)
+        return _dump(self._ask(lambda call: CopyReceived(call, message)))
+
     @cherrypy.expose
     def requests(self, request: str, team: str) -> bytes:
         """Tell what became of a deferred request."""
--- a/poplarrelay/systems/admitting.py
+++ b/poplarrelay/systems/admitting.py
@@ -16,7 +16,6 @@
 from poplarrelay.identifiers import TeamId
 from poplarrelay.messages.calls import CallerGone, RequestArrived
 from poplarrelay.messages.effects import (
-    AcceptDeferred,
     Conclude,
     Count,
     Counter,
@@ -188,8 +187,6 @@
     yield Count(Counter.ACCEPTED, labels=labels)
     if request.state is RequestState.RECEIVED:
         yield from enqueue(world, request, now)
-    if request.deferred and request.state is not RequestState.ENDED:
-        yield AcceptDeferred(request.id)
 
 
 def drop_callers(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
--- a/poplarrelay/systems/schedule.py
+++ b/poplarrelay/systems/schedule.py
@@ -15,6 +15,11 @@
     publish_changes,
     share_configuration,
 )
+from poplarrelay.systems.copying import (
+    hold_copies,
+    send_copies,
+    take_over_copies,
+)
 from poplarrelay.systems.discovering import answer_addresses
 from poplarrelay.systems.dispatching import dispatch_queue
 from poplarrelay.systems.draining import drain, take_handovers
@@ -60,6 +65,9 @@
     drop_callers,
     expire_requests,
     admit_requests,
+    hold_copies,
+    take_over_copies,
+    send_copies,
     leave_endpoints,
     dispatch_queue,
     publish_changes,
--- a/poplarrelay/tables/world.py
+++ b/poplarrelay/tables/world.py
@@ -27,6 +27,7 @@
 from poplarrelay.tables.capacity import Demand
 from poplarrelay.tables.claims import Claim, KeyUse, TeamKey
 from poplarrelay.tables.configuration import ConfigurationTable
+from poplarrelay.tables.copies import HeldCopy, SentCopy
 from poplarrelay.tables.endpoints import Endpoint
 from poplarrelay.tables.leases import Lease, LeaseBid
 from poplarrelay.tables.members import Member, MemberStatus
@@ -164,6 +165,8 @@
         Requests whose claim is on the way to the log.
     ask_again : dict of RequestId to float
         Requests whose key runs elsewhere, and when to ask again.
+    sent_copies, held_copies : dict
+        Copies of deferred requests at peers, and of peers' requests here.
     joined : dict of RequestId to list of RequestId
         Requests that wait for another request's outcome.
     notified_domains : dict of DomainId to float
@@ -205,6 +208,8 @@
     uses: dict[TeamKey, KeyUse] = field(default_factory=dict)
     claiming: set[RequestId] = field(default_factory=set)
     ask_again: dict[RequestId, float] = field(default_factory=dict)
+    sent_copies: dict[RequestId, SentCopy] = field(default_factory=dict)
+    held_copies: dict[RequestId, HeldCopy] = field(default_factory=dict)
     joined: dict[RequestId, list[RequestId]] = field(default_factory=dict)
     members: dict[NodeId, Member] = field(default_factory=dict)
     teams: dict[TeamId, TeamUse] = field(default_factory=dict)
--- a/poplarrelay/testing/tests/test_leaving_nodes.py
+++ b/poplarrelay/testing/tests/test_leaving_nodes.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from poplarrelay.client import CallerClient
+from poplarrelay.client import CallerClient, CallerFailure
 from poplarrelay.testing.builders import small_site
 from poplarrelay.testing.processes import run_site, wait_until
 from poplarrelay.testing.site import team_token
@@ -91,3 +91,51 @@
     assert time.monotonic() - started < 5.0
     drain_stream(stream)
     assert result.tokens == whole(PROMPT, 900)
+
+
+def test_deferred_requests_survive_the_crash_of_their_home(site):
+    # A node accepts patient reports and dies without any notice, with one answered
+    # and one not yet run. A peer holds copies of both: it keeps the answer, runs the
+    # other, and any node tells the caller.
+    victim = site.nodes["node-1"]
+    headers = {"Authorization": f"Bearer {team_token('alpha')}"}
+
+    def defer(prompt, max_tokens):
+        body = {"model": "small", "prompt": prompt, "max_tokens": max_tokens}
+        reply = site.caller.call(
+            "POST",
+            victim.address,
+            "/v1/requests",
+            {"url": "/v1/completions", "body": body},
+            timeout_s=5.0,
+            headers=headers,
+        )
+        assert reply.status == 202
+        return reply.value["id"]
+
+    done = defer("first report", 3)
+    client = site.client("alpha")
+    client.wait_for(done, 20.0)
+    wait_until(
+        lambda: any(
+            line["message"] == "end" and line["request"] == done
+            for line in victim.log_lines()
+        )
+    )
+    open_still = defer("second report", 400)
+    victim.kill()
+    del site.nodes["node-1"]
+    others = site.client("alpha", seed=3)
+    found = wait_until(lambda: _answer(others, open_still), 30.0, "the second report")
+    assert found == "".join(whole("second report", 400))
+    assert _answer(others, done) == "".join(whole("first report", 3))
+
+
+def _answer(client, request):
+    try:
+        found = client.fetch(request)
+    except CallerFailure:
+        return None
+    if found.status != "answered":
+        return None
+    return found.document["response"]["choices"][0]["text"]
--- a/poplarrelay/testing/tests/test_whole_answers.py
+++ b/poplarrelay/testing/tests/test_whole_answers.py
@@ -68,3 +68,17 @@
     drain_stream(stream)
     assert result.tokens == whole(PROMPT, 200)
     assert result.streams >= 2
+
+
+def test_deferred_answer_is_whole_after_its_engine_broke(site):
+    # The engine stalls in the middle of a report that nobody waits for. The attempt
+    # goes on at another engine; the tokens of the first one belong to the answer.
+    for engine in ("engine-1", "engine-2", "engine-3"):
+        site.faults(engine, stall_after_tokens=10)
+    client = site.client("alpha")
+    body = {"model": "small", "prompt": PROMPT, "max_tokens": 30}
+    accepted = [client.defer("/v1/completions", body) for _ in range(3)]
+    for each in accepted:
+        found = client.wait_for(each.id, 40.0)
+        text = found.document["response"]["choices"][0]["text"]
+        assert text == "".join(whole(PROMPT, 30))
