Ask seeds for the whole table seldom; give each test process its own hosts

A seed was asked for its whole member table every 3 s. And one test in a run failed because a port that was free when it was looked up had been taken by another test process.

Sites of different test processes use different loopback addresses, and no port is given out twice.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,7 +14,7 @@
 from bench.measuring import cpu_seconds, percentile, resident_mb
 from poplarrelay.testing.builders import small_site
 from poplarrelay.testing.processes import Process, RunningSite, run_site, wait_until
-from poplarrelay.testing.site import free_address, team_token
+from poplarrelay.testing.site import free_address, loopback_host, team_token
 
 RATE = 50.0
 LATENCY_REQUESTS = 1500
@@ -61,7 +61,7 @@
 
 def _start_source(site: RunningSite, name: str, pace_s: float, group: int = 8) -> None:
     """Start a fast engine and put it on the host list in place of the others."""
-    address = free_address("127.0.4.1")
+    address = free_address(loopback_host(10))
     host, port = address.split(":")
     output = site.folder / f"{name}.log"
     command = [sys.executable, "-m", "bench.source", "--host", host, "--port", port]
--- a/poplarrelay/settings.py
+++ b/poplarrelay/settings.py
@@ -66,7 +66,7 @@
     """Intervals and timeouts, in seconds."""
 
     tick_s: float = Field(default=0.05, gt=0, le=1)
-    probe_s: float = Field(default=0.3, gt=0)
+    probe_s: float = Field(default=0.6, gt=0)
     probe_timeout_s: float = Field(default=0.5, gt=0)
     suspicion_s: float = Field(default=1.5, gt=0)
     forget_dead_s: float = Field(default=600.0, gt=0)
--- a/poplarrelay/systems/membership.py
+++ b/poplarrelay/systems/membership.py
@@ -42,6 +42,9 @@
 _PROBED = (MemberStatus.ALIVE, MemberStatus.LEAVING, MemberStatus.SUSPECT)
 #: Rounds of probes between two probes of a node that was declared dead.
 DEAD_PROBE_ROUNDS = 10
+#: Rounds of probes between two requests for a seed's whole member table, which
+#: mends what news have missed; its size grows with the number of nodes.
+FULL_ROUNDS = 200
 
 
 def _changed(member: Member, why: str) -> Decided:
@@ -153,7 +156,8 @@
     if world.settings.seeds and _seed_due(world, probed):
         seed = world.rng.choice(world.settings.seeds)
         if seed != world.me.peers:
-            yield ProbePeer(None, seed, _probe(world, full=True, now=now))
+            full = not probed or world.probe_round % FULL_ROUNDS == 0
+            yield ProbePeer(None, seed, _probe(world, full=full, now=now))
 
 
 def _seed_due(world: World, probed: list[Member]) -> bool:
--- a/poplarrelay/testing/processes.py
+++ b/poplarrelay/testing/processes.py
@@ -28,6 +28,7 @@
     SiteEndpoint,
     SiteNode,
     free_address,
+    loopback_host,
     team_token,
 )
 
@@ -38,6 +39,8 @@
 #: Seconds within which a process must have ended after SIGTERM.
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
+#: First host numbers of endpoints and nodes; the platform's stand-ins come before.
+ENDPOINT_HOSTS, NODE_HOSTS = 20, 120
 OPERATOR_TOKEN = "example-operator-token"
 
 
@@ -358,12 +361,12 @@
 def _start_platform(running: RunningSite, log_options: list[str]) -> None:
     site = running.site
     hosts = {
-        name: f"127.0.1.{i}"
+        name: loopback_host(i)
         for i, name in enumerate(("log", "hosts", "cloud", "weights"), 1)
     }
     running.platform = {name: free_address(host) for name, host in hosts.items()}
     addresses = {
-        endpoint.name: free_address(f"127.0.2.{index}")
+        endpoint.name: free_address(loopback_host(ENDPOINT_HOSTS + index))
         for index, endpoint in enumerate(site.endpoints, 1)
     }
     listing = running.folder / "hosts.json"
@@ -378,7 +381,8 @@
 
 
 def _start_nodes(running: RunningSite) -> None:
-    hosts = [f"127.0.3.{index}" for index in range(1, len(running.site.nodes) + 1)]
+    count = len(running.site.nodes)
+    hosts = [loopback_host(NODE_HOSTS + index) for index in range(1, count + 1)]
     peers = [free_address(host) for host in hosts]
     for node, host, own in zip(running.site.nodes, hosts, peers, strict=True):
         running.node_settings[node.name] = _node_settings(
--- a/poplarrelay/testing/site.py
+++ b/poplarrelay/testing/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import os
 import socket
 from pathlib import Path
 
@@ -17,10 +18,14 @@
     "SiteNode",
     "free_address",
     "hash_token",
+    "loopback_host",
     "team_token",
 ]
 
 
+_RETURNED: set[str] = set()
+
+
 class SiteNode(StrictModel):
     """A node and its failure domain."""
 
@@ -107,9 +112,25 @@
     return f"example-token-of-{team}"
 
 
+def loopback_host(number: int) -> str:
+    """Return one of this process's own loopback addresses.
+
+    Notes
+    -----
+    A port is free when it is looked up and bound a moment later by another process.
+    Were sites of several test processes on the same addresses, one could take the
+    port of another in between.
+    """
+    process = os.getpid()
+    return f"127.{16 + process % 200}.{process // 200 % 250}.{number}"
+
+
 def free_address(host: str) -> str:
-    """Return ``host:port`` with a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((host, 0))
-        return f"{host}:{probe.getsockname()[1]}"
+    """Return ``host:port`` with a free port that was not returned before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((host, 0))
+            address = f"{host}:{probe.getsockname()[1]}"
+        if address not in _RETURNED:
+            _RETURNED.add(address)
+            return address
--- a/poplarrelay/testing/tests/test_configuration.py
+++ b/poplarrelay/testing/tests/test_configuration.py
@@ -8,6 +8,7 @@
 from poplarrelay.testing.builders import deployment_body, small_site, template_body
 from poplarrelay.testing.links import Link, LinkState
 from poplarrelay.testing.processes import run_site, wait_until
+from poplarrelay.testing.site import loopback_host
 
 pytestmark = pytest.mark.processes
 
@@ -191,7 +192,7 @@
 
 def _linked(running, node):
     """Put a link between a node and the log, and start the node again."""
-    link = Link("127.0.5.1", running.platform["log"])
+    link = Link(loopback_host(10), running.platform["log"])
     running.node_settings[node]["platform"]["log"] = link.address
     running.nodes[node].kill()
     running.start_node(node)
