Let moves use the slots that are kept for other teams

A team over its fair share was not given the kept slots for moves either, so running work waited for a place while its engine was about to go.

--- a/poplarrelay/systems/leaving.py
+++ b/poplarrelay/systems/leaving.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 from poplarrelay.messages.effects import (
     Count,
@@ -116,7 +117,9 @@
     way = choose_way(request, endpoint, speed, now, policy)
     if way is MoveWay.FINISH:
         return
-    criteria = criteria_for(world, request, now)
+    # Fair shares are for new work. Work that runs already must find a place before
+    # its endpoint goes, also in the slots that are kept for other teams.
+    criteria = replace(criteria_for(world, request, now), over_share=False)
     endpoints = list(world.endpoints.values())
     choice = choose_endpoint(endpoints, request, criteria, world.rng)
     if choice is None:
--- a/poplarrelay/systems/tests/test_limits.py
+++ b/poplarrelay/systems/tests/test_limits.py
@@ -1,6 +1,7 @@
 """Limits: fair shares, classes, bounded queues, retry budgets, deadlines."""
 
 import itertools
+from collections import Counter
 
 import pytest
 
@@ -245,6 +246,21 @@
     assert node.world.team_use(ALPHA).retry_tokens == before
 
 
+def test_moves_may_use_the_slots_kept_for_other_teams():
+    # One team runs more than its share on both engines, up to the slots that are kept
+    # free of it. One engine is going; what runs there must not wait for fairness.
+    node = Node(engines=2)
+    started = runs(node.tick(*node.arrive("alpha", count=12, max_tokens=4000)))
+    by_engine = Counter(run.attempt.endpoint for run in started)
+    assert by_engine[E0] == 3
+    progress = [
+        AttemptProgressed(run.attempt.request, run.attempt.id, 5) for run in started
+    ]
+    effects = node.tick(*progress, NoticeHeard(2.0, NoticeSource.CLOUD, endpoint=E0))
+    moves = [e for e in effects if isinstance(e, MoveAttempt)]
+    assert len(moves) == 3
+
+
 def test_work_that_ends_in_time_stays_on_a_leaving_engine():
     node = Node(engines=3)
     (run,) = runs(node.tick(*node.arrive("alpha", max_tokens=20)))
