Remove what nothing uses; let traces hold calls that may be repeated

Cause: reading as a newcomer found outcome reasons, a record's age and a method that nothing used, and a field of traces (may_repeat) that was read and had no effect.

--- a/poplarrelay/messages/records.py
+++ b/poplarrelay/messages/records.py
@@ -143,20 +143,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """A record at its offset.
-
-    Attributes
-    ----------
-    age_s : float
-        Seconds between the append and the reading, by the log's own clock.
-    """
+    """A record at its offset."""
 
     offset: Offset
     value: RecordValue
-    age_s: float = 0.0
 
 
-def read_record(offset: int, value: Any, age_s: float) -> Record:
+def read_record(offset: int, value: Any) -> Record:
     """Return the typed record for a decoded JSON value.
 
     Notes
@@ -165,10 +158,10 @@
     another, so it becomes an `UnreadableRecord`, which every fold ignores.
     """
     try:
-        return Record(Offset(offset), _ADAPTER.validate_python(value), age_s)
+        return Record(Offset(offset), _ADAPTER.validate_python(value))
     except ValidationError as error:
         problem = f"{error.error_count()} faults"
-        return Record(Offset(offset), UnreadableRecord(problem), age_s)
+        return Record(Offset(offset), UnreadableRecord(problem))
 
 
 def encode_record(value: RecordValue) -> dict[str, Any]:
--- a/poplarrelay/outcomes.py
+++ b/poplarrelay/outcomes.py
@@ -28,12 +28,10 @@
 
     DEADLINE = "deadline"
     LOG_UNAVAILABLE = "log-unavailable"
-    NO_ENDPOINT = "no-endpoint"
     NODE_LEAVING = "node-leaving"
     NODE_NOT_READY = "node-not-ready"
     QUEUE_FULL = "queue-full"
     REFUSED = "refused"
-    RETRY_BUDGET = "retry-budget"
 
 
 class UnknownReason(Enum):
--- a/poplarrelay/platform/log.py
+++ b/poplarrelay/platform/log.py
@@ -103,12 +103,7 @@
         value = self._call("GET", path, None, wait_s + self._timeout_s)
         time = value.get("time")
         records = tuple(
-            read_record(
-                int(item["offset"]),
-                item["value"],
-                0.0 if time is None else max(0.0, time - item.get("time", time)),
-            )
-            for item in value["records"]
+            read_record(int(item["offset"]), item["value"]) for item in value["records"]
         )
         return LogBatch(
             Offset(int(value["oldest"])), Offset(int(value["next"])), time, records
--- a/poplarrelay/replay/runner.py
+++ b/poplarrelay/replay/runner.py
@@ -95,7 +95,7 @@
         began = time.monotonic()
         ways: dict[TraceWork, Callable[[TraceRequest], RequestResult]] = {
             TraceWork.COMPLETION: self._complete,
-            TraceWork.SERVICE: self._book,
+            TraceWork.SERVICE: self._call,
             TraceWork.DEFERRED: self._defer,
         }
         try:
@@ -106,7 +106,8 @@
             result = RequestResult(request, Word.UNKNOWN)
         result.total_s = (time.monotonic() - began) / self._scale
         if request.work is TraceWork.SERVICE:
-            result.run_name = call_name("POST", "/confirm", _booking(request))
+            if not request.may_repeat:
+                result.run_name = call_name("POST", "/confirm", _booking(request))
             if result.word is Word.ANSWERED:
                 result.first_s = result.total_s
         return result
@@ -134,12 +135,15 @@
             prompt_tokens=result.usage.get("prompt_tokens", 0),
         )
 
-    def _book(self, request: TraceRequest) -> RequestResult:
+    def _call(self, request: TraceRequest) -> RequestResult:
+        """Make a service's call; one that may be repeated is a look-up."""
+        may_repeat = request.may_repeat
         self._client(request.team).call_service(
             request.name,
-            "/confirm",
-            _booking(request),
-            timeout_s=request.timeout_s * self._scale,
+            f"/seats?of={request.id}" if may_repeat else "/confirm",
+            None if may_repeat else _booking(request),
+            "GET" if may_repeat else "POST",
+            request.timeout_s * self._scale,
             request_class=request.request_class.value,
         )
         return RequestResult(request, Word.ANSWERED)
--- a/poplarrelay/systems/claiming.py
+++ b/poplarrelay/systems/claiming.py
@@ -74,7 +74,7 @@
         if batch.log_time is not None:
             world.log_clock = batch.log_time - now
         if batch.oldest > position.next:
-            yield from _skip_trimmed(world, batch, now)
+            yield from _skip_trimmed(world, batch)
         for record in batch.records:
             if record.offset >= position.next:
                 position.next = type(position.next)(record.offset + 1)
@@ -83,7 +83,7 @@
             position.caught_up = True
 
 
-def _skip_trimmed(world: World, batch: RecordsRead, now: float) -> Iterator[Effect]:
+def _skip_trimmed(world: World, batch: RecordsRead) -> Iterator[Effect]:
     """Go on after records that the log has trimmed.
 
     Notes
@@ -107,8 +107,8 @@
     current = world.claims.get(key)
     if claim.after != (None if current is None else current.offset):
         return
-    # The age by the log's clock is not used: were that clock set forward, claims
-    # would be forgotten early, and a key could run again.
+    # The time of the append by the log's clock is not used: were that clock set
+    # forward, claims would be forgotten early, and a key could run again.
     world.claims[key] = Claim.from_record(record.offset, claim, now)
 
 
--- a/poplarrelay/systems/reporting.py
+++ b/poplarrelay/systems/reporting.py
@@ -28,7 +28,7 @@
 ]
 
 
-#: Parts of a request id, with dots between them; see `World.new_request_id`.
+#: Parts of a request id, with dots between them; see `Gateway.new_request_id`.
 REQUEST_ID_PARTS = 4
 #: Most peers that are asked for a request whose home does not answer.
 MAX_PEERS_ASKED = 16
--- a/poplarrelay/systems/tests/test_safeguards.py
+++ b/poplarrelay/systems/tests/test_safeguards.py
@@ -483,8 +483,8 @@
 
 
 def test_log_clock_set_forward_does_not_forget_claims(system):
-    # The log's clock is set forward by hours. Claims read after that look old; the
-    # node must remember them all the same, or the key could run again.
+    # The log's clock is set far forward when a claim of before is read. The node must
+    # remember the claim all the same, or the key could run again.
     system.present("n1", "seat")
     system.settle()
     system.crash("n1")
@@ -493,8 +493,7 @@
     position.next = 0
     world.claims.clear()
     read = system.log.read("claims", 0)
-    aged = tuple(replace(record, age_s=90_000.0) for record in read.records)
-    system.nodes["n2"].inbox.append(replace(read, records=aged, log_time=9e9))
+    system.nodes["n2"].inbox.append(replace(read, log_time=9e9))
     system.tick("n2")
     system.now += 6.0
     system.tick("n2")
--- a/poplarrelay/tables/world.py
+++ b/poplarrelay/tables/world.py
@@ -288,11 +288,6 @@
         """Return the ticket epoch, which counts up from the process's start."""
         return int((now - self.started_at) / self.settings.timing.ticket_epoch_s)
 
-    def new_request_id(self) -> RequestId:
-        """Return an id that names its home node and incarnation."""
-        serial = next(self._counter)
-        return RequestId(f"r.{self.node}.{self.incarnation}.{serial}")
-
     def new_attempt_id(self, request: RequestId) -> AttemptId:
         """Return an attempt id."""
         return AttemptId(f"{request}/{next(self._counter)}")
--- a/poplarrelay/testing/processes.py
+++ b/poplarrelay/testing/processes.py
@@ -41,7 +41,6 @@
 POLL_S = 0.02
 #: First host numbers of endpoints and nodes; the platform's stand-ins come before.
 ENDPOINT_HOSTS, NODE_HOSTS = 20, 120
-OPERATOR_TOKEN = "example-operator-token"
 
 
 class NotReached(PoplarrelayError):
