--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test lint bench capacity binary clean
+.PHONY: demo test lint bench capacity binary lock clean
 
 $(READY): requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -37,5 +37,14 @@
 binary: $(READY)
 	$(BIN)/python tools/binary/build.py
 
+## Lock the versions again, with hashes and without any registry's address.
+LOCK := --quiet --strip-extras --allow-unsafe --generate-hashes --no-header \
+	--no-emit-find-links --no-emit-trusted-host --no-emit-options
+lock: $(READY)
+	$(BIN)/pip install --quiet pip-tools
+	$(BIN)/pip-compile $(LOCK) -o requirements-dev.txt requirements-dev.in
+	$(BIN)/pip-compile $(LOCK) -c requirements-dev.txt -o requirements.txt \
+		requirements.in
+
 clean:
 	rm -rf $(VENV) build dist
