Leave the queue in one place; share a step of the safeguard tests

Cause: reading the whole change, the steps that take a request out of the queue stood three times, and the steps by which a claim is won six times in the safeguard tests. No assertion was changed.

--- a/poplarrelay/systems/concluding.py
+++ b/poplarrelay/systems/concluding.py
@@ -18,7 +18,7 @@
 from poplarrelay.tables.requests import Request, RequestState
 from poplarrelay.tables.world import World
 
-__all__ = ["conclude", "outcome_tag", "release_endpoint", "requeue"]
+__all__ = ["conclude", "leave_queue", "outcome_tag", "release_endpoint", "requeue"]
 
 
 def outcome_tag(outcome: Outcome) -> str:
@@ -54,7 +54,8 @@
     world.team_use(request.team).queued += 1
 
 
-def _leave_queue(world: World, request: Request) -> None:
+def leave_queue(world: World, request: Request) -> None:
+    """Take a request out of the queue, if it waits there."""
     if request.id in world.queue:
         world.queue.remove(request.id)
         world.team_use(request.team).queued -= 1
@@ -120,7 +121,7 @@
     """
     if request.state is RequestState.ENDED:
         return
-    _leave_queue(world, request)
+    leave_queue(world, request)
     release_endpoint(world, request, now)
     was_joined = request.state is RequestState.JOINED
     request.state = RequestState.ENDED
--- a/poplarrelay/systems/dispatching.py
+++ b/poplarrelay/systems/dispatching.py
@@ -16,7 +16,7 @@
 from poplarrelay.messages.inbox import Inbox
 from poplarrelay.outcomes import NotRun, NotRunReason
 from poplarrelay.systems.admitting import rank_of
-from poplarrelay.systems.concluding import conclude
+from poplarrelay.systems.concluding import conclude, leave_queue
 from poplarrelay.systems.limits import over_share, ready_nodes, running_limit
 from poplarrelay.systems.routing import Choice, Criteria, choose_endpoint
 from poplarrelay.tables.claims import KeyState
@@ -180,10 +180,8 @@
 def _dispatch(
     world: World, request: Request, choice: Choice, now: float
 ) -> Iterator[Effect]:
-    world.queue.remove(request.id)
-    use = world.team_use(request.team)
-    use.queued -= 1
-    use.running += 1
+    leave_queue(world, request)
+    world.team_use(request.team).running += 1
     _charge(world, request)
     attempt = book_attempt(world, request, choice, _recomputed(request), now)
     request.state = RequestState.DISPATCHED
--- a/poplarrelay/systems/draining.py
+++ b/poplarrelay/systems/draining.py
@@ -40,7 +40,12 @@
 from poplarrelay.messages.peers import HandoverAnswered, HandoverReceived
 from poplarrelay.messages.questions import ShutdownAsked
 from poplarrelay.outcomes import Continued, Outcome, Unknown, UnknownReason
-from poplarrelay.systems.concluding import conclude, release_endpoint, requeue
+from poplarrelay.systems.concluding import (
+    conclude,
+    leave_queue,
+    release_endpoint,
+    requeue,
+)
 from poplarrelay.systems.gossiping import own_row, raise_version
 from poplarrelay.tables.claims import KeyState, KeyUse, TeamKey
 from poplarrelay.tables.members import Member, MemberStatus
@@ -171,9 +176,7 @@
 
 def _let_go(world: World, request: Request, now: float) -> None:
     """Take a request that goes to the successor off this node's tables."""
-    if request.id in world.queue:
-        world.queue.remove(request.id)
-        world.team_use(request.team).queued -= 1
+    leave_queue(world, request)
     release_endpoint(world, request, now)
     key = world.keyed(request)
     use = None if key is None else world.uses.get(key)
--- a/poplarrelay/systems/tests/test_safeguards.py
+++ b/poplarrelay/systems/tests/test_safeguards.py
@@ -37,6 +37,14 @@
     return [type(action.effect) for action in system.actions]
 
 
+def _win_claim(system):
+    """Let the claim of the first node's request be ordered and read back."""
+    system.tick_all()
+    system.perform_all(AppendRecord)
+    system.read_log("n1")
+    system.tick("n1")
+
+
 def test_two_nodes_race_for_one_key(system):
     # The caller sends the same booking to two nodes at once. Both claim it before
     # either has read the other's claim; the first in the log wins on both, and the
@@ -85,10 +93,7 @@
     # The node claims, runs and crashes before it answers. The caller asks the
     # process that took its place: it cannot know what ran, and says so.
     system.present("n1", "seat")
-    system.tick_all()
-    system.perform_all(AppendRecord)
-    system.read_log("n1")
-    system.tick("n1")
+    _win_claim(system)
     system.perform_all(RunAttempt)
     system.crash("n1")
     system.start("n1")
@@ -105,10 +110,7 @@
     # The holder is frozen after it has won its claim. Another node asks it, gets no
     # answer, and neither runs the booking nor says that it was not run.
     system.present("n1", "seat")
-    system.tick_all()
-    system.perform_all(AppendRecord)
-    system.read_log("n1")
-    system.tick("n1")
+    _win_claim(system)
     system.freeze("n1")
     again = system.present("n2", "seat")
     system.settle()
@@ -184,10 +186,7 @@
     # One node has run the booking; the other one has not read the claim and cannot,
     # because the log is away. It must not say "not run".
     system.present("n1", "seat")
-    system.tick_all()
-    system.perform_all(AppendRecord)
-    system.read_log("n1")
-    system.tick("n1")
+    _win_claim(system)
     system.perform_all(RunAttempt)
     system.tick("n1")
     system.log.up = False
@@ -231,10 +230,7 @@
     # away. Asked by another node, the new process knows nothing of the key; that
     # must not count as "nobody has run it".
     system.present("n1", "seat")
-    system.tick_all()
-    system.perform_all(AppendRecord)
-    system.read_log("n1")
-    system.tick("n1")
+    _win_claim(system)
     system.perform_all(RunAttempt)
     system.log.up = False
     system.crash("n1")
@@ -283,10 +279,7 @@
     # Another node has run the key; this one is still waiting to read its claim when
     # the deadline passes.
     system.present("n1", "seat")
-    system.tick_all()
-    system.perform_all(AppendRecord)
-    system.read_log("n1")
-    system.tick("n1")
+    _win_claim(system)
     system.perform_all(RunAttempt)
     late = system.present("n2", "seat", timeout_s=0.5)
     system.tick("n2")
@@ -507,10 +500,7 @@
     # A plain key was released before its home left. Presented at the successor, it
     # is claimed anew and runs.
     system.present("n1", "seat", timeout_s=3.0)
-    system.tick_all()
-    system.perform_all(AppendRecord)
-    system.read_log("n1")
-    system.tick("n1")
+    _win_claim(system)
     for _ in range(8):
         for action in list(system.actions):
             if isinstance(action.effect, RunAttempt):
