--- a/poplarrelay/testing/tests/test_at_most_once_on_processes.py
+++ b/poplarrelay/testing/tests/test_at_most_once_on_processes.py
@@ -7,19 +7,12 @@
 import pytest
 
 from poplarrelay.client import AnswerNotRun, AnswerUnknown
-from poplarrelay.testing.builders import small_site
-from poplarrelay.testing.processes import run_site, wait_until
-from poplarrelay.testing.steps import QUICK, busy_node, confirm, runs_of
+from poplarrelay.testing.processes import wait_until
+from poplarrelay.testing.steps import busy_node, confirm, runs_of
 
 pytestmark = pytest.mark.processes
 
 
-@pytest.fixture
-def site():
-    with run_site(small_site(engines=4), settings=QUICK) as running:
-        yield running
-
-
 def test_same_key_at_three_nodes_at_once_runs_once(site):
     answers = []
 
--- a/poplarrelay/testing/tests/test_leaving_endpoints.py
+++ b/poplarrelay/testing/tests/test_leaving_endpoints.py
@@ -5,11 +5,9 @@
 
 import pytest
 
-from poplarrelay.testing.builders import small_site
-from poplarrelay.testing.processes import run_site, wait_until
+from poplarrelay.testing.processes import wait_until
 from poplarrelay.testing.steps import (
     PROMPT,
-    QUICK,
     busy_endpoint,
     drain_stream,
     start_stream,
@@ -19,12 +17,6 @@
 pytestmark = pytest.mark.processes
 
 
-@pytest.fixture
-def site():
-    with run_site(small_site(engines=4), settings=QUICK) as running:
-        yield running
-
-
 def test_announced_reclaim_of_a_domain_and_then_the_next_loses_nothing(site):
     # Notice for one failure domain, two seconds later for the next; each goes two
     # seconds after its notice, and the notices are doubled.
--- a/poplarrelay/testing/tests/test_leaving_nodes.py
+++ b/poplarrelay/testing/tests/test_leaving_nodes.py
@@ -6,12 +6,10 @@
 import pytest
 
 from poplarrelay.client import CallerClient, CallerFailure
-from poplarrelay.testing.builders import small_site
-from poplarrelay.testing.processes import run_site, wait_until
+from poplarrelay.testing.processes import wait_until
 from poplarrelay.testing.site import team_token
 from poplarrelay.testing.steps import (
     PROMPT,
-    QUICK,
     busy_node,
     drain_stream,
     start_stream,
@@ -21,12 +19,6 @@
 pytestmark = pytest.mark.processes
 
 
-@pytest.fixture
-def site():
-    with run_site(small_site(engines=4), settings=QUICK) as running:
-        yield running
-
-
 def test_terminated_node_cuts_off_no_stream(site):
     # The stream ends before the node has to.
     stream, result = start_stream(site, 150)
--- a/poplarrelay/testing/tests/test_teams.py
+++ b/poplarrelay/testing/tests/test_teams.py
@@ -5,19 +5,11 @@
 import pytest
 
 from poplarrelay.client import RequestRefused
-from poplarrelay.testing.builders import small_site
-from poplarrelay.testing.processes import run_site
-from poplarrelay.testing.steps import QUICK, confirm, runs_of
+from poplarrelay.testing.steps import confirm, runs_of
 
 pytestmark = pytest.mark.processes
 
 
-@pytest.fixture
-def site():
-    with run_site(small_site(engines=4), settings=QUICK) as running:
-        yield running
-
-
 def test_two_teams_with_the_same_key_do_not_meet(site):
     body = b'{"seat": "shared"}'
     first = site.client("alpha").call_service("booking", "/a", body, key="same")
--- a/poplarrelay/testing/tests/test_whole_answers.py
+++ b/poplarrelay/testing/tests/test_whole_answers.py
@@ -2,11 +2,9 @@
 
 import pytest
 
-from poplarrelay.testing.builders import small_site
-from poplarrelay.testing.processes import run_site, wait_until
+from poplarrelay.testing.processes import wait_until
 from poplarrelay.testing.steps import (
     PROMPT,
-    QUICK,
     busy_endpoint,
     busy_node,
     drain_stream,
@@ -17,12 +15,6 @@
 pytestmark = pytest.mark.processes
 
 
-@pytest.fixture
-def site():
-    with run_site(small_site(engines=4), settings=QUICK) as running:
-        yield running
-
-
 @pytest.mark.parametrize(
     "faults",
     [
