--- a/poplarrelay/client/caller.py
+++ b/poplarrelay/client/caller.py
@@ -20,7 +20,7 @@
     CallerFailure,
     RequestRefused,
 )
-from poplarrelay.platform.http import JsonCaller
+from poplarrelay.providers.http import JsonCaller
 
 __all__ = ["CallerClient", "CompletionResult", "DeferredResult", "ServiceResult"]
 
--- a/poplarrelay/client/discovery.py
+++ b/poplarrelay/client/discovery.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from poplarrelay.client.failures import AnswerNotRun, RequestRefused
-from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.providers.http import CallFailed, JsonCaller
 
 __all__ = ["Discovery", "NodeAddress"]
 
--- a/poplarrelay/commands/operators.py
+++ b/poplarrelay/commands/operators.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from poplarrelay.commands.output import ExitCode, fail
-from poplarrelay.platform.http import CallFailed, JsonCaller, JsonReply
+from poplarrelay.providers.http import CallFailed, JsonCaller, JsonReply
 
 __all__ = ["Operator", "TOKEN_VARIABLE"]
 
--- a/poplarrelay/engines/http.py
+++ b/poplarrelay/engines/http.py
@@ -27,7 +27,7 @@
 from poplarrelay.identifiers import AttemptId, EndpointId, TeamId
 from poplarrelay.messages.effects import GiveOrder
 from poplarrelay.outcomes import ServiceAnswer
-from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.providers.http import CallFailed, JsonCaller
 from poplarrelay.tables.endpoints import LoadReport
 from poplarrelay.tables.requests import Attempt, Work
 
--- a/poplarrelay/node/callers.py
+++ b/poplarrelay/node/callers.py
@@ -32,7 +32,7 @@
 from poplarrelay.node.gateway import Gateway, SessionEvents
 from poplarrelay.node.sessions import Accepted, CallerEvent, Ended, Rejected
 from poplarrelay.outcomes import Answered, Outcome
-from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.providers.http import CallFailed, JsonCaller
 from poplarrelay.systems.reporting import LookupElsewhere, LookupResult
 from poplarrelay.tables.requests import RequestClass, Work
 from poplarrelay.web.exchange import (
--- a/poplarrelay/node/logworkers.py
+++ b/poplarrelay/node/logworkers.py
@@ -13,7 +13,7 @@
 from poplarrelay.messages.effects import AppendRecord
 from poplarrelay.messages.inbox import Message
 from poplarrelay.messages.platform import LogFailed, RecordsRead
-from poplarrelay.platform.log import LogService
+from poplarrelay.providers.log import LogService
 
 __all__ = ["LogAppender", "LogReader"]
 
--- a/poplarrelay/node/metrics.py
+++ b/poplarrelay/node/metrics.py
@@ -84,7 +84,7 @@
             self._dropped.inc({"why": why})
 
     def add(self, path: str, sent: int, received: int) -> None:
-        """Count the bytes of one call; see `poplarrelay.platform.http.CallMeter`."""
+        """Count the bytes of one call; see `poplarrelay.providers.http.CallMeter`."""
         kind = path.split("/", 2)[1].split("?")[0]
         with self._lock:
             self._bytes.add({"kind": kind, "way": "sent"}, sent)
--- a/poplarrelay/node/outbox.py
+++ b/poplarrelay/node/outbox.py
@@ -66,8 +66,8 @@
 from poplarrelay.node.metrics import NodeMetrics
 from poplarrelay.node.peering import PeerClient
 from poplarrelay.node.sessions import Runtime, Session
-from poplarrelay.platform.hosts import CloudStarts, HostList
-from poplarrelay.platform.http import JsonCaller
+from poplarrelay.providers.hosts import CloudStarts, HostList
+from poplarrelay.providers.http import JsonCaller
 
 __all__ = ["Outbox"]
 
--- a/poplarrelay/node/peering.py
+++ b/poplarrelay/node/peering.py
@@ -19,7 +19,7 @@
     StoredRequest,
 )
 from poplarrelay.messages.records import SnapshotRecord
-from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.providers.http import CallFailed, JsonCaller
 
 __all__ = ["PeerClient", "ThroughMessage"]
 
--- a/poplarrelay/node/process.py
+++ b/poplarrelay/node/process.py
@@ -24,9 +24,9 @@
 from poplarrelay.node.outbox import Outbox
 from poplarrelay.node.peering import PeerClient
 from poplarrelay.node.peers import MAX_PEER_BYTES, PeersRoot
-from poplarrelay.platform.hosts import HttpCloud, HttpHostList
-from poplarrelay.platform.http import JsonCaller
-from poplarrelay.platform.log import HttpLogService
+from poplarrelay.providers.hosts import HttpCloud, HttpHostList
+from poplarrelay.providers.http import JsonCaller
+from poplarrelay.providers.log import HttpLogService
 from poplarrelay.settings import NodeSettings
 from poplarrelay.tables.world import CLAIMS, CONFIGURATION, World
 from poplarrelay.web.listener import Listener, ListenerLimits
--- a/poplarrelay/platform/hosts.py
+++ b/poplarrelay/providers/hosts.py
@@ -15,7 +15,7 @@
     NoticeSource,
     StartedHost,
 )
-from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.providers.http import CallFailed, JsonCaller
 from poplarrelay.tables.endpoints import EndpointKind
 
 __all__ = [
--- a/poplarrelay/platform/log.py
+++ b/poplarrelay/providers/log.py
@@ -9,7 +9,7 @@
 from poplarrelay.exception import LogRefused, LogUnavailable
 from poplarrelay.identifiers import Offset, StreamName
 from poplarrelay.messages.records import Record, RecordValue, encode_record, read_record
-from poplarrelay.platform.http import CallFailed, JsonCaller, JsonReply
+from poplarrelay.providers.http import CallFailed, JsonCaller, JsonReply
 
 __all__ = ["HttpLogService", "LogBatch", "LogService"]
 
--- a/poplarrelay/replay/runner.py
+++ b/poplarrelay/replay/runner.py
@@ -11,7 +11,7 @@
 
 from poplarrelay.client import AnswerNotRun, CallerClient, CallerFailure
 from poplarrelay.client.caller import CompletionResult
-from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.providers.http import CallFailed, JsonCaller
 from poplarrelay.replay.target import ReplayTarget
 from poplarrelay.replay.trace import (
     EventKind,
--- a/poplarrelay/standins/engine.py
+++ b/poplarrelay/standins/engine.py
@@ -15,7 +15,7 @@
 import orjson
 from pydantic import BaseModel
 
-from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.providers.http import CallFailed, JsonCaller
 from poplarrelay.standins.base import MAX_BODY_BYTES, StandIn, refuse
 from poplarrelay.standins.batching import (
     Batch,
--- a/poplarrelay/standins/platform.py
+++ b/poplarrelay/standins/platform.py
@@ -10,7 +10,7 @@
 import cherrypy
 from pydantic import BaseModel
 
-from poplarrelay.platform.hosts import NOT_MODIFIED
+from poplarrelay.providers.hosts import NOT_MODIFIED
 from poplarrelay.standins.base import MAX_BODY_BYTES, StandIn, refuse
 from poplarrelay.web.exchange import answer_json, header, read_json, require_method
 
--- a/poplarrelay/systems/tests/test_placing.py
+++ b/poplarrelay/systems/tests/test_placing.py
@@ -5,7 +5,7 @@
 from poplarrelay.engines.http import give_order
 from poplarrelay.identifiers import EndpointId, NodeId, Offset
 from poplarrelay.messages.effects import GiveOrder
-from poplarrelay.platform.http import JsonCaller
+from poplarrelay.providers.http import JsonCaller
 from poplarrelay.systems.placing import place_models
 from poplarrelay.tables.endpoints import EndpointKind, EndpointState
 from poplarrelay.testing.worlds import make_endpoint
--- a/poplarrelay/testing/processes.py
+++ b/poplarrelay/testing/processes.py
@@ -22,7 +22,7 @@
 
 from poplarrelay.client import CallerClient
 from poplarrelay.exception import PoplarrelayError
-from poplarrelay.platform.http import CallFailed, JsonCaller
+from poplarrelay.providers.http import CallFailed, JsonCaller
 from poplarrelay.testing.site import (
     Site,
     SiteEndpoint,
