Keep quotas over cuts and floods; replace missing reclaimable endpoints

Ruled out first: news that comes late (parts of the refill up to the last report, and reports at once when the bucket is tight, changed little by themselves; they stay for cuts, where each group had a whole refill).

On-demand ones now come for what is missing of the least that carries the load.

--- a/poplarrelay/entry/dutying.py
+++ b/poplarrelay/entry/dutying.py
@@ -47,6 +47,8 @@
 #: Seconds between orders that say the same. An order whose answer was lost may be
 #: carried out after a newer one, and would stay in force otherwise.
 AFFIRM_S = 8.0
+#: Seconds beyond its boot time after which an ordered endpoint should be listed.
+BOOT_MARGIN_S = 1.5
 #: Seconds for which a domain without reclaimable endpoints is not asked again.
 DRY_S = 3.0
 #: Weights of a second's load in the smoothed one, rising and falling: late orders
@@ -320,11 +322,33 @@
                     load,
                 )
 
+    def _affirm_after(self, order: EndpointOrder) -> float:
+        """Return after how long an order is given again.
+
+        Notes
+        -----
+        Endpoints that are there are affirmed seldom. Ones that should have booted
+        and are not there were taken away; only asking again shows whether new ones
+        are to be had, or the other domains must carry the load.
+        """
+        configuration = self._state.configuration
+        rows = self._state.endpoints.of(order.service)
+        there = sum(
+            row.domain == order.domain
+            and row.reclaimable is order.reclaimable
+            and row.accepts_work
+            for row in rows
+        )
+        service = configuration and configuration.services.get(order.service)
+        if there >= order.count or not service or service.scaling is None:
+            return AFFIRM_S
+        return min(AFFIRM_S, service.scaling.boot_s + BOOT_MARGIN_S)
+
     async def _order(self, order: EndpointOrder, load: float) -> None:
         now = monotonic()
         key = (order.service, order.domain, order.reclaimable)
         last = self._orders.setdefault(key, _OrderState())
-        if last.count == order.count and now - last.at < AFFIRM_S:
+        if last.count == order.count and now - last.at < self._affirm_after(order):
             return
         if not self._lease.may_act(now):
             return
--- a/poplarrelay/entry/peers.py
+++ b/poplarrelay/entry/peers.py
@@ -25,6 +25,7 @@
     "choose_addresses",
     "decode_row",
     "encode_row",
+    "reporter_of",
 ]
 
 #: Seconds without news after which a node is taken for dead. News reaches all of
@@ -194,6 +195,11 @@
         return [self.me.usage, *(row.usage for row in rows)]
 
 
+def reporter_of(row: PeerRow) -> str:
+    """Return the name under which one process of a node reports its use."""
+    return f"{row.node}/{row.incarnation}"
+
+
 def choose_addresses(table: PeerTable, port: int, now: float, rng: Random) -> list[str]:
     """Return the addresses that a caller may connect to.
 
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -29,7 +29,12 @@
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest, Listener
 from poplarrelay.entry.http.pool import ConnectionPool
 from poplarrelay.entry.metrics import EntryMetrics
-from poplarrelay.entry.peers import NodeState, PeerRow, choose_addresses
+from poplarrelay.entry.peers import (
+    NodeState,
+    PeerRow,
+    choose_addresses,
+    reporter_of,
+)
 from poplarrelay.entry.relaying import Relay
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.entry.state import EntryState
@@ -52,6 +57,8 @@
 TICK_S = 0.1
 #: Seconds between rounds of news to peers.
 GOSSIP_S = 0.4
+#: Seconds for which news that all peers must have is collected before it is sent.
+ANNOUNCE_S = 0.05
 #: Seconds that a read of the configuration waits for a change. Longer waits cost
 #: fewer calls; a connection gone silent is noticed only after this and a margin.
 CONFIGURATION_WAIT_S = 1.5
@@ -99,7 +106,9 @@
         self._store = Store(parse_address(settings.platform.store))
         self._metrics = EntryMetrics()
         self._pool = ConnectionPool(ENDPOINT_CONNECT_S)
-        self._relay = Relay(self._state, self._pool, self._metrics.observe)
+        self._relay = Relay(
+            self._state, self._pool, self._metrics.observe, self._announce
+        )
         self._endpoints_read = Dependency("store: endpoints")
         self._configuration_read = Dependency("store: configuration")
         self._view = StoreView(self._state, self._endpoints_read, self._on_change)
@@ -120,6 +129,7 @@
         self._freezes = FreezeDetector(FROZEN_S)
         self._stopping_at: float | None = None
         self._next_gossip_at = 0.0
+        self._announcement: asyncio.TimerHandle | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners = self._make_listeners()
 
@@ -248,7 +258,7 @@
             self._tasks.append(task)
 
     def _tell_all(self) -> None:
-        self._state.me.version += 1
+        self._refresh_own_row()
         self._gossip.run_round(self._seeds, to_all=True)
 
     def _finished(self) -> bool:
@@ -351,23 +361,48 @@
             follower.start_over()
 
     def _run_gossip(self, now: float) -> None:
+        state = self._state
+        state.listed_nodes = len(self._directory.hosts)
+        self._refresh_own_row()
+        state.peers.forget(now)
+        known = {reporter_of(seen.row) for seen in state.peers.seen.values()}
+        for bucket in state.buckets.values():
+            bucket.forget(known)
+        state.sum_loads(now)
+        self._gossip.run_round(self._seeds)
+
+    def _refresh_own_row(self) -> None:
         state = self._state
         me = state.me
         me.version += 1
         me.usage = state.usage.windows
+        configuration = state.configuration
+        if configuration is not None:
+            for team in configuration.teams.values():
+                state.bucket(team, monotonic())
+        for bucket in state.buckets.values():
+            bucket.told = bucket.spent
         me.spent = {team: bucket.spent for team, bucket in state.buckets.items()}
         me.loads = {
             row.endpoint: row.running
             for row in state.endpoints.rows.values()
             if row.running
         }
-        state.peers.forget(now)
-        state.sum_loads(now)
-        self._gossip.run_round(self._seeds)
+
+    def _announce(self) -> None:
+        """Tell all peers this node's row, unless that is about to happen."""
+        if self._announcement is None:
+            loop = asyncio.get_running_loop()
+            self._announcement = loop.call_later(ANNOUNCE_S, self._announce_now)
+
+    def _announce_now(self) -> None:
+        self._announcement = None
+        self._refresh_own_row()
+        self._gossip.run_round(self._seeds, to_all=True)
 
     def _on_news(self, row: PeerRow) -> None:
         now = monotonic()
-        reporter = f"{row.node}/{row.incarnation}"
+        reporter = reporter_of(row)
         configuration = self._state.configuration
         if configuration is None:
             return
@@ -377,7 +412,10 @@
                 continue
             bucket = self._state.bucket(team, now)
             if bucket is not None:
-                bucket.hear(reporter, spent, now)
+                # A process that started before this one may have used its part
+                # long ago; what a younger one has used is all in this bucket's time.
+                older = row.incarnation < self._state.me.incarnation
+                bucket.hear(reporter, spent, spent if older else 0.0, now)
 
     def _on_change(self) -> None:
         if self._state.configuration is None:
--- a/poplarrelay/entry/quotas.py
+++ b/poplarrelay/entry/quotas.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from poplarrelay.entry.configuration import Quota
@@ -10,14 +10,18 @@
 
 __all__ = ["Bucket", "OverQuota", "RemoteUse", "cost_of"]
 
-#: Seconds of a silent peer's last pace that are added to what it reported. News
-#: takes up to two rounds; a peer that is silent longer is dead or cut off, and
-#: counted as going on at its pace for at most this long.
-LONGEST_GUESS_S = 3.0
-#: Seconds of refill that a restarted node finds in its bucket. Its predecessor may
-#: have spent the burst a moment ago.
+#: Seconds of its part of the refill that a restarted node finds in its bucket. Its
+#: predecessor may have spent the burst a moment ago.
 RESTART_REFILL_S = 1.0
-#: Weight of one report in a peer's pace.
+#: Seconds after its last report for which a node's part of the refill is still given
+#: to the others: one and a half rounds of news.
+REPORT_LAG_S = 0.6
+#: Seconds without a report after which a node's part of the burst is its own, too.
+#: In calm times every node is heard within three rounds.
+CUT_OFF_S = 1.3
+#: Part of the burst below which use is told to the others at once.
+TIGHT_SHARE = 0.5
+#: Weight of one report in a node's pace.
 PACE_WEIGHT = 0.5
 
 
@@ -45,15 +49,18 @@
     ----------
     total : float
         Sum since that node's process started.
-    pace : float
-        Moving use a second.
     heard_at : float
         Monotonic time of the last report.
+    refilled_to : float
+        Time up to which that node's part of the refill is in this bucket.
+    pace : float
+        Moving use a second.
     """
 
     total: float
+    heard_at: float
+    refilled_to: float
     pace: float = 0.0
-    heard_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -64,8 +71,12 @@
     ----------
     level : float
         What is left; below zero after other nodes' use was heard late.
+    refilled_to : float
+        Monotonic time up to which this node's own part of the refill is in it.
     spent : float
         What this node has taken since it started, told to the others.
+    told : float
+        What of it they have been told.
     remotes : dict of str to RemoteUse
         The other nodes' use, by node and incarnation.
 
@@ -74,36 +85,74 @@
     Each node subtracts its own use at once and the others' as it is heard. What
     others use between two reports is guessed from their pace, so a flood that
     arrives at all nodes overruns by about one report interval of its growth, not
-    of its size. A node that hears nobody goes on with the last paces for
-    `LONGEST_GUESS_S` and then has the whole refill: by then the others have dropped
-    it from the addresses that callers get.
+    of its size; when the bucket is tight, use is reported at once.
+
+    The refill is divided into equal parts, one a node, and a node's part is given
+    only up to its last report. Nodes that are cut off from each other cannot report;
+    callers keep the addresses of such nodes, which moreover name only themselves to
+    new callers. With whole refills a cut of three nodes let through up to four
+    quotas; in parts, all groups together stay within one.
     """
 
     level: float
-    refilled_at: float
+    refilled_to: float
     spent: float = 0.0
+    told: float = 0.0
     remotes: dict[str, RemoteUse] = field(default_factory=dict)
 
     @classmethod
-    def starting(cls, quota: Quota, now: float, first_start: bool) -> Bucket:
+    def starting(
+        cls, quota: Quota, now: float, nodes: int, first_start: bool
+    ) -> Bucket:
         """Return the bucket of a node that has just started."""
-        level = quota.burst if first_start else quota.per_s * RESTART_REFILL_S
-        return cls(min(level, quota.burst), now)
-
-    def refill(self, quota: Quota, now: float) -> None:
-        """Add what has accrued; a lowered burst takes effect at once."""
-        accrued = quota.per_s * max(0.0, now - self.refilled_at)
-        self.level = min(quota.burst, self.level + accrued)
-        self.refilled_at = now
+        level = quota.burst
+        if not first_start:
+            level = min(level, quota.per_s * RESTART_REFILL_S / max(1, nodes))
+        return cls(level, now)
+
+    def refill(self, quota: Quota, now: float, nodes: int) -> None:
+        """Add the parts of the refill that are due; a lower burst counts at once.
+
+        Parameters
+        ----------
+        quota : Quota
+            The quota in force.
+        now : float
+            Monotonic time.
+        nodes : int
+            How many nodes there are, cut off ones included.
+        """
+        nodes = max(nodes, 1 + len(self.remotes))
+        due_s = max(0.0, now - self.refilled_to)
+        self.refilled_to = max(self.refilled_to, now)
+        for remote in self.remotes.values():
+            until = min(now, remote.heard_at + REPORT_LAG_S)
+            due_s += max(0.0, until - remote.refilled_to)
+            remote.refilled_to = max(remote.refilled_to, until)
+        self.level += due_s * quota.per_s / nodes
+        self.level = min(self.level, quota.burst * self.heard_share(now, nodes))
+
+    def heard_share(self, now: float, nodes: int) -> float:
+        """Return the part of all nodes that this node hears, itself included."""
+        heard = sum(now - r.heard_at <= CUT_OFF_S for r in self.remotes.values())
+        return (1 + heard) / max(nodes, 1 + len(self.remotes))
 
     def guessed(self, now: float) -> float:
         """Return what the others have probably used since their last reports."""
-        return sum(
-            remote.pace * min(LONGEST_GUESS_S, max(0.0, now - remote.heard_at))
-            for remote in self.remotes.values()
-        )
-
-    def take(self, quota: Quota, cost: float, now: float) -> OverQuota | None:
+        guess = 0.0
+        for remote in self.remotes.values():
+            silence_s = max(0.0, now - remote.heard_at)
+            if silence_s <= CUT_OFF_S:
+                guess += remote.pace * silence_s
+        return guess
+
+    def tight(self, quota: Quota) -> bool:
+        """Return whether so little is left that others must know of use at once."""
+        return self.level < TIGHT_SHARE * quota.burst
+
+    def take(
+        self, quota: Quota, cost: float, now: float, nodes: int
+    ) -> OverQuota | None:
         """Take a request's cost, or tell when it would fit.
 
         Notes
@@ -111,11 +160,12 @@
         A request larger than the whole burst is let in with a full bucket, and
         leaves a debt; otherwise it could never run.
         """
-        self.refill(quota, now)
+        self.refill(quota, now, nodes)
+        share = self.heard_share(now, nodes)
         left = self.level - self.guessed(now)
-        needed = min(cost, quota.burst)
+        needed = min(cost, quota.burst * share)
         if left < needed:
-            return OverQuota((needed - left) / quota.per_s)
+            return OverQuota((needed - left) / (share * quota.per_s))
         self.level -= cost
         self.spent += cost
         return None
@@ -125,14 +175,24 @@
         self.level += cost
         self.spent -= cost
 
-    def hear(self, reporter: str, total: float, now: float) -> None:
-        """Take another node's report of what it has used."""
+    def hear(self, reporter: str, total: float, baseline: float, now: float) -> None:
+        """Take another node's report of what it has used.
+
+        Parameters
+        ----------
+        reporter : str
+            The node and its incarnation.
+        total : float
+            What it has used since it started.
+        baseline : float
+            What of it had been used before this node started.
+        now : float
+            Monotonic time.
+        """
         remote = self.remotes.get(reporter)
         if remote is None:
-            # What it used before this node knew it is paid for by the time that
-            # its process has been running.
-            self.remotes[reporter] = RemoteUse(total, 0.0, now)
-            return
+            remote = RemoteUse(baseline, now, now)
+            self.remotes[reporter] = remote
         used = total - remote.total
         elapsed = max(0.05, now - remote.heard_at)
         remote.total = total
@@ -140,8 +200,7 @@
         remote.pace += PACE_WEIGHT * (max(0.0, used) / elapsed - remote.pace)
         remote.heard_at = now
 
-    def forget(self, alive: Iterable[str]) -> None:
-        """Drop the reports of nodes that are gone."""
-        kept = set(alive)
-        for reporter in [name for name in self.remotes if name not in kept]:
+    def forget(self, known: Collection[str]) -> None:
+        """Drop the reports of processes that are not known any more."""
+        for reporter in [name for name in self.remotes if name not in known]:
             del self.remotes[reporter]
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -35,7 +35,7 @@
     StreamBroken,
     Streamed,
 )
-from poplarrelay.entry.quotas import cost_of
+from poplarrelay.entry.quotas import Bucket, cost_of
 from poplarrelay.entry.requests import CallerRequest
 from poplarrelay.entry.routing import Admitted, Denied, NoRoute, admit, choose_service
 from poplarrelay.entry.state import EntryState
@@ -62,6 +62,10 @@
 #: Silence within a stream after which it goes on elsewhere. Engines pause for some
 #: hundred ms to read long prompts in, and callers leave after two seconds.
 STREAM_SILENCE_S = 1.5
+#: Part of the quotas' tolerance, divided by the nodes, that may be used of a tight
+#: bucket before the others are told: the untold use of all nodes together stays
+#: within a quarter of what operators tolerate.
+UNTOLD_SHARE = 0.25
 #: Statuses of an endpoint that a repetition elsewhere may better.
 _REPEATABLE_STATUSES = frozenset((500, 502, 503, 504))
 #: Statuses that promise that a request has not run. From an endpoint that does not
@@ -86,6 +90,8 @@
     may_have_run: bool = False
     begun: bool = False
     last_answer: Answered | None = None
+    quota_cost: float = 0.0
+    quota_left: float | None = None
 
     @property
     def remaining_s(self) -> float:
@@ -109,6 +115,8 @@
         Connections to endpoints.
     observe : callable
         Takes the outcome of each request, for the metrics.
+    announce : callable
+        Tells all peers this node's row soon, out of turn.
     """
 
     def __init__(
@@ -116,10 +124,12 @@
         state: EntryState,
         pool: ConnectionPool,
         observe: Callable[[str, str, float], None],
+        announce: Callable[[], None],
     ) -> None:
         self._state = state
         self._pool = pool
         self._observe = observe
+        self._announce = announce
         self.waiting = WaitingRoom()
 
     async def handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
@@ -187,8 +197,12 @@
         bucket = self._state.bucket(team, now)
         assert bucket is not None
         cost = cost_of(team.quota, case.request)
-        over = bucket.take(team.quota, cost, now)
+        over = bucket.take(team.quota, cost, now, self._state.total_nodes)
+        case.quota_left = bucket.level
         if over is None:
+            case.quota_cost = cost
+            if bucket.tight(team.quota):
+                self._tell_use(bucket)
             return None
         return Refusal(
             429,
@@ -197,13 +211,21 @@
             f"left {bucket.level:.0f}, cost {cost:.0f}",
         )
 
+    def _tell_use(self, bucket: Bucket) -> None:
+        """Tell the other nodes at once once untold use matters."""
+        bounds = self._state.settings.bounds
+        untold = bucket.spent - bucket.told
+        if untold > UNTOLD_SHARE * bounds.quota_slack / self._state.total_nodes:
+            self._announce()
+
     def _refund(self, case: _Case) -> None:
-        team = case.team
-        if team is None or team.quota is None:
+        """Give back what a request that did not run has taken from its quota."""
+        if case.team is None or case.quota_cost == 0:
             return
-        bucket = self._state.bucket(team, monotonic())
+        bucket = self._state.bucket(case.team, monotonic())
         if bucket is not None:
-            bucket.give_back(cost_of(team.quota, case.request))
+            bucket.give_back(case.quota_cost)
+            case.quota_cost = 0.0
 
     # attempts
 
@@ -503,6 +525,9 @@
             "configuration": case.version,
             "configuration_age_s": round(now - self._state.configuration_at, 1),
         }
+        if case.quota_left is not None:
+            extra["quota_cost"] = case.quota_cost
+            extra["quota_left"] = round(case.quota_left)
         if first_at is not None:
             extra["first_event_ms"] = round(
                 1000 * (first_at - case.request.started_at), 1
--- a/poplarrelay/entry/sizing.py
+++ b/poplarrelay/entry/sizing.py
@@ -16,6 +16,11 @@
 #: the requests that it works on; at fourteen a step takes about 1.5 times as long as
 #: at one, and prompts still wait for less than half of the usual target.
 LOAD_PER_ENDPOINT = 14.0
+#: Requests at one engine above which answers are late; the least number of
+#: endpoints follows from it.
+OVERLOAD_PER_ENDPOINT = 24.0
+#: Endpoints that a service has at least, so that losing one is not losing all.
+LEAST_ENDPOINTS = 2
 #: Endpoints beyond that, so that a domain which is taken away leaves enough: a new
 #: one takes seconds to boot, and none may be had.
 SPARE_ENDPOINTS = 1
@@ -69,7 +74,8 @@
     Reclaimable endpoints cost a fraction of the others and go a domain at a time,
     so they are spread: one in each domain first, then a second in the cheapest.
     While a domain is dry its share moves to the others. On-demand endpoints that
-    were there at the start stay until as many reclaimable ones serve.
+    were there at the start stay until as many reclaimable ones serve; new ones come
+    only for what reclaimable ones cannot carry.
     """
     limits = given.limits
     domains = sorted(limits.domain_prices, key=lambda d: limits.domain_prices[d])
@@ -84,23 +90,38 @@
         if counts[domain] < limits.most:
             counts[domain] += 1
             in_reach += 1
-    serving = sum(_serving(given.rows, domain, True) for domain in domains)
-    enough = serving >= min(needed, len(domains))
-    return tuple(
-        DomainPlan(domain, counts[domain], _on_demand(given, domain, counts, enough))
-        for domain in domains
-    )
-
-
-def _on_demand(
+    reclaimable = {domain: _serving(given.rows, domain, True) for domain in domains}
+    missing = _missing(given, counts, reclaimable, frozenset(wet))
+    serving = sum(reclaimable.values())
+    relieved = serving >= min(needed, len(domains))
+    plans: list[DomainPlan] = []
+    for domain in domains:
+        room = limits.most - counts[domain]
+        present = 0 if relieved else _serving(given.rows, domain, False)
+        extra = max(0, min(max(present, missing), room))
+        missing -= min(missing, extra)
+        plans.append(DomainPlan(domain, counts[domain], extra))
+    return tuple(plans)
+
+
+def _missing(
     given: SizingInput,
-    domain: DomainId,
     counts: dict[DomainId, int],
-    enough: bool,
+    reclaimable: dict[DomainId, int],
+    wet: frozenset[DomainId],
 ) -> int:
-    """Return the on-demand endpoints of a domain."""
-    present = _serving(given.rows, domain, False)
-    room = given.limits.most - counts[domain]
-    if enough:
-        return 0
-    return max(0, min(present, room))
+    """Return the on-demand endpoints without which the load cannot be carried.
+
+    Notes
+    -----
+    Waves may leave no failure domain with reclaimable endpoints for longer than
+    any caller waits. On-demand ones cost several times as much, so they replace
+    only what is missing of the least that carries the load, and go again as soon
+    as reclaimable ones serve. Those that boot in a domain that is not dry count.
+    """
+    least = max(LEAST_ENDPOINTS, ceil(given.load / OVERLOAD_PER_ENDPOINT))
+    there = sum(
+        max(counts[domain], found) if domain in wet else found
+        for domain, found in reclaimable.items()
+    )
+    return max(0, least - there)
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -38,6 +38,8 @@
         Monotonic time at which it came into force.
     endpoints_known : bool
         Whether the list of endpoints has been read once.
+    listed_nodes : int
+        Other nodes that the directory in the platform's store lists.
     ends : dict of ServiceName to deque of float
         Times at which requests ended, for the rate at which places come free.
     """
@@ -55,6 +57,7 @@
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
     buckets: dict[TeamId, Bucket] = field(default_factory=dict)
     ends: dict[ServiceName, deque[float]] = field(default_factory=dict)
+    listed_nodes: int = 0
     most_nodes: list[tuple[float, int]] = field(default_factory=list)
 
     @classmethod
@@ -108,7 +111,9 @@
             return None
         found = self.buckets.get(team.name)
         if found is None:
-            found = Bucket.starting(team.quota, now, self.settings.first_start)
+            found = Bucket.starting(
+                team.quota, now, self.total_nodes, self.settings.first_start
+            )
             self.buckets[team.name] = found
         return found
 
@@ -130,6 +135,23 @@
         self.most_nodes = kept
         return max(n for _, n in kept)
 
+    @property
+    def total_nodes(self) -> int:
+        """Return how many nodes there are, as far as this one knows.
+
+        Notes
+        -----
+        A node that was stopped in order has left; one that is only silent may be
+        serving callers behind a cut.
+        """
+        known = {
+            node
+            for node, seen in self.peers.seen.items()
+            if seen.row.state is not NodeState.STOPPED
+        }
+        stopped = len(self.peers.seen) - len(known)
+        return 1 + max(len(known), self.listed_nodes - stopped)
+
     def sum_loads(self, now: float) -> None:
         """Add up what the other nodes have at each endpoint."""
         for row in self.endpoints.rows.values():
