--- a/poplarrelay/entry/dutying.py
+++ b/poplarrelay/entry/dutying.py
@@ -38,6 +38,8 @@
 #: three renewals fit in, so that two lost ones cost nothing.
 TTL_S = 2.2
 RENEW_S = 0.55
+#: Seconds between looks at what is to be done.
+ACT_S = 1.0
 #: Topic of the usage counts that have been decided.
 LEDGER_TOPIC = "entry-usage"
 #: Seconds after a window's end at which its counts are decided. News of the last
@@ -189,28 +191,35 @@
                 _LOG.warning("duty not handed on yet", extra={"why": str(error)})
                 await asyncio.sleep(RENEW_S)
 
-    async def act_forever(self) -> None:
-        """Do the duties whenever this node holds them, until cancelled."""
+    async def report_forever(self) -> None:
+        """Report usage whenever this node holds the duties, until cancelled."""
         while True:
-            self._smooth_loads()
             if self._lease.may_act(monotonic()):
                 try:
-                    await self._act()
+                    await self._prepare()
+                    await self._report_usage()
                 except PlatformUnavailable as error:
-                    _LOG.info("duty delayed", extra={"why": str(error)})
+                    _LOG.info("usage delayed", extra={"why": str(error)})
                 except AppendRefused as error:
                     await self._fenced(f"ledger: {error.reason}")
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(ACT_S)
 
-    async def _act(self) -> None:
-        await self._prepare()
-        await self._report_usage()
-        configuration = self._state.configuration
-        if configuration is None or not self._state.endpoints_known:
-            return
-        for service in configuration.services.values():
-            if service.scaling is not None:
-                await self._order_endpoints(service)
+    async def order_forever(self) -> None:
+        """Order endpoints whenever this node holds the duties, until cancelled.
+
+        Notes
+        -----
+        Apart from the reports: while answers of the platform are lost each call
+        takes its whole timeout, and orders would wait behind all open windows.
+        """
+        while True:
+            self._smooth_loads()
+            configuration = self._state.configuration
+            if configuration is not None and self._state.endpoints_known:
+                for service in configuration.services.values():
+                    if service.scaling is not None:
+                        await self._order_endpoints(service)
+            await asyncio.sleep(ACT_S)
 
     @property
     def _stamp(self) -> DutyStamp:
@@ -238,7 +247,6 @@
             await self._store.append(LEDGER_TOPIC, 0, [], self._appender())
             self._sequence = 1
             self._prepared_token = self._lease.token
-            self._orders.clear()
         while True:
             try:
                 page = await self._store.read(LEDGER_TOPIC, 0, self._ledger_next)
@@ -261,6 +269,8 @@
         oldest = int((wall - LATEST_S) // window_s)
         for window in range(oldest, newest + 1):
             if window not in self._ledger.decided:
+                if (window + 1) * window_s <= self._state.peers.earliest_start():
+                    continue
                 await self._decide(window)
             if window not in self._ledger.acknowledged:
                 await self._report(window)
@@ -312,6 +322,10 @@
     async def _order_endpoints(self, service: Service) -> None:
         assert service.scaling is not None
         now = monotonic()
+        if not self._lease.may_act(now):
+            # Whoever holds the duty next has orders of its own.
+            self._orders.clear()
+            return
         rows = self._state.endpoints.of(service.name)
         self._expect_dry(rows, now)
         dry = frozenset(domain for domain, until in self._dry.items() if until > now)
--- a/poplarrelay/entry/peers.py
+++ b/poplarrelay/entry/peers.py
@@ -188,6 +188,17 @@
         """Return the rows of the nodes that have been heard lately."""
         return [seen.row for seen in self.seen.values() if seen.alive(now)]
 
+    def earliest_start(self) -> float:
+        """Return the time of day at which the oldest known process started.
+
+        Notes
+        -----
+        Nobody can know the counts of windows before it; a report of zeros would
+        only be wrong.
+        """
+        rows = [self.me, *(s.row for s in (*self.seen.values(), *self.replaced))]
+        return min(int(row.incarnation.partition("-")[0]) for row in rows) / 1000
+
     def usage_reports(self) -> list[dict[WindowNumber, dict[TeamId, int]]]:
         """Return the usage counts of all processes, dead ones included."""
         rows = [seen.row for seen in self.seen.values()]
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -147,6 +147,12 @@
         """Return the node's tables."""
         return self._state
 
+    @property
+    def duties(self) -> DutyRunner:
+        """Return what does the duties; only on platforms that have any."""
+        assert self._duties is not None
+        return self._duties
+
     def _make_followers(self) -> tuple[TopicFollower, TopicFollower]:
         configuration, endpoints = topics()
         return (
@@ -245,7 +251,11 @@
         works = [follower.run() for follower in self._followers]
         works += [self._directory.run(), sync.run(), self._watch_settings()]
         if self._duties is not None:
-            works += [self._duties.renew_forever(), self._duties.act_forever()]
+            works += [
+                self._duties.renew_forever(),
+                self._duties.report_forever(),
+                self._duties.order_forever(),
+            ]
         for work in works:
             task = asyncio.create_task(work)
             task.add_done_callback(self._task_ended)
@@ -361,7 +371,7 @@
         now = monotonic()
         frozen_s = self._freezes.check()
         if frozen_s > 0:
-            self._thaw(frozen_s)
+            self.thaw(frozen_s)
         state = self._state
         if (
             state.me.state is NodeState.STARTING
@@ -379,7 +389,7 @@
             for service in state.configuration.services:
                 self._relay.serve_waiting(service)
 
-    def _thaw(self, frozen_s: float) -> None:
+    def thaw(self, frozen_s: float) -> None:
         """Distrust what was known before the process stood still."""
         _LOG.warning("frozen", extra={"for_s": round(frozen_s, 2)})
         self._state.peers.thaw(frozen_s)
--- /dev/null
+++ b/poplarrelay/entry/tests/test_duties.py
@@ -0,0 +1,218 @@
+"""The duties: one holder at a time, and one count for each window."""
+
+import asyncio
+from itertools import pairwise
+from typing import Any
+
+import pytest
+
+from poplarrelay.entry.duties import DutyChange, DutyLease
+from poplarrelay.entry.dutying import GROUP, LEDGER_TOPIC, UsageLedger
+from poplarrelay.identifiers import TeamId
+from poplarrelay.standins.users.store import Outage
+from poplarrelay.testing.users import CALLS, STREAMS, run_users_site, until
+
+
+def play(scenario):
+    return asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+def holder(site):
+    return next(
+        (name for name, node in site.nodes.items() if node.duties.lease.held), None
+    )
+
+
+class TestLease:
+    def test_holder_stops_before_the_store_may_pass_the_duty_on(self):
+        # Renewals fail, as when the store is away. The node must not act at a time
+        # at which another one may hold the duty already.
+        lease = DutyLease(ttl_s=2.0, wait_s=0.0, acted_at=-10.0)
+        assert lease.renew(True, 5, 0.0) is DutyChange.TAKEN
+        assert lease.may_act(1.3)
+        assert not lease.may_act(1.5)
+
+    def test_duty_that_comes_back_waits_for_the_nodes_own_last_act(self):
+        # The duty goes from this node to another and back within a second. Acting at
+        # once would make the order of holders A, B, A within the bound of 3 s.
+        lease = DutyLease(ttl_s=2.0, wait_s=3.0, acted_at=-10.0)
+        lease.renew(True, 5, 0.0)
+        assert lease.may_act(0.1)
+        lease.note_act(0.1)
+        assert lease.renew(False, 6, 0.5) is DutyChange.LOST
+        assert lease.renew(True, 7, 1.0) is DutyChange.TAKEN
+        assert not lease.may_act(1.1)
+        lease.renew(True, 7, 2.5)
+        assert lease.may_act(3.6)
+
+    def test_later_tenure_has_a_larger_token(self):
+        lease = DutyLease(ttl_s=2.0, wait_s=0.0)
+        lease.renew(True, 5, 0.0)
+        lease.renew(True, 6, 0.5)
+        assert lease.token == 5
+        lease.renew(False, 7, 1.0)
+        lease.renew(True, 9, 1.5)
+        assert lease.token == 9
+
+    def test_frozen_holder_does_not_act(self):
+        lease = DutyLease(ttl_s=2.0, wait_s=0.0, acted_at=-10.0)
+        lease.renew(True, 5, 0.0)
+        lease.give_up()
+        assert not lease.may_act(0.1)
+
+
+def test_first_record_of_a_window_counts():
+    ledger = UsageLedger()
+    ledger.take(UsageLedger.encode(7, {TeamId("alpha"): 3}))
+    ledger.take(UsageLedger.encode(7, {TeamId("alpha"): 9}))
+    assert ledger.decided == {7: {"alpha": 3}}
+
+
+def test_usage_of_all_nodes_is_reported_once():
+    async def scenario():
+        async with run_users_site(nodes=3) as site:
+            await site.add_runner("r1", CALLS)
+            for name in site.nodes:
+                await site.ready(name, endpoints=1)
+            for name in list(site.nodes) * 4:
+                assert (await site.call("/look/x", node=name)).status == 200
+
+            def total():
+                windows = site.cloud.windows()
+                assert all(c == found[0] for found in windows.values() for c in found)
+                return sum(found[0].get("alpha", 0) for found in windows.values())
+
+            await until(lambda: total() == 12, "all requests reported")
+            assert len({call.holder for call in site.cloud.accepted}) == 1
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("lost", [False, True], ids=["answered", "answers lost"])
+def test_successor_repeats_what_was_decided(lost):
+    # The holder has reported a window, perhaps without getting an answer, and dies.
+    # Its successor knows other counts, as requests came late. It must repeat the
+    # decided counts, or the platform accepts two different reports of one window.
+    async def scenario():
+        async with run_users_site(nodes=2) as site:
+            await site.add_runner("r1", CALLS)
+            for name in site.nodes:
+                await site.ready(name, endpoints=1)
+            await until(lambda: site.cloud.windows(), "a first report")
+            first = holder(site)
+            site.cloud.lose_answers = lost
+            for name in site.nodes:
+                await site.call("/look/x", node=name)
+            reported = len(site.cloud.windows())
+            await until(lambda: len(site.cloud.windows()) > reported + 1)
+            site.cloud.lose_answers = False
+            await site.kill_node(first)
+            windows = len(site.cloud.windows())
+            await until(lambda: len(site.cloud.windows()) > windows + 1)
+            for counts in site.cloud.windows().values():
+                assert all(found == counts[0] for found in counts)
+            tokens = [call.token for call in site.cloud.accepted]
+            assert tokens == sorted(tokens)
+            by_token = {(c.token, c.holder) for c in site.cloud.accepted}
+            assert len(by_token) == len({token for token, _ in by_token})
+
+    play(scenario)
+
+
+def test_partitions_dealt_anew_leave_one_holder():
+    # The store gives the duty to another node without being asked. The old holder
+    # learns of it at its next renewal; its calls in between bear the smaller token.
+    async def scenario():
+        async with run_users_site(nodes=3) as site:
+            await site.add_runner("r1", CALLS)
+            for name in site.nodes:
+                await site.ready(name, endpoints=1)
+            await until(lambda: site.cloud.windows())
+            before = holder(site)
+            site.store.deal_anew(GROUP)
+            await until(lambda: holder(site) not in (None, before), "another holder")
+            windows = len(site.cloud.windows())
+            await until(lambda: len(site.cloud.windows()) > windows + 2)
+            order = [call.holder for call in site.cloud.accepted]
+            changes = sum(a != b for a, b in pairwise(order))
+            assert changes <= 1
+            for counts in site.cloud.windows().values():
+                assert all(found == counts[0] for found in counts)
+
+    play(scenario)
+
+
+def test_duties_are_caught_up_after_an_outage():
+    # The store is silent for some windows. Nobody may act meanwhile; afterwards the
+    # missing windows are reported.
+    async def scenario():
+        async with run_users_site(nodes=2) as site:
+            await site.add_runner("r1", CALLS)
+            for name in site.nodes:
+                await site.ready(name, endpoints=1)
+            await until(lambda: site.cloud.windows())
+            for door in site.doors.values():
+                door.outage = Outage.SILENT
+            await site.call("/look/x")
+            await asyncio.sleep(3.5)
+            # The silent outage must have lasted for several windows.
+            during = set(site.cloud.windows())
+            for door in site.doors.values():
+                door.outage = Outage.NONE
+            await until(
+                lambda: sum(c[0].get("alpha", 0) for c in site.cloud.windows().values())
+            )
+            windows = sorted(site.cloud.windows())
+            assert windows == list(range(windows[0], windows[-1] + 1))
+            assert during < set(windows)
+            assert site.store.records(LEDGER_TOPIC)
+
+    play(scenario)
+
+
+def scaling_configuration():
+    scaling: dict[str, Any] = {"min": 1, "max": 3, "bootS": 1, "spotPrice": 0.2}
+    scaling["zonePrices"] = {"north": 1.0, "south": 0.8}
+    return {
+        "services": [
+            {"name": CALLS},
+            {"name": STREAMS, "scaling": scaling},
+        ]
+    }
+
+
+def test_reclaimable_endpoints_are_ordered_in_each_domain():
+    async def scenario():
+        async with run_users_site(nodes=1) as site:
+            site.configure(2, **scaling_configuration())
+            await site.add_runner("r1", STREAMS)
+            await site.ready(endpoints=1)
+
+            def ordered():
+                return {
+                    call.value["zone"]
+                    for call in site.cloud.accepted
+                    if call.value.get("preemptible")
+                }
+
+            await until(lambda: ordered() == {"north", "south"})
+
+    play(scenario)
+
+
+def test_order_is_repeated_where_the_answer_was_lost():
+    async def scenario():
+        async with run_users_site(nodes=1) as site:
+            site.cloud.lose_answers = True
+            site.configure(2, **scaling_configuration())
+            await site.add_runner("r1", STREAMS)
+            await site.ready(endpoints=1)
+
+            def orders():
+                return [
+                    c for c in site.cloud.accepted if c.value.get("zone") == "south"
+                ]
+
+            await until(lambda: len(orders()) >= 2)
+
+    play(scenario)
--- a/poplarrelay/testing/users.py
+++ b/poplarrelay/testing/users.py
@@ -182,6 +182,13 @@
         """Wait until a node that was told to stop has ended."""
         await self._tasks[name]
 
+    async def kill_node(self, name: str) -> None:
+        """End a node without any farewell."""
+        task = self._tasks.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await self.nodes.pop(name).abandon()
+
     async def add_runner(
         self, name: str, service: str, **options: Any
     ) -> RunnerStandIn:
