Replace reclaimed endpoints on demand while none are to be had; limit by first events

The plan moved to the next domain, was refused there too, and after three waves one engine of four was left; all requests at it were late, those that left included. Now a refusal or a notice counts for all domains, and on-demand endpoints replace what is missing at once; a node lowers what it keeps at an engine when first events are late. First orders come at once on the first start.

--- a/poplarrelay/entry/choosing.py
+++ b/poplarrelay/entry/choosing.py
@@ -12,15 +12,16 @@
 
 __all__ = ["Choice", "Wish", "choose_endpoint"]
 
-#: Load above the mean, as a factor, up to which a prompt stays at the endpoint that
-#: probably has its prefix. With 1.25 the home of a prompt that gets a quarter of all
-#: requests spills the rest to its second choice instead of queueing them.
-HOME_LOAD_FACTOR = 1.25
-#: Requests above that, so that an idle service does not spill at one request.
-HOME_LOAD_EXTRA = 3
+#: Prompt tokens that count like one request already at an engine. An engine reads
+#: about 90 tokens in a millisecond, and each request in its batch makes every step
+#: longer by about a tenth of a millisecond over some fifty steps.
+TOKENS_PER_REQUEST = 500
 #: Smallest time assumed for a first answer, in seconds, so that an endpoint without
 #: a measurement is not taken for infinitely fast.
 LEAST_ANSWER_S = 0.005
+#: How many times its service's usual time to the first answer an endpoint may take
+#: before its load counts more.
+SLOW_FACTOR = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,11 +32,15 @@
     ----------
     affinity_key : str or None
         Id of the longest shared part of its prompt.
+    prompt_tokens, shared_tokens : int
+        Length of its prompt, and of the parts that others share.
     tried : collection of EndpointId
         Endpoints that it has been at.
     """
 
     affinity_key: str | None
+    prompt_tokens: int
+    shared_tokens: int
     tried: Collection[EndpointId]
     near: DomainId
 
@@ -54,7 +59,7 @@
 
 
 def _cost(row: Endpoint, near: DomainId) -> tuple[float, int, int]:
-    """Return what makes an endpoint less welcome, the smallest first.
+    """Return what makes an endpoint less welcome for a plain call.
 
     The time to the first answer grows with the requests there; among equals, one
     in the node's own failure domain saves bytes between domains.
@@ -63,23 +68,39 @@
     return (row.load + 1) / max(1, row.slots) * pace, row.load, row.domain != near
 
 
-def _home(rows: Sequence[Endpoint], key: str) -> Endpoint | None:
-    """Return the endpoint that keeps a prompt's prefix, unless it is overloaded.
+def _work_before_first_event(
+    row: Endpoint, wish: Wish, home: EndpointId, usual_s: float
+) -> float:
+    """Return the tokens' worth of work before a prompt's first event.
+
+    Prompts in line there, the part of this prompt that it has to read, and the
+    batch that slows both. An endpoint that has been slower than its service's
+    usual weighs more.
+    """
+    unread = wish.prompt_tokens
+    if row.endpoint == home:
+        unread -= wish.shared_tokens
+    work = row.prefill_tokens + unread + TOKENS_PER_REQUEST * row.load
+    pace = row.health.first_answer_s / usual_s if usual_s > 0 else 1.0
+    return work * max(1.0, pace / SLOW_FACTOR)
+
+
+def _choose_for_prompt(rows: Sequence[Endpoint], wish: Wish) -> Choice:
+    """Choose the endpoint at which a prompt's first event is due first.
 
     Notes
     -----
-    Rendezvous hashing with bounded load: all nodes find the same home without
-    asking each other, and a home that is lost moves only its own prompts. It
-    answers hot prompts: their excess goes to the next choice, which then holds the
-    prefix as well.
+    Rendezvous hashing names the home of a prompt's shared part: all nodes find the
+    same one without asking each other, and a home that is lost moves only its own
+    prompts. The home saves reading the shared part; a hot prompt outgrows that
+    saving by the load that it brings, and goes to the next best endpoint.
     """
-    mean = sum(row.load for row in rows) / len(rows)
-    bound = HOME_LOAD_FACTOR * mean + HOME_LOAD_EXTRA
-    ranked = sorted(rows, key=lambda row: _score(key, row.endpoint), reverse=True)
-    for row in ranked:
-        if row.load < bound and row.free:
-            return row
-    return None
+    key = wish.affinity_key or ""
+    home = max(rows, key=lambda row: _score(key, row.endpoint)).endpoint
+    known = [r.health.first_answer_s for r in rows if r.health.first_answer_s > 0]
+    usual_s = sorted(known)[len(known) // 2] if known else 0.0
+    best = min(rows, key=lambda row: _work_before_first_event(row, wish, home, usual_s))
+    return Choice(best, "prefix home" if best.endpoint == home else "least work")
 
 
 def choose_endpoint(
@@ -109,10 +130,8 @@
         return None
     sound = [row for row in fresh if row.health.avoided_until <= now]
     pool = sound or fresh
-    if wish.affinity_key is not None:
-        home = _home(pool, wish.affinity_key)
-        if home is not None:
-            return Choice(home, "prefix home" if sound else "prefix home, avoided")
+    if wish.prompt_tokens or wish.affinity_key is not None:
+        return _choose_for_prompt(pool, wish)
     # The better of two drawn at random: all nodes read the same late news, and the
     # least loaded endpoint would be everyone's choice until the next news.
     pair = rng.sample(pool, 2) if len(pool) > 2 else pool
--- a/poplarrelay/entry/dutying.py
+++ b/poplarrelay/entry/dutying.py
@@ -53,8 +53,12 @@
 AFFIRM_S = 8.0
 #: Seconds beyond its boot time after which an ordered endpoint should be listed.
 BOOT_MARGIN_S = 1.5
-#: Seconds for which a domain without reclaimable endpoints is not asked again.
-DRY_S = 3.0
+#: Seconds after which reclaimable endpoints are asked for again when there were none.
+SCARCE_S = 2.5
+#: Seconds for which they are expected to be scarce after a notice.
+NOTICE_SCARCE_S = 1.5
+#: Seconds of requests that a restarted process sees before it orders by them.
+LEARN_LOAD_S = 4.0
 #: Weights of a second's load in the smoothed one, rising and falling: late orders
 #: cost answers, early cancellations cost boots.
 RISING, FALLING = 0.5, 0.06
@@ -133,7 +137,9 @@
         self._cloud = cloud
         bounds = state.settings.bounds
         ttl_s = max(TTL_S, state.settings.platform.group_ttl_min_ms / 1000)
-        self._lease = DutyLease(ttl_s, bounds.lease_ms / 1000, acted_at=monotonic())
+        # A process of this node may have acted just before a restart.
+        acted_at = float("-inf") if state.settings.first_start else monotonic()
+        self._lease = DutyLease(ttl_s, bounds.lease_ms / 1000, acted_at=acted_at)
         self._member = f"{state.me.node}/{state.me.incarnation}"
         self._ledger = UsageLedger()
         self._ledger_next = Offset(0)
@@ -141,7 +147,8 @@
         self._sequence = 0
         self._retired = False
         self._orders: dict[tuple[ServiceName, DomainId, bool], _OrderState] = {}
-        self._dry: dict[DomainId, float] = {}
+        self._scarce_until = float("-inf")
+        self._started_at = monotonic()
         self._loads: dict[ServiceName, float] = {}
 
     @property
@@ -322,46 +329,56 @@
     async def _order_endpoints(self, service: Service) -> None:
         assert service.scaling is not None
         now = monotonic()
-        if not self._lease.may_act(now):
+        if not self._lease.may_act(now) or not self._knows_load(now):
             # Whoever holds the duty next has orders of its own.
             self._orders.clear()
             return
         rows = self._state.endpoints.of(service.name)
-        self._expect_dry(rows, now)
-        dry = frozenset(domain for domain, until in self._dry.items() if until > now)
+        self._expect_scarcity(rows, now)
+        scarce = now < self._scarce_until
         load = self._loads.get(service.name, 0.0)
-        plan = plan_endpoints(SizingInput(service.scaling, rows, load, dry))
-        for domain_plan in plan:
-            domain = domain_plan.domain
-            if domain not in dry:
-                await self._order(
-                    EndpointOrder(service.name, domain, domain_plan.reclaimable, True),
-                    load,
-                )
-            present = sum(
-                1
-                for row in rows
-                if row.domain == domain and not row.reclaimable and row.accepts_work
-            )
-            if domain_plan.on_demand != present:
-                await self._order(
-                    EndpointOrder(service.name, domain, domain_plan.on_demand, False),
-                    load,
-                )
+        plan = plan_endpoints(SizingInput(service.scaling, rows, load, scarce))
+        for part in plan:
+            order = EndpointOrder(service.name, part.domain, part.on_demand, False)
+            if part.on_demand != self._present(order):
+                await self._order(order, load)
+        for part in plan:
+            if monotonic() >= self._scarce_until:
+                order = EndpointOrder(service.name, part.domain, part.reclaimable, True)
+                await self._order(order, load)
+
+    def _knows_load(self, now: float) -> bool:
+        """Return whether this process has seen enough of the load to order by it.
 
-    def _expect_dry(self, rows: Sequence[Endpoint], now: float) -> None:
-        """Take a failure domain under notice for one that has no more to give.
+        Notes
+        -----
+        A process that has just been restarted sees no request at first, and would
+        send away endpoints that all others use.
+        """
+        if self._state.settings.first_start:
+            return True
+        return now - self._started_at > LEARN_LOAD_S
+
+    def _present(self, order: EndpointOrder) -> int:
+        """Return how many endpoints as ordered take work."""
+        return sum(
+            row.domain == order.domain
+            and row.reclaimable is order.reclaimable
+            and row.accepts_work
+            for row in self._state.endpoints.of(order.service)
+        )
+
+    def _expect_scarcity(self, rows: Sequence[Endpoint], now: float) -> None:
+        """Expect that no reclaimable endpoints are to be had after a notice.
 
         Notes
         -----
         A wave takes all reclaimable endpoints of a domain at once, and mostly no
-        new ones are to be had there for a while. Ordering elsewhere at the notice
+        new ones are to be had for a while, anywhere. Replacing them at the notice
         gains its two seconds on a boot of four.
         """
-        for row in rows:
-            if row.leaving and row.reclaimable and row.leaves_at is not None:
-                self._dry.setdefault(row.domain, 0.0)
-                self._dry[row.domain] = max(self._dry[row.domain], now + DRY_S)
+        if any(row.leaving and row.reclaimable for row in rows):
+            self._scarce_until = max(self._scarce_until, now + NOTICE_SCARCE_S)
 
     def _affirm_after(self, order: EndpointOrder) -> float:
         """Return after how long an order is given again.
@@ -373,15 +390,12 @@
         are to be had, or the other domains must carry the load.
         """
         configuration = self._state.configuration
-        rows = self._state.endpoints.of(order.service)
-        there = sum(
-            row.domain == order.domain
-            and row.reclaimable is order.reclaimable
-            and row.accepts_work
-            for row in rows
-        )
         service = configuration and configuration.services.get(order.service)
-        if there >= order.count or not service or service.scaling is None:
+        if (
+            self._present(order) >= order.count
+            or not service
+            or service.scaling is None
+        ):
             return AFFIRM_S
         return min(AFFIRM_S, service.scaling.boot_s + BOOT_MARGIN_S)
 
@@ -397,7 +411,7 @@
         last.count = order.count if outcome is CloudOutcome.DONE else None
         last.at = now
         if outcome is CloudOutcome.CONFLICT and order.reclaimable:
-            self._dry[order.domain] = now + DRY_S
+            self._scarce_until = now + SCARCE_S
         _LOG.info(
             "endpoints ordered",
             extra={
--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -49,6 +49,8 @@
         Whether the platform may take it away on short notice.
     leaves_at : float or None
         Monotonic time at which it will be gone, if it says so.
+    own_limit : float
+        Requests that this node keeps at it at most; see `pacing`.
     running : int
         Requests of this node that are at it.
     elsewhere : int
@@ -69,6 +71,7 @@
     gone: bool = False
     reclaimable: bool = False
     leaves_at: float | None = None
+    own_limit: float = float("inf")
     running: int = 0
     elsewhere: int = 0
     prefill_tokens: int = 0
@@ -88,7 +91,8 @@
     @property
     def free(self) -> int:
         """Return how many more requests it takes at once."""
-        return max(0, self.slots - self.load)
+        own = int(min(self.own_limit, self.slots)) - self.running
+        return max(0, min(own, self.slots - self.load))
 
 
 @dataclass(slots=True)
--- a/poplarrelay/entry/quotas.py
+++ b/poplarrelay/entry/quotas.py
@@ -151,10 +151,30 @@
         return self.level < TIGHT_SHARE * quota.burst
 
     def take(
-        self, quota: Quota, cost: float, now: float, nodes: int
+        self,
+        quota: Quota,
+        cost: float,
+        now: float,
+        nodes: int,
+        tolerance: float = 0.0,
     ) -> OverQuota | None:
         """Take a request's cost, or tell when it would fit.
 
+        Parameters
+        ----------
+        quota : Quota
+            The quota in force.
+        cost : float
+            What the request takes.
+        now : float
+            Monotonic time.
+        nodes : int
+            How many nodes there are, cut off ones included.
+        tolerance : float
+            What all nodes together may take beyond the quota. It covers what this
+            node guesses too high of the others' use: a request within the quota
+            must not be refused for a guess.
+
         Notes
         -----
         A request larger than the whole burst is let in with a full bucket, and
@@ -162,7 +182,7 @@
         """
         self.refill(quota, now, nodes)
         share = self.heard_share(now, nodes)
-        left = self.level - self.guessed(now)
+        left = self.level - self.guessed(now) + share * tolerance
         needed = min(cost, quota.burst * share)
         if left < needed:
             return OverQuota((needed - left) / (share * quota.per_s))
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -35,6 +35,7 @@
     StreamBroken,
     Streamed,
 )
+from poplarrelay.entry.pacing import note_first_event
 from poplarrelay.entry.quotas import Bucket, cost_of
 from poplarrelay.entry.requests import CallerRequest
 from poplarrelay.entry.routing import Admitted, Denied, NoRoute, admit, choose_service
@@ -66,6 +67,8 @@
 #: bucket before the others are told: the untold use of all nodes together stays
 #: within a quarter of what operators tolerate.
 UNTOLD_SHARE = 0.25
+#: Part of the quotas' tolerance that covers wrong guesses of the others' use.
+TOLERANCE_SHARE = 0.25
 #: Statuses of an endpoint that a repetition elsewhere may better.
 _REPEATABLE_STATUSES = frozenset((500, 502, 503, 504))
 #: Statuses that promise that a request has not run. From an endpoint that does not
@@ -197,7 +200,13 @@
         bucket = self._state.bucket(team, now)
         assert bucket is not None
         cost = cost_of(team.quota, case.request)
-        over = bucket.take(team.quota, cost, now, self._state.total_nodes)
+        over = bucket.take(
+            team.quota,
+            cost,
+            now,
+            self._state.total_nodes,
+            TOLERANCE_SHARE * self._state.settings.bounds.quota_slack,
+        )
         case.quota_left = bucket.level
         if over is None:
             case.quota_cost = cost
@@ -320,13 +329,13 @@
         return choice
 
     async def _place(self, case: _Case) -> Choice | Refusal:
-        wish = Wish(case.request.affinity_key, tuple(case.tried), self._state.me.domain)
+        wish = self._wish(case, tuple(case.tried))
         choice = self._choose(case.service, wish)
         if choice is not None:
             return choice
         if case.tried and not self._has_untried(case):
             # Every endpoint was tried; one of them may have room again.
-            wish = Wish(wish.affinity_key, (), wish.near)
+            wish = self._wish(case, ())
             choice = self._choose(case.service, wish)
             if choice is not None:
                 return choice
@@ -336,6 +345,16 @@
             return Refusal(503, RefusalReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_S)
         return await self._wait(case, wish)
 
+    def _wish(self, case: _Case, tried: tuple[EndpointId, ...]) -> Wish:
+        request = case.request
+        return Wish(
+            affinity_key=request.affinity_key,
+            prompt_tokens=request.prompt_tokens or 0,
+            shared_tokens=request.shared_tokens,
+            tried=tried,
+            near=self._state.me.domain,
+        )
+
     def _has_untried(self, case: _Case) -> bool:
         rows = self._state.endpoints.accepting(case.service)
         return any(row.endpoint not in case.tried for row in rows)
@@ -379,8 +398,16 @@
             priority=case.priority if case.streams else None,
         )
 
+        unread = case.request.prompt_tokens or 0
+        row.prefill_tokens += unread
+
         def begun(took_s: float) -> None:
+            nonlocal unread
+            row.prefill_tokens -= unread
+            unread = 0
             note_success_time(row, took_s)
+            if case.streams:
+                note_first_event(row, took_s, case.route.target_s)
             self._count_usage(case)
 
         attempt = Attempt(
@@ -389,6 +416,7 @@
         try:
             result = await attempt.run()
         finally:
+            row.prefill_tokens -= unread
             self._leave(case.service, row)
         if not isinstance(result, NotRun):
             case.may_have_run = True
@@ -401,6 +429,7 @@
                 "service": case.service,
                 "reason": choice.reason,
                 "load": row.load,
+                "limit": round(min(row.own_limit, row.slots), 1),
                 "avoided": row.health.avoided_until > sent_at,
                 "result": type(result).__name__,
                 "why": _why(result),
--- a/poplarrelay/entry/requests.py
+++ b/poplarrelay/entry/requests.py
@@ -71,6 +71,11 @@
     prefix: tuple[PromptPart, ...] = field(default=())
     last_event_id: bytes | None = None
 
+    @property
+    def shared_tokens(self) -> int:
+        """Return the tokens of the parts that other requests may share."""
+        return sum(part.tokens for part in self.prefix[:-1])
+
     @property
     def affinity_key(self) -> str | None:
         """Return the id of the longest part that other requests may share."""
