Trace the unsteady log test; bound log lines; start entry nodes sooner

Cause: a node answers before its logging thread has written the line, and the test read the file at once. The new test counts between the lines of two other refusals, so a doubled or missing line still fails it. Two more tests read lines too early: the search for leaked tokens (it could pass wrongly) and the one for the home of a claim; both wait for a later line now. The entry node has a module of its own: it loads without the other commands.

--- a/poplarrelay/cli.py
+++ b/poplarrelay/cli.py
@@ -43,7 +43,7 @@
     settings
         JSON file with the node's settings.
     """
-    from poplarrelay.node.logs import start_logging
+    from poplarrelay.logs import start_logging
     from poplarrelay.node.process import Node
     from poplarrelay.settings import NodeSettings
 
@@ -74,25 +74,9 @@
     settings
         JSON file with the node's settings.
     """
-    import asyncio
+    from poplarrelay.entry.command import entry as run_entry
 
-    from poplarrelay.entry.process import EntryNode
-    from poplarrelay.entry.settings import EntrySettings
-    from poplarrelay.node.logs import start_logging
-
-    try:
-        checked = EntrySettings.from_file(settings)
-    except SettingsError as error:
-        fail(ExitCode.CONFIGURATION, *(str(fault) for fault in error.faults))
-    listener = start_logging(checked.node, checked.log_level)
-    running = EntryNode.from_settings(checked, settings)
-    try:
-        asyncio.run(running.run())
-    except OSError as error:
-        listener.stop()
-        fail(ExitCode.UNREACHABLE, f"cannot listen: {error}")
-    listener.stop()
-    sys.stdout.flush()
+    run_entry(settings=settings)
 
 
 @app.command
--- /dev/null
+++ b/poplarrelay/entry/command.py
@@ -0,0 +1,38 @@
+"""The command that runs an entry node."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+from poplarrelay.commands.output import ExitCode, fail
+from poplarrelay.entry.process import EntryNode
+from poplarrelay.entry.settings import EntrySettings
+from poplarrelay.exception import SettingsError
+from poplarrelay.logs import start_logging
+
+__all__ = ["entry"]
+
+
+def entry(*, settings: Path) -> None:
+    """Run an entry node on an operator's platform until it is told to leave.
+
+    Parameters
+    ----------
+    settings
+        JSON file with the node's settings.
+    """
+    try:
+        checked = EntrySettings.from_file(settings)
+    except SettingsError as error:
+        fail(ExitCode.CONFIGURATION, *(str(fault) for fault in error.faults))
+    listener = start_logging(checked.node, checked.log_level)
+    running = EntryNode.from_settings(checked, settings)
+    try:
+        asyncio.run(running.run())
+    except OSError as error:
+        listener.stop()
+        fail(ExitCode.UNREACHABLE, f"cannot listen: {error}")
+    listener.stop()
+    sys.stdout.flush()
--- a/poplarrelay/node/tests/test_bad_input.py
+++ b/poplarrelay/node/tests/test_bad_input.py
@@ -7,7 +7,7 @@
 import pytest
 
 from poplarrelay.testing.builders import small_site
-from poplarrelay.testing.processes import run_site
+from poplarrelay.testing.processes import run_site, wait_until
 
 pytestmark = pytest.mark.processes
 
@@ -148,11 +148,23 @@
     _assert_serves(site, node)
 
 
+def _rejected(node):
+    return [line["rejected"] for line in node.log_lines() if "rejected" in line]
+
+
+def _wait_for_lines(site, node):
+    """Refuse a request and wait for its line; all earlier lines are there then."""
+    reached = _rejected(node).count("unknown-service") + 1
+    _post(site, node, GOOD, path="/services/marker/x")
+    wait_until(lambda: _rejected(node).count("unknown-service") >= reached)
+
+
 def test_logs_hold_no_token_prompt_or_answer(site, node):
     prompt = "a prompt that must not be logged"
     reply = _post(site, node, {**GOOD, "prompt": prompt})
     answer = reply.value["choices"][0]["text"]
     _post(site, node, GOOD, token="a-token-that-must-not-be-logged")
+    _wait_for_lines(site, node)
     text = node.output.read_text()
     assert "must not be logged" not in text
     assert "must-not-be-logged" not in text
@@ -161,8 +173,11 @@
 
 
 def test_each_refusal_has_one_log_line(site, node):
-    before = sum(1 for line in node.log_lines() if "rejected" in line)
+    # A node answers before its logging thread has written the line. So the lines are
+    # counted between those of two other refusals: lines keep their order, and once
+    # the second is there, all lines of the one in between are there as well.
+    _wait_for_lines(site, node)
+    before = len(_rejected(node))
     _post(site, node, {**GOOD, "model": "large"})
-    after = [line for line in node.log_lines() if "rejected" in line]
-    assert len(after) == before + 1
-    assert after[-1]["rejected"] == "unknown-model"
+    _wait_for_lines(site, node)
+    assert _rejected(node)[before:] == ["unknown-model", "unknown-service"]
--- a/poplarrelay/testing/tests/test_at_most_once_on_processes.py
+++ b/poplarrelay/testing/tests/test_at_most_once_on_processes.py
@@ -110,10 +110,15 @@
 
 def test_restarted_node_knows_the_claims_of_before(site):
     first = confirm(site, "before", "one")
-    home = None
-    for node, process in site.nodes.items():
-        if any(line["message"] == "claim" for line in process.log_lines()):
-            home = node
+
+    def claimant():
+        # The line may be written after the answer has arrived.
+        for node, process in site.nodes.items():
+            if any(line["message"] == "claim" for line in process.log_lines()):
+                return node
+        return None
+
+    home = wait_until(claimant)
     site.nodes[home].kill()
     site.start_node(home)
     wait_until(lambda: site.ready(home))
--- /dev/null
+++ b/poplarrelay/tests/test_logs.py
@@ -0,0 +1,30 @@
+"""Log lines never hold back those who write them."""
+
+import logging
+from queue import Queue
+
+from poplarrelay.logs import BoundedQueueHandler
+
+
+def test_lines_beyond_the_bound_are_dropped_and_counted():
+    # Nobody empties standard output. The lines that do not fit are dropped, the
+    # caller goes on at once, and the first line that fits again is followed by one
+    # that tells how many are missing.
+    queue: Queue[logging.LogRecord] = Queue(3)
+    handler = BoundedQueueHandler(queue)
+    log = logging.getLogger("poplarrelay.logs")
+    log.addHandler(handler)
+    log.propagate = False
+    try:
+        for number in range(8):
+            log.warning("line %d", number)
+        assert handler.dropped == 5
+        for _ in range(3):
+            queue.get_nowait()
+        log.warning("after")
+        assert handler.dropped == 0
+        messages = [queue.get_nowait().getMessage() for _ in range(queue.qsize())]
+        assert messages == ["after", "lines dropped"]
+    finally:
+        log.removeHandler(handler)
+        log.propagate = True
