--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -67,7 +67,7 @@
 ENDPOINTS_PAUSE_S = 0.7
 #: Seconds for which callers keep the addresses: long enough to cost little, short
 #: enough that they have left a stopping node before it ends.
-ADDRESS_TTL_S = 1.0
+ADDRESS_TTL_S = 2.5
 #: Seconds for a new connection to an endpoint.
 ENDPOINT_CONNECT_S = 0.6
 #: Seconds without running after which the process counts as frozen.
