--- /dev/null
+++ b/poplarrelay/entry/tests/test_decisions.py
@@ -0,0 +1,197 @@
+"""Decisions of an entry node, without a network."""
+
+from random import Random
+
+import pytest
+
+from poplarrelay.entry.budgets import SAFE_SHARE, RetryBudget
+from poplarrelay.entry.choosing import Wish, choose_endpoint
+from poplarrelay.entry.configuration import Route, RouteKind, ServiceName, ServiceShare
+from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.health import note_failure, note_success
+from poplarrelay.entry.pacing import LEAST, note_first_event
+from poplarrelay.entry.waiting import longest_wait, retry_after
+from poplarrelay.identifiers import DomainId, EndpointId
+
+NORTH, SOUTH = DomainId("north"), DomainId("south")
+
+
+def endpoint(name, domain=NORTH, slots=8, **values):
+    row = Endpoint(EndpointId(name), ServiceName("s"), ("127.0.0.1", 1), domain, slots)
+    for key, value in values.items():
+        setattr(row, key, value)
+    return row
+
+
+def wish(key=None, prompt=0, shared=0, tried=()):
+    return Wish(key, prompt, shared, tried, NORTH)
+
+
+def chosen(rows, wanted, now=0.0, seed=1):
+    choice = choose_endpoint(rows, wanted, now, Random(seed))
+    assert choice is not None
+    return choice.endpoint
+
+
+class TestChoice:
+    def test_full_endpoints_are_no_choice(self):
+        rows = [endpoint("a", running=8), endpoint("b", elsewhere=8)]
+        assert choose_endpoint(rows, wish(), 0.0, Random(1)) is None
+
+    def test_avoided_endpoint_is_used_only_alone(self):
+        bad, good = endpoint("a"), endpoint("b", running=5)
+        bad.health.avoided_until = 10.0
+        for seed in range(20):
+            assert chosen([bad, good], wish(), 5.0, seed) is good
+        good.running = 8
+        assert chosen([bad, good], wish(), 5.0) is bad
+        assert chosen([bad, good], wish(), 11.0) is bad
+
+    def test_endpoint_that_was_tried_is_not_tried_again(self):
+        rows = [endpoint("a"), endpoint("b")]
+        for seed in range(20):
+            assert chosen(rows, wish(tried=("a",)), seed=seed).endpoint == "b"
+
+    def test_nodes_agree_on_a_prompts_home(self):
+        # Nodes do not ask each other. A lost endpoint moves only its own prompts.
+        rows = [endpoint(f"e{i}") for i in range(5)]
+        keys = [f"k{i}" for i in range(200)]
+
+        def homes(rows):
+            return {key: chosen(rows, wish(key, 9000, 5000)) for key in keys}
+
+        before, again = homes(rows), homes(list(reversed(rows)))
+        assert all(before[k] is again[k] for k in keys)
+        after = homes(rows[1:])
+        moved = [k for k in keys if before[k] is not after[k]]
+        assert all(before[k] is rows[0] for k in moved)
+
+    def test_hot_prompt_outgrows_its_home(self):
+        # One prompt gets all requests. Its home saves reading 5,000 tokens, and each
+        # request there counts 500: the eleventh goes elsewhere.
+        rows = [endpoint(f"e{i}", slots=64) for i in range(3)]
+        order = []
+        for _ in range(30):
+            row = chosen(rows, wish("hot", 6000, 5000))
+            row.running += 1
+            order.append(row.endpoint)
+        assert len(set(order[:10])) == 1
+        assert len(set(order)) == 3
+
+    def test_long_prompts_in_line_send_the_next_one_elsewhere(self):
+        rows = [endpoint("a", prefill_tokens=40_000), endpoint("b", running=4)]
+        assert chosen(rows, wish("k", 9000, 1000)).endpoint == "b"
+
+    def test_near_endpoint_goes_first_among_equals(self):
+        rows = [endpoint("a", SOUTH), endpoint("b", NORTH)]
+        assert chosen(rows, wish()).endpoint == "b"
+
+
+class TestHealth:
+    def test_two_failures_in_a_row_avoid_an_endpoint(self):
+        rows = [endpoint("a"), endpoint("b")]
+        assert not note_failure(rows[0], rows, 0.0, certain=False)
+        assert note_failure(rows[0], rows, 0.1, certain=False)
+        assert rows[0].health.avoided_until > 0.1
+
+    def test_dead_endpoint_is_avoided_at_once(self):
+        rows = [endpoint("a"), endpoint("b")]
+        assert note_failure(rows[0], rows, 0.0, certain=True)
+
+    def test_service_that_often_fails_is_not_avoided_as_a_whole(self):
+        # All endpoints answer one call in seven with an error of their own. None of
+        # them stands out.
+        rows = [endpoint(f"e{i}") for i in range(4)]
+        rng = Random(7)
+        avoided = 0
+        for step in range(2000):
+            row = rng.choice(rows)
+            if rng.random() < 0.14:
+                avoided += note_failure(row, rows, step * 0.1, certain=False)
+            else:
+                note_success(row)
+        assert avoided < 40
+
+    def test_grey_endpoint_is_found(self):
+        # One endpoint fails nearly half of its requests; its own health check and
+        # the others are good.
+        rows = [endpoint(f"e{i}") for i in range(4)]
+        rng = Random(7)
+        now, avoided_s = 0.0, 0.0
+        for _ in range(1000):
+            now += 0.02
+            avoided_s += 0.02 * (rows[0].health.avoided_until > now)
+            open_rows = [r for r in rows if r.health.avoided_until <= now]
+            row = rng.choice(open_rows)
+            if row is rows[0] and rng.random() < 0.45:
+                note_failure(row, rows, now, certain=False)
+            else:
+                note_success(row)
+        assert avoided_s > 0.4 * now
+
+
+class TestPacing:
+    def test_late_first_events_lower_what_is_kept_at_an_engine(self):
+        row = endpoint("a", slots=64, running=20)
+        for _ in range(3):
+            note_first_event(row, 1.5, 1.0)
+        assert row.own_limit < 15
+        assert row.free == 0
+
+    def test_limit_never_closes_an_engine(self):
+        row = endpoint("a", slots=64)
+        for _ in range(100):
+            note_first_event(row, 9.0, 1.0)
+        assert row.own_limit == LEAST
+        assert row.free == 1
+
+    def test_early_first_events_raise_it_again(self):
+        row = endpoint("a", slots=4, own_limit=1.0)
+        for _ in range(20):
+            note_first_event(row, 0.1, 1.0)
+        assert row.own_limit == 4
+
+
+class TestBudget:
+    def test_nodes_together_stay_within_the_bound(self):
+        # Six nodes cannot talk to each other, and every request at each fails.
+        budgets = [RetryBudget(0.2, 58, 10) for _ in range(6)]
+        taken = 0
+        for step in range(100):
+            for budget in budgets:
+                budget.note_request(step * 0.1)
+                taken += budget.take(step * 0.1, nodes=6)
+        assert taken <= SAFE_SHARE * (0.2 * 600 + 58) + 6
+
+    def test_old_requests_allow_no_retries(self):
+        budget = RetryBudget(0.2, 0, 10)
+        for _ in range(100):
+            budget.note_request(0.0)
+        assert budget.take(1.0, nodes=1)
+        assert not budget.take(20.0, nodes=1)
+
+
+class TestWaiting:
+    @pytest.mark.parametrize("remaining_s", [0.01, 0.5, 10.0])
+    def test_nobody_waits_longer_than_the_answer_is_worth(self, remaining_s):
+        route = Route(
+            "r",
+            "h",
+            "/",
+            RouteKind.IDEMPOTENT,
+            timeout_s=10,
+            target_s=0.2,
+            priority=0,
+            shares=(ServiceShare(ServiceName("s"), 1.0),),
+        )
+        wait = longest_wait(route, remaining_s)
+        assert wait <= 0.2
+        assert wait <= remaining_s / 2
+
+    def test_callers_come_back_one_after_the_other(self):
+        times = [retry_after(waiting, 10.0, 30.0) for waiting in range(5)]
+        assert times == sorted(times)
+        assert times[4] - times[0] == pytest.approx(0.4)
+
+    def test_nobody_is_sent_away_for_longer_than_it_would_stay_away(self):
+        assert retry_after(1000, 1.0, 3.0) == 1.0
--- /dev/null
+++ b/poplarrelay/entry/tests/test_sizing.py
@@ -0,0 +1,71 @@
+"""How many endpoints are ordered, played over waves of reclaims."""
+
+from poplarrelay.entry.configuration import ScalingLimits, ServiceName
+from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.sizing import SizingInput, plan_endpoints
+from poplarrelay.identifiers import DomainId, EndpointId
+
+DOMAINS = {DomainId("a"): 1.0, DomainId("b"): 0.8, DomainId("c"): 1.25}
+LIMITS = ScalingLimits(1, 3, 4.0, 0.18, DOMAINS)
+
+
+def rows(reclaimable=(), on_demand=(), leaving=()):
+    made: list[Endpoint] = []
+    kinds = [(reclaimable, True), (on_demand, False), (leaving, True)]
+    for domains, kind in kinds:
+        for domain in domains:
+            row = Endpoint(
+                EndpointId(f"e{len(made)}"),
+                ServiceName("s"),
+                ("127.0.0.1", 1),
+                DomainId(domain),
+                8,
+                reclaimable=kind,
+                leaving=domains is leaving and bool(leaving),
+            )
+            made.append(row)
+    return made
+
+
+def totals(plan):
+    return sum(p.reclaimable for p in plan), sum(p.on_demand for p in plan)
+
+
+def test_calm_needs_one_reclaimable_endpoint_a_domain():
+    plan = plan_endpoints(SizingInput(LIMITS, rows("abc"), 5.0, False))
+    assert all((p.reclaimable, p.on_demand) == (1, 0) for p in plan)
+
+
+def test_load_is_spread_cheapest_domain_first():
+    plan = plan_endpoints(SizingInput(LIMITS, rows("abc"), 24.0, False))
+    assert {p.domain: p.reclaimable for p in plan} == {"a": 1, "b": 2, "c": 1}
+
+
+def test_limits_of_a_domain_hold_for_both_kinds_together():
+    plan = plan_endpoints(SizingInput(LIMITS, [], 1000.0, True))
+    assert all(p.reclaimable + p.on_demand <= LIMITS.most for p in plan)
+
+
+def test_first_endpoints_are_replaced_by_cheaper_ones():
+    # Five on-demand endpoints are there at the start and there is no load yet. Two
+    # stay until reclaimable ones serve, then none.
+    start = plan_endpoints(SizingInput(LIMITS, rows("", "aabbc"), 0.0, False))
+    assert totals(start) == (3, 2)
+    later = plan_endpoints(SizingInput(LIMITS, rows("abc", "ab"), 0.0, False))
+    assert totals(later) == (3, 0)
+
+
+def test_wave_is_replaced_on_demand_while_none_are_to_be_had():
+    # Two of three domains are taken within seconds, and no reclaimable endpoints are
+    # to be had anywhere. With one engine left all callers would be late.
+    lost = plan_endpoints(SizingInput(LIMITS, rows("a", "", "bc"), 30.0, True))
+    assert totals(lost)[1] == 3
+    booted = plan_endpoints(SizingInput(LIMITS, rows("a", "bbc"), 30.0, True))
+    assert totals(booted)[1] == 3
+    back = plan_endpoints(SizingInput(LIMITS, rows("abbbcc", "bbc"), 30.0, False))
+    assert totals(back)[1] == 0
+
+
+def test_no_on_demand_endpoint_is_added_while_reclaimable_ones_can_be_had():
+    plan = plan_endpoints(SizingInput(LIMITS, rows("a"), 60.0, False))
+    assert totals(plan)[1] == 0
