--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 ## Show five kinds of request and a reclaim under a live stream.
 demo: $(READY)
 	$(BIN)/python examples/demo.py
+	$(BIN)/python examples/demo_platform.py
 
 ## Run all tests.
 test: $(READY)
--- a/poplarrelay/cli.py
+++ b/poplarrelay/cli.py
@@ -11,6 +11,7 @@
 from poplarrelay import __version__
 from poplarrelay.commands.call import call_app
 from poplarrelay.commands.config import config_app, template_app
+from poplarrelay.commands.explain import explain
 from poplarrelay.commands.operators import Operator
 from poplarrelay.commands.output import ExitCode, fail, print_json, print_lines
 from poplarrelay.commands.replay import replay, trace_app
@@ -30,6 +31,7 @@
 app.command(standin_app)
 app.command(trace_app)
 app.command(replay)
+app.command(explain)
 
 Json = Annotated[bool, Parameter(name="--json", help="Print JSON.", negative="")]
 
--- /dev/null
+++ b/poplarrelay/commands/tests/test_explain.py
@@ -0,0 +1,37 @@
+"""The way of a request, told from recorded log lines of two nodes."""
+
+from poplarrelay.commands.explain import explain_request, read_lines
+
+RECORDED = b"""\
+  -9.1 n-1 {"time": "t0", "message": "configuration in force", "node": "n-1", "version": 3}
+  1.0 n-1 {"time": "t1", "message": "endpoint", "node": "n-1", "endpoint": "e-1", "change": "new"}
+  1.1 n-2 {"time": "t1", "message": "endpoint", "node": "n-2", "endpoint": "e-1", "change": "leaving"}
+  2.0 n-1 {"time": "t2", "message": "dependency lost", "node": "n-1", "dependency": "store", "why": "read: 503"}
+  2.5 n-1 {"time": "t3", "message": "attempt", "node": "n-1", "request": "r-7", "endpoint": "e-1", "result": "Broken", "why": "connection lost"}
+  2.5 n-1 {"time": "t3", "message": "attempt", "node": "n-1", "request": "r-8", "endpoint": "e-2", "result": "Answered"}
+  2.6 n-1 {"time": "t4", "message": "endpoint avoided", "node": "n-1", "endpoint": "e-1", "for_s": 0.5}
+  2.7 n-1 {"time": "t5", "message": "request", "node": "n-1", "request": "r-7", "status": 502, "outcome": "the endpoint broke off"}
+  9.0 n-1 {"time": "t6", "message": "endpoint", "node": "n-1", "endpoint": "e-1", "change": "gone"}
+a line of another program
+""".splitlines()  # noqa: E501
+
+
+def test_way_of_a_request_with_what_its_node_believed():
+    told = explain_request("r-7", read_lines(RECORDED))
+    assert [line["message"] for line in told.lines] == ["attempt", "request"]
+    beliefs = {(line["message"], line.get("change")) for line in told.beliefs}
+    assert beliefs == {
+        ("configuration in force", None),
+        ("endpoint", "new"),
+        ("dependency lost", None),
+        ("endpoint avoided", None),
+    }
+    text = "\n".join(told.text())
+    assert "connection lost" in text
+    assert "status=502" in text
+    assert "r-8" not in text
+
+
+def test_unknown_request_is_said_to_be_unknown():
+    told = explain_request("r-9", read_lines(RECORDED))
+    assert told.text() == ["no line tells of request r-9"]
--- /dev/null
+++ b/poplarrelay/entry/tests/test_process.py
@@ -0,0 +1,98 @@
+"""An entry node as a process of its own: signals, settings, exit codes."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+
+import orjson
+import pytest
+
+from poplarrelay.testing.users import CALLS, STREAMS, run_users_site, until
+
+pytestmark = pytest.mark.processes
+
+
+def play(scenario):
+    return asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+def test_settings_are_read_again_with_and_without_a_signal(tmp_path):
+    # Operators change the settings file of a node that serves a stream, once with
+    # SIGHUP and once without; a faulty file changes nothing. The stream goes on.
+    async def scenario():
+        async with run_users_site(nodes=0) as site:
+            await site.add_runner("r1", STREAMS, events=200, pause_s=0.02)
+            node = await site.start_process("a", tmp_path)
+            connection = await site.open("/draft/x")
+            await connection.response_head()
+            value = orjson.loads(node.path.read_bytes())
+            value["bounds"]["retry_ratio"] = 0.1
+            node.path.write_bytes(orjson.dumps(value))
+            node.signal(signal.SIGHUP)
+            await until(lambda: node.messages().count("settings reloaded") >= 1)
+            value["bounds"]["retry_ratio"] = 0.3
+            node.path.write_bytes(orjson.dumps(value))
+            await until(lambda: node.messages().count("settings reloaded") >= 2)
+            node.path.write_bytes(b'{"node": 5}')
+            node.signal(signal.SIGHUP)
+            await until(lambda: "settings not reloaded" in node.messages())
+            body = await connection.body(1_000_000)
+            assert body.endswith(b"data: token 200\n\n")
+            assert node.process.returncode is None
+
+    play(scenario)
+
+
+def test_stop_signal_ends_a_node_in_order(tmp_path):
+    async def scenario():
+        async with run_users_site(nodes=0) as site:
+            await site.add_runner("r1", CALLS)
+            node = await site.start_process("a", tmp_path)
+            assert (await site.call("/look/x")).status == 200
+            node.signal(signal.SIGTERM)
+            assert (await site.call("/look/x")).status == 200
+            assert await node.process.wait() == 0
+            assert {"stopping", "stopped"} <= set(node.messages())
+
+    play(scenario)
+
+
+def test_each_request_can_be_followed_by_its_id(tmp_path):
+    async def scenario():
+        async with run_users_site(nodes=0) as site:
+            await site.add_runner("r1", CALLS)
+            node = await site.start_process("a", tmp_path)
+            await site.call("/look/x", X_Poplarrelay_Attempt_Id="known-id")
+            await until(lambda: "request" in node.messages())
+            lines = [li for li in node.lines() if li.get("request") == "known-id"]
+            assert [line["message"] for line in lines] == ["attempt", "request"]
+            assert lines[0]["endpoint"] == "r1"
+            assert lines[1]["configuration"] == 1
+            metrics = await site.get("control", "/metrics")
+            assert b'poplarrelay_requests_total{status="200"} 1' in metrics.body
+            status = orjson.loads((await site.get("control", "/status")).body)
+            assert status["endpoints"]["r1"]["service"] == CALLS
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("content", "told"),
+    [(b"{", "line 1"), (b'{"node": "a"}', "listeners"), (None, "No such file")],
+    ids=["no JSON", "fields missing", "no file"],
+)
+def test_faulty_settings_end_the_process_with_a_reason(tmp_path, content, told):
+    path = tmp_path / "settings.json"
+    if content is not None:
+        path.write_bytes(content)
+    run = subprocess.run(
+        [sys.executable, "-m", "poplarrelay.entry", "--settings", str(path)],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert run.returncode == 78
+    assert told in run.stderr
+    assert "Traceback" not in run.stderr
--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -81,6 +81,8 @@
         Event in whose middle streams break off.
     received : list of ReceivedRequest
         All requests, in order of arrival.
+    working : int
+        Streams that are under way.
     cut : list of str
         Ids of requests whose caller closed before the end.
     """
@@ -94,6 +96,7 @@
     received: list[ReceivedRequest] = field(default_factory=list)
     cut: list[str] = field(default_factory=list)
     connections: int = 0
+    working: int = 0
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -114,6 +117,11 @@
         assert self._server is not None
         return f"{self.host}:{self._server.sockets[0].getsockname()[1]}"
 
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being worked on."""
+        return self.working > 0
+
     @property
     def ran(self) -> list[ReceivedRequest]:
         """Return the requests that were run."""
@@ -271,6 +279,7 @@
         head = h11.Response(status_code=200, headers=self._head(attempt, *more))
         writer.write(http.send(head) or b"")
         gone = asyncio.ensure_future(reader.read(1))
+        self.working += 1
         try:
             for number in range(first, self.events + 1):
                 done, _ = await asyncio.wait({gone}, timeout=self.pause_s)
@@ -286,6 +295,7 @@
                 writer.write(http.send(h11.Data(data=event)))
                 await writer.drain()
         finally:
+            self.working -= 1
             gone.cancel()
         writer.write(http.send(h11.EndOfMessage()))
         await writer.drain()
--- a/poplarrelay/testing/users.py
+++ b/poplarrelay/testing/users.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import contextlib
+import signal
+import sys
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from itertools import count
+from pathlib import Path
 from time import monotonic
 from typing import Any
 
+import orjson
+
 from poplarrelay.entry.http.connection import (
     Connection,
     Headers,
@@ -127,6 +132,34 @@
     return value
 
 
+@dataclass(slots=True)
+class EntryProcess:
+    """A node that runs as a process of its own."""
+
+    process: asyncio.subprocess.Process
+    path: Path
+    output: Path
+
+    def lines(self) -> list[dict[str, Any]]:
+        """Return the log lines written so far."""
+        lines = self.output.read_bytes().splitlines()
+        return [orjson.loads(line) for line in lines if line.startswith(b"{")]
+
+    def messages(self) -> list[str]:
+        """Return the messages of the log lines written so far."""
+        return [line["message"] for line in self.lines()]
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process at once, if it still runs."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+
 @dataclass(slots=True)
 class UsersSite:
     """Nodes, endpoints and the platform of one test.
@@ -142,12 +175,16 @@
     nodes: dict[str, EntryNode] = field(default_factory=dict)
     doors: dict[str, StoreDoor] = field(default_factory=dict)
     runners: dict[str, RunnerStandIn] = field(default_factory=dict)
+    processes: dict[str, EntryProcess] = field(default_factory=dict)
+    _settings: dict[str, EntrySettings] = field(default_factory=dict)
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _ports: dict[str, str] = field(default_factory=dict)
     _requests: count[int] = field(default_factory=lambda: count(1))
 
-    async def add_node(self, name: str, seeds: str = "", **changes: Any) -> EntryNode:
-        """Start a node; its bounds may be changed."""
+    async def settings_of(
+        self, name: str, seeds: str = "", **changes: Any
+    ) -> dict[str, Any]:
+        """Return a node's settings, with an address of the store of its own."""
         host = loopback_host(next(_NUMBERS) % 250 + 1)
         if not self._ports:
             names = ("callers", "readiness", "discovery", "control", "gossip")
@@ -155,29 +192,57 @@
                 self._ports[listener] = free_address(host).rsplit(":", 1)[1]
         door = StoreDoor(self.store, "127.0.0.1")
         await door.start()
-        settings = EntrySettings.model_validate(
-            {
-                "node": name,
-                "failure_domain": "north",
-                "listeners": {
-                    **{
-                        listener: f"{host}:{port}"
-                        for listener, port in self._ports.items()
-                        if listener != "gossip"
-                    },
-                    "gossip_port": int(self._ports["gossip"]),
-                },
-                "seeds": seeds,
-                "platform": {"store": door.address, "cloud": self.cloud.address},
-                "bounds": {"lease_ms": 300, "usage_window_s": 1, **changes},
-            }
-        )
+        self.doors[name] = door
+        listeners: dict[str, Any] = {
+            listener: f"{host}:{port}"
+            for listener, port in self._ports.items()
+            if listener != "gossip"
+        }
+        listeners["gossip_port"] = int(self._ports["gossip"])
+        return {
+            "node": name,
+            "failure_domain": "north",
+            "listeners": listeners,
+            "seeds": seeds,
+            "platform": {"store": door.address, "cloud": self.cloud.address},
+            "bounds": {"lease_ms": 300, "usage_window_s": 1, **changes},
+        }
+
+    async def add_node(self, name: str, seeds: str = "", **changes: Any) -> EntryNode:
+        """Start a node in this process; its bounds may be changed."""
+        value = await self.settings_of(name, seeds, **changes)
+        settings = EntrySettings.model_validate(value)
+        self._settings[name] = settings
         node = EntryNode.from_settings(settings)
         await node.start()
-        self.nodes[name], self.doors[name] = node, door
+        self.nodes[name] = node
         self._tasks[name] = asyncio.create_task(node.serve())
         return node
 
+    async def start_process(
+        self, name: str, folder: Path, seeds: str = "", **changes: Any
+    ) -> EntryProcess:
+        """Start a node as a process of its own, with a settings file."""
+        value = await self.settings_of(name, seeds, **changes)
+        self._settings[name] = EntrySettings.model_validate(value)
+        path = folder / f"{name}.json"
+        path.write_bytes(orjson.dumps(value))
+        output = folder / f"{name}.log"
+        with output.open("wb") as stream:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "poplarrelay.entry",
+                "--settings",
+                str(path),
+                stdout=stream,
+                stderr=stream,
+            )
+        started = EntryProcess(process, path, output)
+        self.processes[name] = started
+        await until(lambda: "ready" in started.messages(), "node process ready")
+        return started
+
     async def end_node(self, name: str) -> None:
         """Wait until a node that was told to stop has ended."""
         await self._tasks[name]
@@ -228,7 +293,7 @@
 
     def address(self, name: str = "a", listener: str = "callers") -> tuple[str, int]:
         """Return an address of a node."""
-        listeners = self.nodes[name].state.settings.listeners
+        listeners = self._settings[name].listeners
         return parse_address(getattr(listeners, listener))
 
     def headers(self, **more: str) -> Headers:
@@ -286,6 +351,8 @@
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
         for node in self.nodes.values():
             await node.abandon()
+        for process in self.processes.values():
+            await process.kill()
         for runner in self.runners.values():
             runner.stop()
         for door in self.doors.values():
