--- a/poplarrelay/entry/dutying.py
+++ b/poplarrelay/entry/dutying.py
@@ -57,6 +57,8 @@
 SCARCE_S = 2.5
 #: Seconds for which they are expected to be scarce after a notice.
 NOTICE_SCARCE_S = 1.5
+#: Seconds for which on-demand endpoints are kept: twice the boot of one.
+KEEP_ON_DEMAND_S = 8.0
 #: Seconds of requests that a restarted process sees before it orders by them.
 LEARN_LOAD_S = 4.0
 #: Weights of a second's load in the smoothed one, rising and falling: late orders
@@ -341,12 +343,27 @@
         for part in plan:
             order = EndpointOrder(service.name, part.domain, part.on_demand, False)
             if part.on_demand != self._present(order):
-                await self._order(order, load)
+                await self._order_on_demand(order, load)
         for part in plan:
             if monotonic() >= self._scarce_until:
                 order = EndpointOrder(service.name, part.domain, part.reclaimable, True)
                 await self._order(order, load)
 
+    async def _order_on_demand(self, order: EndpointOrder, load: float) -> None:
+        """Order on-demand endpoints, and keep for a while what was ordered.
+
+        Notes
+        -----
+        The load swings within seconds. An endpoint that is given up as soon as it
+        has booted was paid for its boot alone, and is missed at the next wave.
+        """
+        now = monotonic()
+        last = self._orders.get((order.service, order.domain, False))
+        fewer = last is not None and order.count < (last.count or 0)
+        if last is not None and fewer and now - last.at < KEEP_ON_DEMAND_S:
+            return
+        await self._order(order, load)
+
     def _knows_load(self, now: float) -> bool:
         """Return whether this process has seen enough of the load to order by it.
 
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -53,6 +53,8 @@
 
 _LOG = logging.getLogger("poplarrelay.entry")
 
+#: Where metrics are served, on the control address and on one of their own.
+METRICS_PATH = "/metrics"
 #: Seconds between ticks of the systems that run over the tables.
 TICK_S = 0.1
 #: Seconds between rounds of news to peers.
@@ -188,6 +190,9 @@
         for name, (address, handler) in handlers.items():
             host, port = parse_address(address)
             made[name] = Listener(host, port, handler, self._limits)
+        if listeners.metrics is not None:
+            host, port = parse_address(listeners.metrics)
+            made["metrics"] = Listener(host, port, self._handle_metrics, self._limits)
         return made
 
     def _limits(self) -> CallerLimits:
@@ -501,15 +506,23 @@
             known = int(parse_qs(query).get("version", ["0"])[0])
             body = encode_state(self._state, self._view, self._endpoints_read, known)
             await exchange.send(200, [(b"Content-Type", b"application/json")], body)
-        elif path == "/metrics":
-            body = self._metrics.render(self._gauge_values())
-            await exchange.send(200, [(b"Content-Type", b"text/plain")], body)
+        elif path == METRICS_PATH:
+            await self._handle_metrics(incoming, exchange)
         elif path == "/status":
             body = orjson.dumps(self._status())
             await exchange.send(200, [(b"Content-Type", b"application/json")], body)
         else:
             await exchange.send(404, [], b"")
 
+    async def _handle_metrics(
+        self, incoming: IncomingRequest, exchange: Exchange
+    ) -> None:
+        if incoming.target.partition(b"?")[0] != METRICS_PATH.encode():
+            await exchange.send(404, [], b"")
+            return
+        body = self._metrics.render(self._gauge_values())
+        await exchange.send(200, [(b"Content-Type", b"text/plain")], body)
+
     def _gauge_values(self) -> dict[str, float]:
         state = self._state
         return {
--- a/poplarrelay/entry/quotas.py
+++ b/poplarrelay/entry/quotas.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from poplarrelay.entry.configuration import Quota
 from poplarrelay.entry.requests import CallerRequest
 
-__all__ = ["Bucket", "OverQuota", "RemoteUse", "cost_of"]
+__all__ = ["Bucket", "OverQuota", "RemoteUse", "cost_of", "loosened"]
 
 #: Seconds of its part of the refill that a restarted node finds in its bucket. Its
 #: predecessor may have spent the burst a moment ago.
@@ -34,6 +34,17 @@
     return float(request.prompt_tokens + request.most_output_tokens)
 
 
+def loosened(quota: Quota, share: float) -> Quota:
+    """Return a quota whose refill is faster by a share.
+
+    Examples
+    --------
+    >>> loosened(Quota(100.0, 50.0, True, 1.0), 0.05).per_s
+    105.0
+    """
+    return replace(quota, per_s=quota.per_s * (1 + share))
+
+
 @dataclass(frozen=True, slots=True)
 class OverQuota:
     """The quota is used up; the request fits in after some time."""
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -36,7 +36,7 @@
     Streamed,
 )
 from poplarrelay.entry.pacing import note_first_event
-from poplarrelay.entry.quotas import Bucket, cost_of
+from poplarrelay.entry.quotas import Bucket, cost_of, loosened
 from poplarrelay.entry.requests import CallerRequest
 from poplarrelay.entry.routing import Admitted, Denied, NoRoute, admit, choose_service
 from poplarrelay.entry.state import EntryState
@@ -69,6 +69,9 @@
 UNTOLD_SHARE = 0.25
 #: Part of the quotas' tolerance that covers wrong guesses of the others' use.
 TOLERANCE_SHARE = 0.25
+#: Part of the tolerated overrun by which buckets refill faster. What nodes guess too
+#: high of each other's use would otherwise refuse requests that are within the quota.
+OVERRUN_SHARE = 0.5
 #: Statuses of an endpoint that a repetition elsewhere may better.
 _REPEATABLE_STATUSES = frozenset((500, 502, 503, 504))
 #: Statuses that promise that a request has not run. From an endpoint that does not
@@ -199,13 +202,14 @@
         now = monotonic()
         bucket = self._state.bucket(team, now)
         assert bucket is not None
+        bounds = self._state.settings.bounds
         cost = cost_of(team.quota, case.request)
         over = bucket.take(
-            team.quota,
+            loosened(team.quota, OVERRUN_SHARE * bounds.quota_overrun),
             cost,
             now,
             self._state.total_nodes,
-            TOLERANCE_SHARE * self._state.settings.bounds.quota_slack,
+            TOLERANCE_SHARE * bounds.quota_slack,
         )
         case.quota_left = bucket.level
         if over is None:
--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -43,7 +43,9 @@
         For requests, for the platform's readiness checks, for callers that ask
         where to connect.
     control : str
-        For peers, operators and metrics.
+        For peers and operators.
+    metrics : str or None
+        For those who collect metrics, apart from the control address.
     gossip_port : int
         UDP port for news between nodes, the same on all nodes.
     """
@@ -52,6 +54,7 @@
     readiness: str = Field(pattern=ADDRESS_PATTERN)
     discovery: str = Field(pattern=ADDRESS_PATTERN)
     control: str = Field(pattern=ADDRESS_PATTERN)
+    metrics: str | None = Field(default=None, pattern=ADDRESS_PATTERN)
     gossip_port: int = Field(ge=0, le=65535)
 
 
