Give on-demand endpoints the room of what cannot be had; refuse late in a stop

Now what cannot be had takes no room, and a restarted holder orders more at once and only less after 4 s.

A state machine over the duties; without the wait for a node's own last act, or without the part of the lease that is kept back, it fails.

--- a/poplarrelay/entry/dutying.py
+++ b/poplarrelay/entry/dutying.py
@@ -331,7 +331,7 @@
     async def _order_endpoints(self, service: Service) -> None:
         assert service.scaling is not None
         now = monotonic()
-        if not self._lease.may_act(now) or not self._knows_load(now):
+        if not self._lease.may_act(now):
             # Whoever holds the duty next has orders of its own.
             self._orders.clear()
             return
@@ -345,8 +345,8 @@
             if part.on_demand != self._present(order):
                 await self._order_on_demand(order, load)
         for part in plan:
-            if monotonic() >= self._scarce_until:
-                order = EndpointOrder(service.name, part.domain, part.reclaimable, True)
+            order = EndpointOrder(service.name, part.domain, part.reclaimable, True)
+            if monotonic() >= self._scarce_until or self._lowers(order):
                 await self._order(order, load)
 
     async def _order_on_demand(self, order: EndpointOrder, load: float) -> None:
@@ -357,20 +357,24 @@
         The load swings within seconds. An endpoint that is given up as soon as it
         has booted was paid for its boot alone, and is missed at the next wave.
         """
-        now = monotonic()
         last = self._orders.get((order.service, order.domain, False))
-        fewer = last is not None and order.count < (last.count or 0)
-        if last is not None and fewer and now - last.at < KEEP_ON_DEMAND_S:
+        lowers = last is not None and self._lowers(order)
+        if last is not None and lowers and monotonic() - last.at < KEEP_ON_DEMAND_S:
             return
         await self._order(order, load)
 
+    def _lowers(self, order: EndpointOrder) -> bool:
+        """Return whether an order asks for less than the last one of its kind."""
+        last = self._orders.get((order.service, order.domain, order.reclaimable))
+        return last is not None and last.count is not None and order.count < last.count
+
     def _knows_load(self, now: float) -> bool:
-        """Return whether this process has seen enough of the load to order by it.
+        """Return whether this process has seen enough of the load to order less.
 
         Notes
         -----
-        A process that has just been restarted sees no request at first, and would
-        send away endpoints that all others use.
+        After a restart of all nodes nobody has a request at first, and the first
+        holder would send away endpoints that are needed a moment later.
         """
         if self._state.settings.first_start:
             return True
@@ -424,6 +428,8 @@
             return
         if not self._lease.may_act(now):
             return
+        if order.count < self._present(order) and not self._knows_load(now):
+            return
         outcome, detail = await self._cloud.order(self._stamp, order)
         last.count = order.count if outcome is CloudOutcome.DONE else None
         last.at = now
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -79,12 +79,9 @@
 #: Seconds after the stop signal until which a node keeps serving in any case:
 #: callers still arrive with addresses that they learned before.
 LEAST_DRAIN_S = 2.5
-#: Seconds after the stop signal from which streams are refused, since they could not
-#: end in time, and from which calls are.
-LAST_STREAM_S = 3.0
-LAST_CALL_S = 5.5
-#: Seconds before the end of the grace time at which what is left is cut off.
-CUT_MARGIN_S = 0.6
+#: Seconds before the end of the grace time at which what is left is cut off. A
+#: process that still says good-bye when its time is over is killed.
+CUT_MARGIN_S = 1.1
 #: Seconds for written answers to reach their callers before connections are reset.
 LAST_BYTES_S = 0.2
 
@@ -279,6 +276,7 @@
         if self._stopping_at is not None:
             return
         self._stopping_at = monotonic()
+        self._state.stopping_at = self._stopping_at
         self._state.me.state = NodeState.DRAINING
         for listener in self._listeners.values():
             listener.drain()
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -63,6 +63,12 @@
 #: Silence within a stream after which it goes on elsewhere. Engines pause for some
 #: hundred ms to read long prompts in, and callers leave after two seconds.
 STREAM_SILENCE_S = 1.5
+#: Seconds after the stop signal from which a node refuses streams, and calls. What
+#: comes later might not end before the process does; refused, it can go elsewhere.
+LAST_STREAM_S = 3.0
+LAST_CALL_S = 5.0
+#: Seconds after which a caller that a stopping node refused tries another one.
+ELSEWHERE_RETRY_S = 0.05
 #: Part of the quotas' tolerance, divided by the nodes, that may be used of a tight
 #: bucket before the others are told: the untold use of all nodes together stays
 #: within a quarter of what operators tolerate.
@@ -154,9 +160,21 @@
             await self._refuse(request, exchange, Refusal(404, RefusalReason.NO_ROUTE))
         elif isinstance(verdict, Denied):
             await self._refuse(request, exchange, Refusal(401, RefusalReason.DENIED))
+        elif self._comes_too_late(verdict.route):
+            refusal = Refusal(503, RefusalReason.STOPPING, ELSEWHERE_RETRY_S)
+            await self._refuse(request, exchange, refusal)
         else:
             await self._serve_admitted(request, exchange, verdict, configuration)
 
+    def _comes_too_late(self, route: Route) -> bool:
+        """Return whether this node may have ended before a request has."""
+        stopping_at = self._state.stopping_at
+        if stopping_at is None:
+            return False
+        streams = route.kind is RouteKind.STREAMING
+        limit_s = LAST_STREAM_S if streams else LAST_CALL_S
+        return monotonic() - stopping_at > limit_s
+
     async def _serve_admitted(
         self,
         request: CallerRequest,
--- a/poplarrelay/entry/sizing.py
+++ b/poplarrelay/entry/sizing.py
@@ -19,7 +19,7 @@
 LOAD_PER_ENDPOINT = 8.0
 #: Requests at one engine that are borne before on-demand endpoints, which cost about
 #: five times as much, replace reclaimable ones that are not to be had.
-LOAD_PER_ON_DEMAND = 12.0
+LOAD_PER_ON_DEMAND = 9.0
 #: Endpoints beyond that, so that a domain which is taken away leaves enough: a new
 #: one takes seconds to boot, and none may be had.
 SPARE_ENDPOINTS = 1
@@ -59,15 +59,15 @@
     scarce: bool
 
 
-def target_count(load: float, load_per_endpoint: float) -> int:
+def target_count(load: float, load_per_endpoint: float, spare: int) -> int:
     """Return how many endpoints carry a load, with some to spare.
 
     Examples
     --------
-    >>> target_count(0.0, 10.0), target_count(20.0, 10.0), target_count(21.0, 10.0)
-    (2, 3, 4)
+    >>> [target_count(load, 10.0, spare=1) for load in (0.0, 20.0, 21.0)]
+    [2, 3, 4]
     """
-    return max(LEAST_ENDPOINTS, ceil(load / load_per_endpoint) + SPARE_ENDPOINTS)
+    return max(LEAST_ENDPOINTS, ceil(load / load_per_endpoint) + spare)
 
 
 def _serving(rows: Sequence[Endpoint], domain: DomainId, reclaimable: bool) -> int:
@@ -93,12 +93,16 @@
     """
     limits = given.limits
     domains = sorted(limits.domain_prices, key=lambda d: limits.domain_prices[d])
-    target = target_count(given.load, LOAD_PER_ENDPOINT)
-    reclaimable = _spread(domains, target, limits)
-    serving = sum(_serving(given.rows, domain, True) for domain in domains)
+    serving = {domain: _serving(given.rows, domain, True) for domain in domains}
     present = {domain: _serving(given.rows, domain, False) for domain in domains}
-    bearable = target_count(given.load, LOAD_PER_ON_DEMAND)
-    missing = max(0, bearable - serving)
+    if given.scarce:
+        # What cannot be had must not take the room of what can.
+        reclaimable = serving
+    else:
+        target = target_count(given.load, LOAD_PER_ENDPOINT, SPARE_ENDPOINTS)
+        reclaimable = _spread(domains, target, present, limits)
+    bearable = target_count(given.load, LOAD_PER_ON_DEMAND, 0)
+    missing = max(0, bearable - sum(serving.values()))
     if not given.scarce:
         missing = min(missing, sum(present.values()))
     on_demand = _place_on_demand(domains, missing, present, reclaimable, limits)
@@ -108,12 +112,16 @@
 
 
 def _spread(
-    domains: Sequence[DomainId], target: int, limits: ScalingLimits
+    domains: Sequence[DomainId],
+    target: int,
+    on_demand: dict[DomainId, int],
+    limits: ScalingLimits,
 ) -> dict[DomainId, int]:
-    """Return the reclaimable endpoints of each domain."""
-    counts = {domain: max(1, limits.least) for domain in domains}
+    """Return the reclaimable endpoints of each domain, beside the on-demand ones."""
+    room = {domain: max(0, limits.most - on_demand[domain]) for domain in domains}
+    counts = {domain: min(room[domain], max(1, limits.least)) for domain in domains}
     while sum(counts.values()) < target:
-        open_domains = [d for d in domains if counts[d] < limits.most]
+        open_domains = [domain for domain in domains if counts[domain] < room[domain]]
         if not open_domains:
             break
         counts[min(open_domains, key=lambda d: counts[d])] += 1
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -38,6 +38,8 @@
         Monotonic time at which it came into force.
     endpoints_known : bool
         Whether the list of endpoints has been read once.
+    stopping_at : float or None
+        Monotonic time of the stop signal, None before it.
     listed_nodes : int
         Other nodes that the directory in the platform's store lists.
     ends : dict of ServiceName to deque of float
@@ -57,6 +59,7 @@
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
     buckets: dict[TeamId, Bucket] = field(default_factory=dict)
     ends: dict[ServiceName, deque[float]] = field(default_factory=dict)
+    stopping_at: float | None = None
     listed_nodes: int = 0
     most_nodes: list[tuple[float, int]] = field(default_factory=list)
 
--- /dev/null
+++ b/poplarrelay/entry/tests/test_duties_machine.py
@@ -0,0 +1,120 @@
+"""A state machine over the duties: any order of renewals, acts, freezes and deals."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from poplarrelay.entry.duties import DutyLease
+
+NODES = ("a", "b", "c")
+TTL_S, WAIT_S = 2.2, 3.0
+
+
+class Group:
+    """The store's group: one owner of the duty, and a generation."""
+
+    def __init__(self):
+        self.generation = 0
+        self.owner = None
+        self.seen = {}
+
+    def join(self, node, now):
+        for member in [m for m, at in self.seen.items() if now - at > TTL_S]:
+            del self.seen[member]
+            self.generation += 1
+            if self.owner == member:
+                self.owner = None
+        if node not in self.seen:
+            self.generation += 1
+        self.seen[node] = now
+        if self.owner is None:
+            self.owner = node
+        return self.owner == node, self.generation
+
+    def deal(self):
+        self.generation += 1
+        if self.seen:
+            self.owner = sorted(self.seen)[self.generation % len(self.seen)]
+
+
+class DutyMachine(RuleBasedStateMachine):
+    """Nodes renew, act, freeze and restart; the platform checks their tokens.
+
+    Time passes between steps. What must hold: no two nodes use one token, and no
+    node acts, then another, then the first again, within the platform's bound, of
+    the calls that the platform takes.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.group = Group()
+        self.leases = {node: self._lease() for node in NODES}
+        self.answers = []
+        self.accepted = []
+        self.fence = -1
+
+    def _lease(self):
+        return DutyLease(TTL_S, WAIT_S, acted_at=self.now)
+
+    @rule(seconds=st.floats(0.01, 1.5))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @rule(node=st.sampled_from(NODES))
+    def renew(self, node):
+        holds, generation = self.group.join(node, self.now)
+        self.leases[node].renew(holds, generation, self.now)
+
+    @rule(node=st.sampled_from(NODES))
+    def renew_without_answer(self, node):
+        self.group.join(node, self.now)
+
+    @rule()
+    def deal_anew(self):
+        self.group.deal()
+
+    @rule(node=st.sampled_from(NODES))
+    def freeze(self, node):
+        self.leases[node].give_up()
+        self.now += 4.0
+
+    @rule(node=st.sampled_from(NODES))
+    def restart(self, node):
+        self.leases[node] = self._lease()
+
+    @rule(node=st.sampled_from(NODES))
+    def act(self, node):
+        lease = self.leases[node]
+        if not lease.may_act(self.now):
+            return
+        lease.note_act(self.now)
+        if lease.token < self.fence:
+            lease.give_up()
+            return
+        self.fence = lease.token
+        self.accepted.append((self.now, node, lease.token))
+
+    @invariant()
+    def no_two_nodes_share_a_token(self):
+        users: dict[int, str] = {}
+        for _, node, token in self.accepted:
+            assert users.setdefault(token, node) == node
+
+    @invariant()
+    def holders_do_not_alternate_within_the_bound(self):
+        calls = self.accepted[-12:]
+        for first, (start, node, _) in enumerate(calls):
+            between = False
+            for at, other, _ in calls[first + 1 :]:
+                if at - start > WAIT_S:
+                    break
+                if other != node:
+                    between = True
+                assert not (between and other == node)
+
+
+DutyMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=60, deadline=None
+)
+TestDuties = DutyMachine.TestCase
--- a/poplarrelay/entry/tests/test_nodes.py
+++ b/poplarrelay/entry/tests/test_nodes.py
@@ -1,9 +1,11 @@
 """Nodes that come, leave, freeze and lose each other."""
 
 import asyncio
+from time import monotonic
 
 import orjson
 
+from poplarrelay.entry.http.connection import header_value
 from poplarrelay.standins.users.runner import Fault
 from poplarrelay.testing.users import CALLS, STREAMS, run_users_site, until
 
@@ -82,6 +84,24 @@
     play(scenario)
 
 
+def test_stopping_node_refuses_what_it_could_not_finish():
+    # A caller still has the address of a node that was told to stop a while ago. Its
+    # stream might be cut by the node's end: it is refused as not run, to go elsewhere.
+    async def scenario():
+        async with run_users_site(nodes=1) as site:
+            runner = await site.add_runner("r1", STREAMS)
+            await site.add_runner("r2", CALLS)
+            await site.ready(endpoints=2)
+            site.nodes["a"].state.stopping_at = monotonic() - 4.0
+            answer = await site.call("/draft/x")
+            assert answer.status == 503
+            assert header_value(answer.headers, b"retry-after")
+            assert runner.received == []
+            assert (await site.call("/look/x")).status == 200
+
+    play(scenario)
+
+
 def test_stopping_node_ends_within_its_grace():
     # An endpoint never ends its work. The node gives the rest up before the platform
     # kills it.
--- a/poplarrelay/entry/tests/test_sizing.py
+++ b/poplarrelay/entry/tests/test_sizing.py
@@ -42,8 +42,10 @@
 
 
 def test_limits_of_a_domain_hold_for_both_kinds_together():
-    plan = plan_endpoints(SizingInput(LIMITS, [], 1000.0, True))
-    assert all(p.reclaimable + p.on_demand <= LIMITS.most for p in plan)
+    for scarce in (False, True):
+        for present in (rows("abc", "aab"), rows("aabbcc"), rows("", "aaabbbccc")):
+            plan = plan_endpoints(SizingInput(LIMITS, present, 1000.0, scarce))
+            assert all(p.reclaimable + p.on_demand <= LIMITS.most for p in plan)
 
 
 def test_first_endpoints_are_replaced_by_cheaper_ones():
@@ -66,6 +68,13 @@
     assert totals(back)[1] == 0
 
 
+def test_what_cannot_be_had_takes_no_room():
+    # At high load all domains are to be full of reclaimable endpoints, and none are
+    # to be had. The places are free for on-demand ones; planned ones do not count.
+    plan = plan_endpoints(SizingInput(LIMITS, rows("a"), 90.0, True))
+    assert totals(plan) == (1, 8)
+
+
 def test_no_on_demand_endpoint_is_added_while_reclaimable_ones_can_be_had():
     plan = plan_endpoints(SizingInput(LIMITS, rows("a"), 60.0, False))
     assert totals(plan)[1] == 0
