Make the state machine of the duties notice its safeguards

The machine seldom acted twice within the bound, and asked nothing of a holder whose lease the store had passed on.

--- a/poplarrelay/entry/tests/test_duties_machine.py
+++ b/poplarrelay/entry/tests/test_duties_machine.py
@@ -40,16 +40,17 @@
 class DutyMachine(RuleBasedStateMachine):
     """Nodes renew, act, freeze and restart; the platform checks their tokens.
 
-    Time passes between steps. What must hold: no two nodes use one token, and no
-    node acts, then another, then the first again, within the platform's bound, of
-    the calls that the platform takes.
+    Time passes between steps. What must hold: no two nodes use one token; nobody
+    acts on a lease that the store has passed on for want of renewals; and no node
+    acts, then another, then the first again, within the platform's bound.
     """
 
     def __init__(self):
         super().__init__()
         self.now = 100.0
         self.group = Group()
-        self.leases = {node: self._lease() for node in NODES}
+        self.leases = {node: DutyLease(TTL_S, WAIT_S) for node in NODES}
+        self.dealt = dict.fromkeys(NODES, False)
         self.answers = []
         self.accepted = []
         self.fence = -1
@@ -65,6 +66,22 @@
     def renew(self, node):
         holds, generation = self.group.join(node, self.now)
         self.leases[node].renew(holds, generation, self.now)
+        self.dealt[node] = False
+
+    @rule(node=st.sampled_from(NODES), seconds=st.floats(0.01, 0.5))
+    def renew_and_act(self, node, seconds):
+        self.now += seconds
+        self.renew(node)
+        self.act(node)
+
+    @rule(node=st.sampled_from(NODES), seconds=st.floats(2.21, 3.0))
+    def fail_to_renew(self, node, seconds):
+        """Let the others renew for longer than the store waits for a node."""
+        self.now += seconds
+        for other in NODES:
+            if other != node:
+                self.renew(other)
+        self.act(node)
 
     @rule(node=st.sampled_from(NODES))
     def renew_without_answer(self, node):
@@ -73,6 +90,7 @@
     @rule()
     def deal_anew(self):
         self.group.deal()
+        self.dealt = dict.fromkeys(NODES, True)
 
     @rule(node=st.sampled_from(NODES))
     def freeze(self, node):
@@ -88,6 +106,9 @@
         lease = self.leases[node]
         if not lease.may_act(self.now):
             return
+        # Only a deal that nobody asked for may leave a holder with an old belief;
+        # a lease that lapses is given up before the store passes the duty on.
+        assert self.group.owner in (node, None) or self.dealt[node]
         lease.note_act(self.now)
         if lease.token < self.fence:
             lease.give_up()
