--- a/poplarrelay/entry/tests/test_duties_machine.py
+++ b/poplarrelay/entry/tests/test_duties_machine.py
@@ -74,6 +74,17 @@
         self.renew(node)
         self.act(node)
 
+    @rule(nodes=st.permutations(NODES), seconds=st.floats(0.01, 0.9))
+    def go_away_and_come_back(self, nodes, seconds):
+        """Let the duty go from one node to another and back."""
+        first, second, _ = nodes
+        for node in (first, second, first):
+            self.renew(node)
+            for _ in range(len(NODES)):
+                if self.group.owner != node:
+                    self.deal_anew()
+            self.renew_and_act(node, seconds)
+
     @rule(node=st.sampled_from(NODES), seconds=st.floats(2.21, 3.0))
     def fail_to_renew(self, node, seconds):
         """Let the others renew for longer than the store waits for a node."""
