Split the way of a request and the node's answers by job

Moved, not changed: what is known of a request, final answers, charges and places are modules of their own, as are the handlers of the node's other listeners. One change: a request counts as possibly run from the moment it is sent, also when the wait for it ends in the middle of an attempt; a request that was only refused by endpoints and then waited in vain is told 503 again instead of 504.

--- a/poplarrelay/entry/directory.py
+++ b/poplarrelay/entry/directory.py
@@ -9,14 +9,14 @@
 
 from poplarrelay.entry.state import EntryState
 from poplarrelay.exception import PlatformUnavailable
-from poplarrelay.platform.store import Store
+from poplarrelay.platform.store import Store, keyed_topic
 
 __all__ = ["HostDirectory"]
 
 _LOG = logging.getLogger("poplarrelay.entry.directory")
 
 #: Topic with one record for each node: its host.
-TOPIC = "keyed.entry-hosts"
+TOPIC = keyed_topic("entry-hosts")
 #: Seconds between looks while nodes seem to be missing, and otherwise.
 MISSING_S = 4.0
 COMPLETE_S = 20.0
--- a/poplarrelay/entry/outcomes.py
+++ b/poplarrelay/entry/outcomes.py
@@ -27,6 +27,11 @@
     headers: Headers
     body: bytes
 
+    @property
+    def why(self) -> str:
+        """Return what to log of it."""
+        return f"status {self.status}"
+
 
 @dataclass(frozen=True, slots=True)
 class Streamed:
@@ -34,6 +39,11 @@
 
     events_bytes: int
 
+    @property
+    def why(self) -> str:
+        """Return what to log of it."""
+        return ""
+
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
--- /dev/null
+++ b/poplarrelay/entry/places.py
@@ -0,0 +1,116 @@
+"""Places at endpoints: taken at once, waited for, or refused."""
+
+from __future__ import annotations
+
+import asyncio
+from time import monotonic
+
+from poplarrelay.entry.case import Case
+from poplarrelay.entry.choosing import Choice, Wish, choose_endpoint
+from poplarrelay.entry.configuration import ServiceName
+from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.outcomes import Refusal, RefusalReason
+from poplarrelay.entry.state import EntryState
+from poplarrelay.entry.waiting import WaitingRoom, longest_wait, retry_after
+from poplarrelay.identifiers import EndpointId
+
+__all__ = ["NO_ENDPOINT_RETRY_S", "Places"]
+
+#: Seconds after which a caller comes back for a service without endpoints; a new one
+#: takes some seconds to boot, and its record comes within one poll.
+NO_ENDPOINT_RETRY_S = 1.0
+
+
+class Places:
+    """The places at endpoints that this node takes.
+
+    Parameters
+    ----------
+    state : EntryState
+        The node's tables.
+    """
+
+    def __init__(self, state: EntryState) -> None:
+        self._state = state
+        self._waiting = WaitingRoom()
+
+    def retry_after(self, case: Case) -> float:
+        """Return when a refused caller shall come back."""
+        now = monotonic()
+        return retry_after(
+            self._waiting.length(case.service),
+            self._state.end_rate(case.service, now),
+            case.remaining_s,
+        )
+
+    def _choose(self, service: ServiceName, wish: Wish) -> Choice | None:
+        """Choose an endpoint with room and take a place at it."""
+        choice = choose_endpoint(
+            self._state.endpoints.accepting(service),
+            wish,
+            monotonic(),
+            self._state.rng,
+        )
+        if choice is not None:
+            choice.endpoint.running += 1
+        return choice
+
+    async def take(self, case: Case) -> Choice | Refusal:
+        """Take a place for a request, waiting for one if need be."""
+        wish = self._wish(case, tuple(case.tried))
+        choice = self._choose(case.service, wish)
+        if choice is not None:
+            return choice
+        if case.tried and not self._has_untried(case):
+            # Every endpoint was tried; one of them may have room again.
+            wish = self._wish(case, ())
+            choice = self._choose(case.service, wish)
+            if choice is not None:
+                return choice
+        if not self._state.endpoints.accepting(case.service):
+            if case.may_have_run:
+                return Refusal(502, RefusalReason.UNKNOWN, detail="no other endpoint")
+            return Refusal(503, RefusalReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_S)
+        return await self._wait(case, wish)
+
+    def _wish(self, case: Case, tried: tuple[EndpointId, ...]) -> Wish:
+        request = case.request
+        return Wish(
+            affinity_key=request.affinity_key,
+            prompt_tokens=request.prompt_tokens or 0,
+            shared_tokens=request.shared_tokens,
+            tried=tried,
+            near=self._state.me.domain,
+        )
+
+    def _has_untried(self, case: Case) -> bool:
+        rows = self._state.endpoints.accepting(case.service)
+        return any(row.endpoint not in case.tried for row in rows)
+
+    async def _wait(self, case: Case, wish: Wish) -> Choice | Refusal:
+        place: asyncio.Future[Choice] = asyncio.get_running_loop().create_future()
+        self._waiting.join(case.service, case.priority, wish, place)
+        try:
+            async with asyncio.timeout(longest_wait(case.route, case.remaining_s)):
+                return await place
+        except TimeoutError:
+            if place.done() and not place.cancelled():
+                return place.result()
+            if case.may_have_run:
+                return Refusal(502, RefusalReason.UNKNOWN, detail="others are full")
+            return Refusal(503, RefusalReason.FULL, self.retry_after(case))
+        except asyncio.CancelledError:
+            if place.done() and not place.cancelled():
+                self.leave(case.service, place.result().endpoint)
+            raise
+        finally:
+            place.cancel()
+
+    def leave(self, service: ServiceName, row: Endpoint) -> None:
+        """Free a place, and give it to a request that waits."""
+        row.running -= 1
+        self.serve_waiting(service)
+
+    def serve_waiting(self, service: ServiceName) -> None:
+        """Give places that have come free to requests that wait."""
+        self._waiting.serve(service, lambda wish: self._choose(service, wish))
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -11,9 +11,6 @@
 from pathlib import Path
 from random import Random
 from time import monotonic
-from urllib.parse import parse_qs
-
-import orjson
 
 from poplarrelay.entry.clock import FreezeDetector
 from poplarrelay.entry.configuration import CallerLimits
@@ -26,35 +23,28 @@
     topics,
 )
 from poplarrelay.entry.gossip import Gossip
-from poplarrelay.entry.http.listener import Exchange, IncomingRequest, Listener
+from poplarrelay.entry.http.listener import Handler, Listener
 from poplarrelay.entry.http.pool import ConnectionPool
 from poplarrelay.entry.metrics import EntryMetrics
 from poplarrelay.entry.peers import (
     NodeState,
     PeerRow,
-    choose_addresses,
     reporter_of,
 )
 from poplarrelay.entry.relaying import Relay
+from poplarrelay.entry.serving import NodeAnswers
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.entry.state import EntryState
-from poplarrelay.entry.syncing import STATE_PATH, PeerSync, encode_state
+from poplarrelay.entry.syncing import PeerSync
 from poplarrelay.exception import SettingsError
 from poplarrelay.identifiers import Incarnation
 from poplarrelay.platform.cloud import CloudApi
-from poplarrelay.platform.discovery import (
-    READINESS_PATH,
-    RESOLVE_PATH,
-    encode_addresses,
-)
 from poplarrelay.platform.store import Store
 
 __all__ = ["EntryNode"]
 
 _LOG = logging.getLogger("poplarrelay.entry")
 
-#: Where metrics are served, on the control address and on one of their own.
-METRICS_PATH = "/metrics"
 #: Seconds between ticks of the systems that run over the tables.
 TICK_S = 0.1
 #: Seconds between rounds of news to peers.
@@ -67,9 +57,6 @@
 #: Seconds between reads of the endpoints: with the store's answer well within the
 #: two seconds after which a leaving endpoint may get nothing more.
 ENDPOINTS_PAUSE_S = 0.7
-#: Seconds for which callers keep the addresses: long enough to cost little, short
-#: enough that they have left a stopping node before it ends.
-ADDRESS_TTL_S = 2.5
 #: Seconds for a new connection to an endpoint.
 ENDPOINT_CONNECT_S = 0.6
 #: Seconds without running after which the process counts as frozen.
@@ -176,12 +163,19 @@
         )
 
     def _make_listeners(self) -> dict[str, Listener]:
+        answers = NodeAnswers(
+            self._state,
+            self._view,
+            self._endpoints_read,
+            self._metrics,
+            self._gauges,
+        )
         listeners = self._settings.listeners
-        handlers = {
-            "callers": (listeners.callers, self._handle_caller),
-            "readiness": (listeners.readiness, self._handle_readiness),
-            "discovery": (listeners.discovery, self._handle_discovery),
-            "control": (listeners.control, self._handle_control),
+        handlers: dict[str, tuple[str, Handler]] = {
+            "callers": (listeners.callers, self._relay.handle),
+            "readiness": (listeners.readiness, answers.readiness),
+            "discovery": (listeners.discovery, answers.discovery),
+            "control": (listeners.control, answers.control),
         }
         made = {}
         for name, (address, handler) in handlers.items():
@@ -189,7 +183,7 @@
             made[name] = Listener(host, port, handler, self._limits)
         if listeners.metrics is not None:
             host, port = parse_address(listeners.metrics)
-            made["metrics"] = Listener(host, port, self._handle_metrics, self._limits)
+            made["metrics"] = Listener(host, port, answers.metrics, self._limits)
         return made
 
     def _limits(self) -> CallerLimits:
@@ -390,7 +384,7 @@
             self._run_gossip(now)
         if state.configuration is not None:
             for service in state.configuration.services:
-                self._relay.serve_waiting(service)
+                self._relay.places.serve_waiting(service)
 
     def thaw(self, frozen_s: float) -> None:
         """Distrust what was known before the process stood still."""
@@ -462,105 +456,14 @@
         if self._state.configuration is None:
             return
         for service in self._state.configuration.services:
-            self._relay.serve_waiting(service)
-
-    # listeners
-
-    async def _handle_caller(
-        self, incoming: IncomingRequest, exchange: Exchange
-    ) -> None:
-        await self._relay.handle(incoming, exchange)
-
-    async def _handle_readiness(
-        self, incoming: IncomingRequest, exchange: Exchange
-    ) -> None:
-        path = incoming.target.partition(b"?")[0]
-        if path != READINESS_PATH:
-            await exchange.send(404, [], b"")
-            return
-        await exchange.send(200 if self._state.ready else 503, [], b"")
-
-    async def _handle_discovery(
-        self, incoming: IncomingRequest, exchange: Exchange
-    ) -> None:
-        path = incoming.target.partition(b"?")[0]
-        if path != RESOLVE_PATH:
-            await exchange.send(404, [], b"")
-            return
-        port = parse_address(self._settings.listeners.callers)[1]
-        addresses = choose_addresses(self._state.peers, port, monotonic(), self._rng)
-        if not addresses:
-            await exchange.send(503, [(b"Retry-After", b"0.5")], b"")
-            return
-        ttl_s = min(ADDRESS_TTL_S, self._settings.bounds.address_ttl_most_s)
-        body = encode_addresses(addresses, ttl_s)
-        await exchange.send(200, [(b"Content-Type", b"application/json")], body)
-
-    async def _handle_control(
-        self, incoming: IncomingRequest, exchange: Exchange
-    ) -> None:
-        path, _, query = incoming.target.decode("latin-1").partition("?")
-        if path == STATE_PATH:
-            known = int(parse_qs(query).get("version", ["0"])[0])
-            body = encode_state(self._state, self._view, self._endpoints_read, known)
-            await exchange.send(200, [(b"Content-Type", b"application/json")], body)
-        elif path == METRICS_PATH:
-            await self._handle_metrics(incoming, exchange)
-        elif path == "/status":
-            body = orjson.dumps(self._status())
-            await exchange.send(200, [(b"Content-Type", b"application/json")], body)
-        else:
-            await exchange.send(404, [], b"")
-
-    async def _handle_metrics(
-        self, incoming: IncomingRequest, exchange: Exchange
-    ) -> None:
-        if incoming.target.partition(b"?")[0] != METRICS_PATH.encode():
-            await exchange.send(404, [], b"")
-            return
-        body = self._metrics.render(self._gauge_values())
-        await exchange.send(200, [(b"Content-Type", b"text/plain")], body)
+            self._relay.places.serve_waiting(service)
 
-    def _gauge_values(self) -> dict[str, float]:
-        state = self._state
+    def _gauges(self) -> dict[str, float]:
+        """Return what only the process can tell of itself."""
         return {
-            "ready": float(state.ready),
-            "peers_alive": float(len(state.peers.alive(monotonic()))),
-            "endpoints": float(len(state.endpoints.rows)),
-            "configuration_version": float(state.me.configuration),
-            "running": float(sum(r.running for r in state.endpoints.rows.values())),
             "store_calls": float(self._store.calls),
             "endpoint_connections_opened": float(self._pool.opened),
             "gossip_bytes_sent": float(self._gossip.sent_bytes),
             "gossip_bytes_received": float(self._gossip.received_bytes),
             "duty_held": float(self._duties is not None and self._duties.lease.held),
         }
-
-    def _status(self) -> dict[str, object]:
-        now = monotonic()
-        state = self._state
-        return {
-            "node": state.me.node,
-            "state": state.me.state.value,
-            "configuration": state.me.configuration,
-            "peers": {
-                node: {
-                    "state": seen.row.state.value,
-                    "alive": seen.alive(now),
-                    "configuration": seen.row.configuration,
-                }
-                for node, seen in state.peers.seen.items()
-            },
-            "endpoints": {
-                row.endpoint: {
-                    "service": row.service,
-                    "domain": row.domain,
-                    "leaving": row.leaving,
-                    "running": row.running,
-                    "elsewhere": row.elsewhere,
-                    "avoided": row.health.avoided_until > now,
-                    "failure_rate": round(row.health.failure_rate, 3),
-                }
-                for row in state.endpoints.rows.values()
-            },
-        }
--- /dev/null
+++ b/poplarrelay/entry/serving.py
@@ -0,0 +1,149 @@
+"""What a node answers besides callers' requests: where, whether, and how it is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from time import monotonic
+from urllib.parse import parse_qs
+
+import orjson
+
+from poplarrelay.entry.following import Dependency, StoreView
+from poplarrelay.entry.http.listener import Exchange, IncomingRequest
+from poplarrelay.entry.metrics import EntryMetrics
+from poplarrelay.entry.peers import choose_addresses
+from poplarrelay.entry.settings import parse_address
+from poplarrelay.entry.state import EntryState
+from poplarrelay.entry.syncing import STATE_PATH, encode_state
+from poplarrelay.platform.discovery import (
+    READINESS_PATH,
+    RESOLVE_PATH,
+    encode_addresses,
+)
+
+__all__ = ["METRICS_PATH", "NodeAnswers"]
+
+#: Where metrics are served, on the control address and on one of their own.
+METRICS_PATH = "/metrics"
+#: Seconds for which callers keep the addresses: long enough to cost little, short
+#: enough that they have left a stopping node before it ends.
+ADDRESS_TTL_S = 2.5
+
+
+class NodeAnswers:
+    """Handlers of the listeners for the platform, peers and operators.
+
+    Parameters
+    ----------
+    state : EntryState
+        The node's tables.
+    view : StoreView
+        The endpoints' records, to be passed on to peers.
+    endpoints_read : Dependency
+        Tells how old they are.
+    metrics : EntryMetrics
+        The node's metrics.
+    gauges : callable
+        Returns values that only the process knows, by name.
+    """
+
+    def __init__(
+        self,
+        state: EntryState,
+        view: StoreView,
+        endpoints_read: Dependency,
+        metrics: EntryMetrics,
+        gauges: Callable[[], dict[str, float]],
+    ) -> None:
+        self._state = state
+        self._view = view
+        self._endpoints_read = endpoints_read
+        self._metrics = metrics
+        self._gauges = gauges
+
+    async def readiness(self, incoming: IncomingRequest, exchange: Exchange) -> None:
+        """Tell the platform whether this node takes callers."""
+        path = incoming.target.partition(b"?")[0]
+        if path != READINESS_PATH:
+            await exchange.send(404, [], b"")
+            return
+        await exchange.send(200 if self._state.ready else 503, [], b"")
+
+    async def discovery(self, incoming: IncomingRequest, exchange: Exchange) -> None:
+        """Tell a caller where to connect."""
+        path = incoming.target.partition(b"?")[0]
+        if path != RESOLVE_PATH:
+            await exchange.send(404, [], b"")
+            return
+        port = parse_address(self._state.settings.listeners.callers)[1]
+        addresses = choose_addresses(
+            self._state.peers, port, monotonic(), self._state.rng
+        )
+        if not addresses:
+            await exchange.send(503, [(b"Retry-After", b"0.5")], b"")
+            return
+        ttl_s = min(ADDRESS_TTL_S, self._state.settings.bounds.address_ttl_most_s)
+        body = encode_addresses(addresses, ttl_s)
+        await exchange.send(200, [(b"Content-Type", b"application/json")], body)
+
+    async def control(self, incoming: IncomingRequest, exchange: Exchange) -> None:
+        """Answer peers and operators."""
+        path, _, query = incoming.target.decode("latin-1").partition("?")
+        if path == STATE_PATH:
+            known = int(parse_qs(query).get("version", ["0"])[0])
+            body = encode_state(self._state, self._view, self._endpoints_read, known)
+            await exchange.send(200, [(b"Content-Type", b"application/json")], body)
+        elif path == METRICS_PATH:
+            await self.metrics(incoming, exchange)
+        elif path == "/status":
+            body = orjson.dumps(self._status())
+            await exchange.send(200, [(b"Content-Type", b"application/json")], body)
+        else:
+            await exchange.send(404, [], b"")
+
+    async def metrics(self, incoming: IncomingRequest, exchange: Exchange) -> None:
+        """Answer those who collect metrics."""
+        if incoming.target.partition(b"?")[0] != METRICS_PATH.encode():
+            await exchange.send(404, [], b"")
+            return
+        body = self._metrics.render({**self._own_gauges(), **self._gauges()})
+        await exchange.send(200, [(b"Content-Type", b"text/plain")], body)
+
+    def _status(self) -> dict[str, object]:
+        now = monotonic()
+        state = self._state
+        return {
+            "node": state.me.node,
+            "state": state.me.state.value,
+            "configuration": state.me.configuration,
+            "peers": {
+                node: {
+                    "state": seen.row.state.value,
+                    "alive": seen.alive(now),
+                    "configuration": seen.row.configuration,
+                }
+                for node, seen in state.peers.seen.items()
+            },
+            "endpoints": {
+                row.endpoint: {
+                    "service": row.service,
+                    "domain": row.domain,
+                    "leaving": row.leaving,
+                    "running": row.running,
+                    "elsewhere": row.elsewhere,
+                    "avoided": row.health.avoided_until > now,
+                    "failure_rate": round(row.health.failure_rate, 3),
+                }
+                for row in state.endpoints.rows.values()
+            },
+        }
+
+    def _own_gauges(self) -> dict[str, float]:
+        state = self._state
+        return {
+            "ready": float(state.ready),
+            "peers_alive": float(len(state.peers.alive(monotonic()))),
+            "endpoints": float(len(state.endpoints.rows)),
+            "configuration_version": float(state.me.configuration),
+            "running": float(sum(r.running for r in state.endpoints.rows.values())),
+        }
--- a/poplarrelay/platform/store.py
+++ b/poplarrelay/platform/store.py
@@ -21,7 +21,15 @@
 )
 from poplarrelay.identifiers import Offset
 
-__all__ = ["Appender", "GroupShare", "KeyedRecord", "LogPage", "Store"]
+__all__ = [
+    "Appender",
+    "GroupShare",
+    "KeyedRecord",
+    "LogPage",
+    "Store",
+    "keyed_topic",
+    "split_keyed",
+]
 
 #: Seconds for a new connection to the store: it answers in 4 ms on a calm day, and
 #: a packet lost on the way is sent again after a second.
@@ -266,6 +274,17 @@
         self._client.close()
 
 
+def keyed_topic(name: str) -> str:
+    """Return the name of a topic that keeps the newest record of each key.
+
+    Examples
+    --------
+    >>> keyed_topic("hosts")
+    'keyed.hosts'
+    """
+    return f"keyed.{name}"
+
+
 def split_keyed(record: bytes) -> KeyedRecord:
     """Return the key and the value of a record of a keyed topic."""
     size = record[0]
