Remove each safeguard of the entry node in turn; sharpen two tests

Two removals went unnoticed: bytes after a whole answer (a second attempt hid them) and the rule that work is not repeated (the route allowed one endpoint anyway). The tests now use bookings, and a route of bookings that allows two endpoints. Where a configuration has no keys, a caller's credentials are passed on like any other header.

--- /dev/null
+++ b/bench/entry_safeguards.py
@@ -0,0 +1,246 @@
+"""Remove each safeguard of the entry node in turn, and show which tests notice.
+
+    python -m bench.entry_safeguards COPY
+
+COPY is a clone of this repository that nobody else uses; its files are changed and put
+back. Exit code 0 only if every removal is noticed.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+
+@dataclass(frozen=True)
+class Safeguard:
+    """A line that guards a promise, what replaces it, and the tests to run."""
+
+    name: str
+    file: str
+    line: str
+    without: str
+    tests: str
+
+
+ENTRY = "poplarrelay/entry"
+SAFEGUARDS = (
+    Safeguard(
+        "target instance",
+        "poplarrelay/platform/headers.py",
+        "        (_TARGET, attempt.endpoint.encode()),\n",
+        "",
+        "test_calls.py",
+    ),
+    Safeguard(
+        "headers that are ours to set",
+        "poplarrelay/platform/headers.py",
+        "            if name.lower() not in _OURS\n",
+        "",
+        "test_calls.py",
+    ),
+    Safeguard(
+        "headers that Connection cannot remove",
+        "poplarrelay/platform/headers.py",
+        "        if name not in _KEPT and not name.startswith(_KEPT_PREFIX)\n",
+        "",
+        "test_calls.py",
+    ),
+    Safeguard(
+        "echoed request id",
+        f"{ENTRY}/attempts.py",
+        "        if echoed is not None and echoed != self.request.request:\n",
+        "        if False:\n",
+        "test_calls.py",
+    ),
+    Safeguard(
+        "bytes outside of an exchange",
+        f"{ENTRY}/http/connection.py",
+        "            or pending\n",
+        "",
+        "test_calls.py",
+    ),
+    Safeguard(
+        "work that must not be repeated",
+        f"{ENTRY}/relaying.py",
+        "        if ran and not case.route.repeatable:\n",
+        "        if False:\n",
+        "test_calls.py",
+    ),
+    Safeguard(
+        "not run is not said of what was sent",
+        f"{ENTRY}/relaying.py",
+        "        case.may_have_run = True\n",
+        "        pass\n",
+        "test_calls.py",
+    ),
+    Safeguard(
+        "two statements of a body's length",
+        f"{ENTRY}/http/listener.py",
+        'header_value(headers, b"transfer-encoding"):\n',
+        "False:\n",
+        "test_calls.py",
+    ),
+    Safeguard(
+        "whole events only",
+        f"{ENTRY}/events.py",
+        "        whole, self._rest = content[:end], content[end:]\n",
+        '        whole, self._rest = content, b""\n',
+        "test_streams.py",
+    ),
+    Safeguard(
+        "a broken stream is cut visibly",
+        f"{ENTRY}/answering.py",
+        "            case.exchange.abort()\n",
+        "            case.exchange.finish()\n",
+        "test_streams.py",
+    ),
+    Safeguard(
+        "the endpoint learns that the caller left",
+        f"{ENTRY}/http/listener.py",
+        "            self._task.cancel()\n",
+        "            pass\n",
+        "test_streams.py test_calls.py",
+    ),
+    Safeguard(
+        "configuration versions only rise",
+        f"{ENTRY}/following.py",
+        "    if known is not None and configuration.version <= known.version:\n",
+        "    if False:\n",
+        "test_store_troubles.py",
+    ),
+    Safeguard(
+        "configuration from peers",
+        f"{ENTRY}/syncing.py",
+        "        if newer:\n",
+        "        if False:\n",
+        "test_store_troubles.py",
+    ),
+    Safeguard(
+        "records may come back after an outage",
+        f"{ENTRY}/following.py",
+        "        if row is not None and after_outage:\n",
+        "        if False:\n",
+        "test_store_troubles.py",
+    ),
+    Safeguard(
+        "refill in parts",
+        f"{ENTRY}/quotas.py",
+        "            until = min(now, remote.heard_at + REPORT_LAG_S)\n",
+        "            until = now\n",
+        "test_quotas.py",
+    ),
+    Safeguard(
+        "only what was taken is given back",
+        f"{ENTRY}/charging.py",
+        "            case.quota_cost = 0.0\n",
+        "            pass\n",
+        "test_quotas.py test_calls.py",
+    ),
+    Safeguard(
+        "counts are decided once",
+        f"{ENTRY}/dutying.py",
+        '        self.decided.setdefault(int(value["window"]), value["counts"])\n',
+        '        self.decided[int(value["window"])] = value["counts"]\n',
+        "test_duties.py",
+    ),
+    Safeguard(
+        "earlier decisions are read",
+        f"{ENTRY}/dutying.py",
+        "                self._ledger.take(record)\n",
+        "                pass\n",
+        "test_duties.py",
+    ),
+    Safeguard(
+        "wait for the node's own last act",
+        f"{ENTRY}/duties.py",
+        "            and now >= self.clear_at\n",
+        "",
+        "test_duties.py test_duties_machine.py",
+    ),
+    Safeguard(
+        "part of the lease that is kept back",
+        f"{ENTRY}/duties.py",
+        "SAFE_SHARE = 0.7\n",
+        "SAFE_SHARE = 1.6\n",
+        "test_duties.py test_duties_machine.py",
+    ),
+    Safeguard(
+        "time on which most nodes agree",
+        f"{ENTRY}/clock.py",
+        "        return self._wall() + self._correction\n",
+        "        return self._wall()\n",
+        "test_clock.py",
+    ),
+    Safeguard(
+        "silence during a freeze does not count",
+        f"{ENTRY}/peers.py",
+        "            seen.heard_at += frozen_s\n",
+        "            pass\n",
+        "test_nodes.py",
+    ),
+    Safeguard(
+        "a stopping node is not named",
+        f"{ENTRY}/peers.py",
+        "    chosen = [row for row in rows if row.state is NodeState.READY]\n",
+        "    chosen = list(rows)\n",
+        "test_nodes.py",
+    ),
+    Safeguard(
+        "late requests of a stop go elsewhere",
+        f"{ENTRY}/relaying.py",
+        "        return monotonic() - stopping_at > limit_s\n",
+        "        return False\n",
+        "test_nodes.py",
+    ),
+    Safeguard(
+        "retries are divided among the nodes",
+        f"{ENTRY}/budgets.py",
+        "self.slack / max(1, nodes)",
+        "self.slack",
+        "test_decisions.py",
+    ),
+    Safeguard(
+        "no room for what cannot be had",
+        f"{ENTRY}/sizing.py",
+        "    if given.scarce:\n        # What",
+        "    if False:\n        # What",
+        "test_sizing.py",
+    ),
+)
+
+
+def removal_is_noticed(copy: Path, safeguard: Safeguard) -> bool:
+    """Remove a safeguard, run its tests, and put it back."""
+    path = copy / safeguard.file
+    before = path.read_text()
+    if before.count(safeguard.line) != 1:
+        raise SystemExit(f"{safeguard.name}: its line is not there exactly once")
+    tests = [f"{ENTRY}/tests/{name}" for name in safeguard.tests.split()]
+    command = [sys.executable, "-m", "pytest", "-q", "-n", "3", *tests]
+    path.write_text(before.replace(safeguard.line, safeguard.without))
+    try:
+        run = subprocess.run(command, cwd=copy, capture_output=True, check=False)
+    finally:
+        path.write_text(before)
+    return run.returncode == 1
+
+
+def main() -> int:
+    """Try all safeguards and return the exit code."""
+    copy = Path(sys.argv[1])
+    unnoticed = 0
+    for safeguard in SAFEGUARDS:
+        noticed = removal_is_noticed(copy, safeguard)
+        unnoticed += not noticed
+        print(
+            f"{'noticed' if noticed else 'NOT NOTICED'}  {safeguard.name}", flush=True
+        )
+    print(f"{len(SAFEGUARDS) - unnoticed} of {len(SAFEGUARDS)} removals were noticed")
+    return 1 if unnoticed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -50,6 +50,8 @@
     ----------
     until : float
         Monotonic time at which nobody waits any more.
+    pass_credentials : bool
+        Whether the endpoint checks callers itself.
     patience_s : float or None
         Silence after which the endpoint is given up for another one, None to wait
         until the end: where no second attempt is allowed, nothing is gained.
@@ -60,6 +62,7 @@
     patience_s: float | None
     team: TeamId | None
     priority: int | None
+    pass_credentials: bool = False
 
 
 @dataclass(slots=True)
@@ -142,6 +145,7 @@
                 team=plan.team,
                 priority=plan.priority,
                 resume_after=self.progress.last_id,
+                pass_credentials=plan.pass_credentials,
             ),
         )
         self._connection.send(
--- a/poplarrelay/entry/case.py
+++ b/poplarrelay/entry/case.py
@@ -27,6 +27,8 @@
         Monotonic time at which nobody waits for the answer any more.
     version : int
         The configuration that admitted it.
+    knows_keys : bool
+        Whether the configuration has teams with keys.
     tried : list of EndpointId
         Where it has been sent, or was to be sent.
     may_have_run : bool
@@ -50,6 +52,7 @@
     until: float
     version: int
     progress: StreamProgress
+    knows_keys: bool
     tried: list[EndpointId] = field(default_factory=list)
     may_have_run: bool = False
     begun: bool = False
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -145,6 +145,7 @@
             until=request.started_at + patience_s,
             version=configuration.version,
             progress=StreamProgress(request.last_event_id),
+            knows_keys=bool(configuration.teams),
         )
         refusal = self._charges.charge(case)
         if refusal is None:
@@ -239,6 +240,7 @@
             patience_s=None if last else self._patience(case),
             team=None if case.team is None else case.team.name,
             priority=case.priority if case.streams else None,
+            pass_credentials=not case.knows_keys,
         )
 
         unread = case.request.prompt_tokens or 0
--- a/poplarrelay/entry/requests.py
+++ b/poplarrelay/entry/requests.py
@@ -47,6 +47,10 @@
         Monotonic time of its first byte.
     patience_s : float or None
         How long the caller will wait, None if it does not say.
+    key : str or None
+        The caller's key, where it sent one.
+    credentials : bytes or None
+        The header that holds it, for endpoints that check callers themselves.
     prompt_tokens, most_output_tokens : int or None
         The size of a generation, None where the request states none.
     prefix : tuple of PromptPart
@@ -66,6 +70,7 @@
     started_at: float
     patience_s: float | None = None
     key: str | None = None
+    credentials: bytes | None = None
     prompt_tokens: int | None = None
     most_output_tokens: int | None = None
     prefix: tuple[PromptPart, ...] = field(default=())
--- a/poplarrelay/entry/tests/test_calls.py
+++ b/poplarrelay/entry/tests/test_calls.py
@@ -85,6 +85,20 @@
     play(scenario)
 
 
+def test_credentials_reach_endpoints_only_where_no_keys_are_known():
+    async def scenario():
+        async with run_users_site() as site:
+            site.configure(2, tenants=[])
+            runner = await site.add_runner("r1", CALLS)
+            await site.ready(endpoints=1)
+            await until(lambda: site.nodes["a"].state.me.configuration == 2)
+            assert (await site.call("/look/x")).status == 200
+            assert runner.ran[0].headers["authorization"] == f"Bearer {KEY}"
+            assert "x-poplarrelay-tenant" not in runner.ran[0].headers
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     ("path", "key", "status"),
     [
@@ -131,17 +145,19 @@
 @pytest.mark.parametrize(
     "fault", [Fault.RESET, Fault.HANG, Fault.SHORT, Fault.STRAY, Fault.NOISE]
 )
-def test_booking_runs_once_and_is_never_told_not_run(fault):
+@pytest.mark.parametrize("path", ["/book/x", "/pay/x"])
+def test_booking_runs_once_and_is_never_told_not_run(fault, path):
     # The endpoint takes a booking and gives no usable answer. The booking may have
     # been made: it must not be sent again, and no status may promise that it was
-    # not made.
+    # not made. That holds also where the route allows two endpoints, which is for
+    # bookings that the first one refused.
     async def scenario():
         async with run_users_site() as site:
             runners = [await site.add_runner(f"r{i}", CALLS) for i in (1, 2)]
             await site.ready(endpoints=2)
             for runner in runners:
                 runner.faults.append(fault)
-            answer = await site.call("/book/x")
+            answer = await site.call(path)
             assert answer.status in (502, 504)
             assert header_value(answer.headers, b"retry-after") is None
             assert sum(len(runner.ran) for runner in runners) == 1
@@ -165,6 +181,24 @@
     play(scenario)
 
 
+def test_refused_booking_goes_to_the_other_endpoint():
+    # The first endpoint says that it did not run the booking; the route allows two.
+    async def scenario():
+        async with run_users_site() as site:
+            runners = [await site.add_runner(f"r{i}", CALLS) for i in (1, 2)]
+            await site.ready(endpoints=2)
+            for runner in runners:
+                runner.faults.append(Fault.SHED)
+            await site.call("/pay/x")
+            for runner in runners:
+                runner.faults.clear()
+            runners[0].faults.append(Fault.SHED)
+            answers = [await site.call("/pay/x") for _ in range(4)]
+            assert [a.status for a in answers] == [200] * 4
+
+    play(scenario)
+
+
 def test_answer_after_a_second_one_is_the_requests_own():
     # An endpoint sends a second answer behind the first. It would be read as the
     # answer to the next request on that connection, perhaps of another caller.
@@ -173,8 +207,9 @@
             runner = await site.add_runner("r1", CALLS)
             await site.ready(endpoints=1)
             runner.faults.append(Fault.EXTRA)
+            # Bookings: a wrong answer would not be mended by a second attempt.
             for _ in range(4):
-                answer = await site.call("/look/x")
+                answer = await site.call("/book/x")
                 assert answer.status == 200
                 assert answer.body == runner.body_of(runner.ran[-1].attempt)
 
--- a/poplarrelay/platform/headers.py
+++ b/poplarrelay/platform/headers.py
@@ -164,6 +164,7 @@
         started_at=incoming.started_at,
         patience_s=_milliseconds(header_value(headers, _DEADLINE.lower())),
         key=_bearer(header_value(headers, b"authorization")),
+        credentials=header_value(headers, b"authorization"),
         prompt_tokens=prompt_tokens,
         most_output_tokens=most_output,
         prefix=_prefix(header_value(headers, _PREFIX)),
@@ -185,6 +186,9 @@
         Rank of a generation in the engine's queue.
     resume_after : bytes or None
         Id of the last event that the caller has.
+    pass_credentials : bool
+        Whether the endpoint gets the caller's credentials: only where this system
+        knows no keys. A key that it knows stays here.
     """
 
     endpoint: EndpointId
@@ -192,6 +196,7 @@
     team: TeamId | None = None
     priority: int | None = None
     resume_after: bytes | None = None
+    pass_credentials: bool = False
 
 
 def attempt_headers(request: CallerRequest, attempt: AttemptHeaders) -> Headers:
@@ -209,6 +214,8 @@
         headers.append((_PRIORITY, str(level).encode()))
     if attempt.resume_after is not None:
         headers.append((_LAST_EVENT, attempt.resume_after))
+    if attempt.pass_credentials and request.credentials is not None:
+        headers.append((b"Authorization", request.credentials))
     if request.has_body:
         headers.append((b"Content-Length", str(len(request.body)).encode()))
     return headers
--- a/poplarrelay/testing/users.py
+++ b/poplarrelay/testing/users.py
@@ -78,6 +78,13 @@
                 "routeType": "non_idempotent",
                 "maxAttempts": 1,
             },
+            {
+                **plain,
+                "name": "pay",
+                "pathPrefix": "/pay/",
+                "routeType": "non_idempotent",
+                "maxAttempts": 2,
+            },
             {
                 **plain,
                 "name": "look",
