--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -338,8 +338,7 @@
             if getattr(settings, name) != getattr(self._settings, name)
         ]
         self._settings = settings
-        self._state.settings = settings
-        self._state.budgets.clear()
+        self._state.take_settings(settings)
         _LOG.info("settings reloaded", extra={"changed": changed})
 
     async def _watch_settings(self) -> None:
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -98,6 +98,20 @@
         """Return whether this node takes callers."""
         return self.me.state is NodeState.READY
 
+    def take_settings(self, settings: EntrySettings) -> None:
+        """Put changed settings in force.
+
+        Notes
+        -----
+        Budgets keep what they remember: one that forgot its retries at every reload
+        would allow a whole window of them again.
+        """
+        self.settings = settings
+        for budget in self.budgets.values():
+            budget.ratio = settings.bounds.retry_ratio
+            budget.slack = settings.bounds.retry_slack
+            budget.window_s = settings.bounds.retry_window_s
+
     def budget(self, service: ServiceName) -> RetryBudget:
         """Return a service's retry budget, made if there is none."""
         found = self.budgets.get(service)
--- a/poplarrelay/entry/tests/test_decisions.py
+++ b/poplarrelay/entry/tests/test_decisions.py
@@ -10,8 +10,10 @@
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.health import note_failure, note_success
 from poplarrelay.entry.pacing import LEAST, note_first_event
+from poplarrelay.entry.settings import EntrySettings
+from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.waiting import longest_wait, retry_after
-from poplarrelay.identifiers import DomainId, EndpointId
+from poplarrelay.identifiers import DomainId, EndpointId, Incarnation
 
 NORTH, SOUTH = DomainId("north"), DomainId("south")
 
@@ -170,6 +172,30 @@
         assert budget.take(1.0, nodes=1)
         assert not budget.take(20.0, nodes=1)
 
+    def test_reloaded_settings_do_not_renew_a_spent_budget(self):
+        # Operators send SIGHUP again and again while a service fails.
+        value = {
+            "node": "a",
+            "failure_domain": "north",
+            "listeners": {
+                "callers": "127.0.0.1:1",
+                "readiness": "127.0.0.1:2",
+                "discovery": "127.0.0.1:3",
+                "control": "127.0.0.1:4",
+                "gossip_port": 5,
+            },
+            "platform": {"store": "127.0.0.1:6"},
+            "bounds": {"retry_slack": 10},
+        }
+        settings = EntrySettings.model_validate(value)
+        state = EntryState.from_settings(settings, Incarnation("1-1"), Random(1))
+        taken = 0
+        for _ in range(5):
+            budget = state.budget(ServiceName("s"))
+            taken += sum(budget.take(1.0, nodes=1) for _ in range(20))
+            state.take_settings(settings)
+        assert taken == SAFE_SHARE * 10
+
 
 class TestWaiting:
     @pytest.mark.parametrize("remaining_s", [0.01, 0.5, 10.0])
