--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -135,9 +135,9 @@
     Safeguard(
         "only what was taken is given back",
         f"{ENTRY}/charging.py",
-        "            case.quota_cost = 0.0\n",
-        "            pass\n",
-        "test_quotas.py test_calls.py",
+        "            case.quota_cost = cost\n",
+        "            pass\n        case.quota_cost = cost\n        if over is None:\n",
+        "test_calls.py",
     ),
     Safeguard(
         "counts are decided once",
--- a/poplarrelay/entry/tests/test_calls.py
+++ b/poplarrelay/entry/tests/test_calls.py
@@ -327,6 +327,27 @@
     play(scenario)
 
 
+def test_flood_beyond_a_quota_is_told_when_to_come_back():
+    # A team may send three calls at once and one a second. Its flood gets that and no
+    # more: refusals take nothing from the quota, and give nothing back to it.
+    async def scenario():
+        async with run_users_site() as site:
+            tenants = [{"name": "alpha", "apiKeys": [KEY], "ratePerS": 1, "burst": 3}]
+            site.configure(2, tenants=tenants)
+            runner = await site.add_runner("r1", CALLS)
+            await site.ready(endpoints=1)
+            await until(lambda: site.nodes["a"].state.me.configuration == 2)
+            answers = [await site.call("/look/x") for _ in range(30)]
+            served = [a for a in answers if a.status == 200]
+            refused = [a for a in answers if a.status == 429]
+            assert len(served) + len(refused) == 30
+            assert 3 <= len(served) <= 6
+            assert len(runner.ran) == len(served)
+            assert all(retry_after(answer) > 0 for answer in refused)
+
+    play(scenario)
+
+
 # what is not valid
 
 
--- a/poplarrelay/entry/tests/test_duties.py
+++ b/poplarrelay/entry/tests/test_duties.py
@@ -107,6 +107,10 @@
             await until(lambda: len(site.cloud.windows()) > reported + 1)
             site.cloud.lose_answers = False
             await site.kill_node(first)
+            # The successor has heard of more requests since.
+            successor = next(iter(site.nodes.values())).state
+            for window in site.cloud.windows():
+                successor.usage.windows[window] = {TeamId("alpha"): 99}
             windows = len(site.cloud.windows())
             await until(lambda: len(site.cloud.windows()) > windows + 1)
             for counts in site.cloud.windows().values():
