--- a/poplarrelay/entry/http/listener.py
+++ b/poplarrelay/entry/http/listener.py
@@ -453,7 +453,7 @@
         return sum(1 for connection in self.connections if not connection.idle)
 
     def drain(self) -> None:
-        """Close idle connections, and the others after their answer.
+        """Ask callers to go elsewhere after each answer.
 
         Notes
         -----
@@ -462,12 +462,6 @@
         """
         self.draining = True
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is on the way."""
-        for connection in list(self.connections):
-            if connection.idle:
-                connection.close()
-
     def stop(self) -> None:
         """Stop accepting."""
         if self._server is not None:
--- a/poplarrelay/entry/routing.py
+++ b/poplarrelay/entry/routing.py
@@ -8,7 +8,6 @@
 from poplarrelay.entry.configuration import (
     Configuration,
     Route,
-    RouteKind,
     ServiceName,
     Team,
 )
@@ -85,8 +84,3 @@
     if sum(weights) <= 0:
         return services[0]
     return rng.choices(services, weights)[0]
-
-
-def is_stream(route: Route) -> bool:
-    """Return whether a route's answers are series of events."""
-    return route.kind is RouteKind.STREAMING
--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -148,11 +148,6 @@
         """
         return load_model(cls, path)
 
-    @property
-    def domain_names(self) -> tuple[str, ...]:
-        """Return the names of all failure domains."""
-        return tuple(name for name in self.failure_domains.split(",") if name)
-
     @property
     def seed_hosts(self) -> tuple[str, ...]:
         """Return the hosts of the seeds."""
--- a/poplarrelay/entry/tests/test_calls.py
+++ b/poplarrelay/entry/tests/test_calls.py
@@ -11,6 +11,7 @@
 from poplarrelay.testing.users import (
     CALLS,
     KEY,
+    play,
     run_users_site,
     until,
     users_configuration,
@@ -23,10 +24,6 @@
     return float(value)
 
 
-def play(scenario):
-    return asyncio.run(asyncio.wait_for(scenario(), 60))
-
-
 def test_call_is_passed_on_byte_for_byte():
     async def scenario():
         async with run_users_site() as site:
--- a/poplarrelay/entry/tests/test_cuts.py
+++ b/poplarrelay/entry/tests/test_cuts.py
@@ -4,13 +4,15 @@
 import time
 from functools import partial
 
-import orjson
-
-from poplarrelay.testing.users import CALLS, KEY, run_users_site, until
-
-
-def play(scenario):
-    return asyncio.run(asyncio.wait_for(scenario(), 60))
+from poplarrelay.testing.users import (
+    CALLS,
+    KEY,
+    all_named,
+    hosts,
+    play,
+    run_users_site,
+    until,
+)
 
 
 def cut(site, *names):
@@ -50,23 +52,11 @@
     return time.time() + by
 
 
-async def named(site, node):
-    answer = await site.get("discovery", "/api/resolve?name=x", node)
-    return {address.split(":")[0] for address in orjson.loads(answer.body)["addresses"]}
-
-
 async def in_force(site, node, version):
     state = site.nodes[node].state
     await until(lambda: state.me.configuration == version)
 
 
-async def all_named(site, node, names):
-    expected = {site.nodes[name].state.me.host for name in names}
-    async with asyncio.timeout(15):
-        while await named(site, node) != expected:
-            await asyncio.sleep(0.02)
-
-
 def test_nodes_that_are_cut_off_serve_and_find_each_other_again():
     # News between node c and the others is lost. Both sides keep serving, each names
     # only the nodes that it hears, and a change of the configuration reaches both
@@ -76,17 +66,17 @@
             await site.add_runner("r1", CALLS)
             for name in site.nodes:
                 await site.ready(name, endpoints=1)
-            await all_named(site, "a", "abc")
+            await all_named(site, "a", hosts(site, *"abc"))
             heal = cut(site, "c")
-            await all_named(site, "a", "ab")
-            await all_named(site, "c", "c")
+            await all_named(site, "a", hosts(site, *"ab"))
+            await all_named(site, "c", hosts(site, *"c"))
             site.configure(5)
             for name in site.nodes:
                 await in_force(site, name, 5)
                 assert (await site.call("/look/x", node=name)).status == 200
             heal()
-            await all_named(site, "a", "abc")
-            await all_named(site, "c", "abc")
+            await all_named(site, "a", hosts(site, *"abc"))
+            await all_named(site, "c", hosts(site, *"abc"))
 
     play(scenario)
 
@@ -102,10 +92,10 @@
             for name in site.nodes:
                 await site.ready(name, endpoints=1)
                 await in_force(site, name, 2)
-            await all_named(site, "a", "ab")
+            await all_named(site, "a", hosts(site, *"ab"))
             cut(site, "b")
-            await all_named(site, "a", "a")
-            await all_named(site, "b", "b")
+            await all_named(site, "a", hosts(site, *"a"))
+            await all_named(site, "b", hosts(site, *"b"))
             loop = asyncio.get_running_loop()
             before, start = len(runner.ran), loop.time()
 
@@ -127,7 +117,7 @@
         async with run_users_site(nodes=4) as site:
             for name in site.nodes:
                 await site.ready(name)
-            await all_named(site, "d", "abcd")
+            await all_named(site, "d", hosts(site, *"abcd"))
             clock = site.nodes["d"].state.clock
             for jump in (4.0, -4.0, 0.0):
                 clock._wall = partial(jumped, jump)
--- a/poplarrelay/entry/tests/test_duties.py
+++ b/poplarrelay/entry/tests/test_duties.py
@@ -10,11 +10,7 @@
 from poplarrelay.entry.dutying import GROUP, LEDGER_TOPIC, UsageLedger
 from poplarrelay.identifiers import TeamId
 from poplarrelay.standins.users.store import Outage
-from poplarrelay.testing.users import CALLS, STREAMS, run_users_site, until
-
-
-def play(scenario):
-    return asyncio.run(asyncio.wait_for(scenario(), 60))
+from poplarrelay.testing.users import CALLS, STREAMS, play, run_users_site, until
 
 
 def holder(site):
--- a/poplarrelay/entry/tests/test_nodes.py
+++ b/poplarrelay/entry/tests/test_nodes.py
@@ -3,30 +3,18 @@
 import asyncio
 from time import monotonic
 
-import orjson
-
 from poplarrelay.entry.http.connection import header_value
 from poplarrelay.standins.users.runner import Fault
-from poplarrelay.testing.users import CALLS, STREAMS, run_users_site, until
-
-
-def play(scenario):
-    return asyncio.run(asyncio.wait_for(scenario(), 60))
-
-
-async def named(site, node):
-    answer = await site.get("discovery", "/api/resolve?name=x", node)
-    return {address.split(":")[0] for address in orjson.loads(answer.body)["addresses"]}
-
-
-def hosts(site, *names):
-    return {site.nodes[name].state.me.host for name in names}
-
-
-async def all_named(site, node, expected):
-    async with asyncio.timeout(15):
-        while await named(site, node) != expected:
-            await asyncio.sleep(0.02)
+from poplarrelay.testing.users import (
+    CALLS,
+    STREAMS,
+    all_named,
+    hosts,
+    named,
+    play,
+    run_users_site,
+    until,
+)
 
 
 def test_callers_are_told_the_nodes_that_serve():
--- a/poplarrelay/entry/tests/test_process.py
+++ b/poplarrelay/entry/tests/test_process.py
@@ -1,6 +1,5 @@
 """An entry node as a process of its own: signals, settings, exit codes."""
 
-import asyncio
 import signal
 import subprocess
 import sys
@@ -8,15 +7,11 @@
 import orjson
 import pytest
 
-from poplarrelay.testing.users import CALLS, STREAMS, run_users_site, until
+from poplarrelay.testing.users import CALLS, STREAMS, play, run_users_site, until
 
 pytestmark = pytest.mark.processes
 
 
-def play(scenario):
-    return asyncio.run(asyncio.wait_for(scenario(), 60))
-
-
 def test_settings_are_read_again_with_and_without_a_signal(tmp_path):
     # Operators change the settings file of a node that serves a stream, once with
     # SIGHUP and once without; a faulty file changes nothing. The stream goes on.
--- a/poplarrelay/entry/tests/test_store_troubles.py
+++ b/poplarrelay/entry/tests/test_store_troubles.py
@@ -10,16 +10,13 @@
 from poplarrelay.standins.users.store import Outage
 from poplarrelay.testing.users import (
     CALLS,
+    play,
     run_users_site,
     until,
     users_configuration,
 )
 
 
-def play(scenario):
-    return asyncio.run(asyncio.wait_for(scenario(), 60))
-
-
 def version(site, name):
     return site.nodes[name].state.me.configuration
 
--- a/poplarrelay/entry/tests/test_streams.py
+++ b/poplarrelay/entry/tests/test_streams.py
@@ -7,11 +7,7 @@
 from poplarrelay.entry.http.connection import header_value
 from poplarrelay.exception import ExchangeFailed
 from poplarrelay.standins.users.runner import Fault
-from poplarrelay.testing.users import STREAMS, run_users_site, until
-
-
-def play(scenario):
-    return asyncio.run(asyncio.wait_for(scenario(), 60))
+from poplarrelay.testing.users import STREAMS, play, run_users_site, until
 
 
 def test_events_are_passed_on_as_they_come():
--- a/poplarrelay/testing/users.py
+++ b/poplarrelay/testing/users.py
@@ -6,7 +6,7 @@
 import contextlib
 import signal
 import sys
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
@@ -34,6 +34,10 @@
     "KEY",
     "STREAMS",
     "UsersSite",
+    "all_named",
+    "hosts",
+    "named",
+    "play",
     "run_users_site",
     "until",
     "users_configuration",
@@ -45,6 +49,8 @@
 CALLS, STREAMS = "desk", "drafts"
 #: Seconds within which a condition of a test must come true.
 PATIENCE_S = 12.0
+#: Seconds within which nodes must have heard of each other, or of another's end.
+NAMED_S = 15.0
 
 _NUMBERS = count(1)
 
@@ -129,6 +135,11 @@
     return {**value, **changes}
 
 
+def play(scenario: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a scenario in an event loop of its own, for a minute at most."""
+    asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
 async def until(condition: Callable[[], Any], what: str = "") -> Any:
     """Wait until a condition is true and return its value."""
     end = monotonic() + PATIENCE_S
@@ -387,3 +398,21 @@
     """Return the head of an answer, within the test's patience."""
     async with asyncio.timeout(PATIENCE_S):
         return await connection.response_head()
+
+
+def hosts(site: UsersSite, *names: str) -> set[str]:
+    """Return the hosts of nodes."""
+    return {site.nodes[name].state.me.host for name in names}
+
+
+async def named(site: UsersSite, node: str) -> set[str]:
+    """Return the hosts that a node names to callers."""
+    answer = await site.get("discovery", "/api/resolve?name=x", node)
+    return {address.split(":")[0] for address in orjson.loads(answer.body)["addresses"]}
+
+
+async def all_named(site: UsersSite, node: str, expected: set[str]) -> None:
+    """Wait until a node names just these hosts to callers."""
+    async with asyncio.timeout(NAMED_S):
+        while await named(site, node) != expected:
+            await asyncio.sleep(0.02)
