--- a/poplarrelay/entry/choosing.py
+++ b/poplarrelay/entry/choosing.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
+from heapq import nlargest
 from random import Random
 
 from poplarrelay.entry.endpoints import Endpoint
@@ -16,6 +17,14 @@
 #: about 90 tokens in a millisecond, and each request in its batch makes every step
 #: longer by about a tenth of a millisecond over some fifty steps.
 TOKENS_PER_REQUEST = 500
+#: Endpoints that rendezvous hashing names for a prompt's shared part. Only the first
+#: is sure to hold it; the second is where all nodes look when that one is busy, so
+#: the part is read again at one endpoint instead of anywhere.
+HOMES = 2
+#: Endpoints drawn at random besides. Nodes hear of each other's requests a second
+#: late: when each of 61 nodes took the least loaded of all endpoints, the busiest one
+#: got 13 times the requests of the least busy one in the same second.
+DRAWN = 3
 #: Smallest time assumed for a first answer, in seconds, so that an endpoint without
 #: a measurement is not taken for infinitely fast.
 LEAST_ANSWER_S = 0.005
@@ -68,39 +77,46 @@
     return (row.load + 1) / max(1, row.slots) * pace, row.load, row.domain != near
 
 
-def _work_before_first_event(
-    row: Endpoint, wish: Wish, home: EndpointId, usual_s: float
-) -> float:
+def _work_before_first_event(row: Endpoint, unread: int, usual_s: float) -> float:
     """Return the tokens' worth of work before a prompt's first event.
 
     Prompts in line there, the part of this prompt that it has to read, and the
     batch that slows both. An endpoint that has been slower than its service's
     usual weighs more.
     """
-    unread = wish.prompt_tokens
-    if row.endpoint == home:
-        unread -= wish.shared_tokens
     work = row.prefill_tokens + unread + TOKENS_PER_REQUEST * row.load
     pace = row.health.first_answer_s / usual_s if usual_s > 0 else 1.0
     return work * max(1.0, pace / SLOW_FACTOR)
 
 
-def _choose_for_prompt(rows: Sequence[Endpoint], wish: Wish) -> Choice:
+def _usual_first_answer(rows: Sequence[Endpoint]) -> float:
+    """Return the median time to the first answer, 0 before any is known."""
+    known = [r.health.first_answer_s for r in rows if r.health.first_answer_s > 0]
+    return sorted(known)[len(known) // 2] if known else 0.0
+
+
+def _choose_for_prompt(rows: Sequence[Endpoint], wish: Wish, rng: Random) -> Choice:
     """Choose the endpoint at which a prompt's first event is due first.
 
     Notes
     -----
-    Rendezvous hashing names the home of a prompt's shared part: all nodes find the
-    same one without asking each other, and a home that is lost moves only its own
-    prompts. The home saves reading the shared part; a hot prompt outgrows that
-    saving by the load that it brings, and goes to the next best endpoint.
+    Rendezvous hashing names the homes of a prompt's shared part: all nodes find the
+    same ones without asking each other, and a home that is lost moves only its own
+    prompts. A home saves reading the shared part; a hot prompt outgrows that saving
+    by the load that it brings, and goes to the best of a few drawn at random.
     """
     key = wish.affinity_key or ""
-    home = max(rows, key=lambda row: _score(key, row.endpoint)).endpoint
-    known = [r.health.first_answer_s for r in rows if r.health.first_answer_s > 0]
-    usual_s = sorted(known)[len(known) // 2] if known else 0.0
-    best = min(rows, key=lambda row: _work_before_first_event(row, wish, home, usual_s))
-    return Choice(best, "prefix home" if best.endpoint == home else "least work")
+    homes = nlargest(HOMES, rows, key=lambda row: _score(key, row.endpoint))
+    others = [row for row in rows if row not in homes]
+    drawn = rng.sample(others, min(DRAWN, len(others)))
+    usual_s = _usual_first_answer(rows)
+
+    def work(row: Endpoint) -> float:
+        shared = wish.shared_tokens if row is homes[0] else 0
+        return _work_before_first_event(row, wish.prompt_tokens - shared, usual_s)
+
+    best = min([*homes, *drawn], key=work)
+    return Choice(best, "prefix home" if best in homes else "least work of drawn")
 
 
 def choose_endpoint(
@@ -131,7 +147,7 @@
     sound = [row for row in fresh if row.health.avoided_until <= now]
     pool = sound or fresh
     if wish.prompt_tokens or wish.affinity_key is not None:
-        return _choose_for_prompt(pool, wish)
+        return _choose_for_prompt(pool, wish, rng)
     # The better of two drawn at random: all nodes read the same late news, and the
     # least loaded endpoint would be everyone's choice until the next news.
     pair = rng.sample(pool, 2) if len(pool) > 2 else pool
--- a/poplarrelay/entry/dutying.py
+++ b/poplarrelay/entry/dutying.py
@@ -10,11 +10,12 @@
 
 import orjson
 
-from poplarrelay.entry.configuration import Service, ServiceName
+from poplarrelay.entry.configuration import Configuration, Service, ServiceName
+from poplarrelay.entry.demand import expected_tokens_per_s
 from poplarrelay.entry.duties import DutyChange, DutyLease
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.metering import WindowNumber, merge_counts
-from poplarrelay.entry.sizing import SizingInput, plan_endpoints
+from poplarrelay.entry.sizing import SizingInput, count_for_demand, plan_endpoints
 from poplarrelay.entry.state import EntryState
 from poplarrelay.exception import AppendRefused, HistoryTrimmed, PlatformUnavailable
 from poplarrelay.identifiers import DomainId, NodeId, Offset, TeamId
@@ -159,6 +160,7 @@
         self._found: dict[ServiceName, int] = {}
         self._first_load_at: dict[ServiceName, float] = {}
         self._loads: dict[ServiceName, float] = {}
+        self._demands: dict[ServiceName, float] = {}
 
     @property
     def lease(self) -> DutyLease:
@@ -325,15 +327,15 @@
         configuration = self._state.configuration
         if configuration is None:
             return
-        for service in configuration.services.values():
-            if service.scaling is None:
-                continue
-            load = float(
-                sum(row.load for row in self._state.endpoints.of(service.name))
-            )
-            before = self._loads.get(service.name, load)
+        for name in _scaled_services(configuration):
+            load = float(sum(row.load for row in self._state.endpoints.of(name)))
+            before = self._loads.get(name, load)
             weight = RISING if load > before else FALLING
-            self._loads[service.name] = before + weight * (load - before)
+            self._loads[name] = before + weight * (load - before)
+            # Already an average over seconds: a rise counts at once.
+            demand = self._state.total_demand(name, monotonic())
+            before = max(demand, self._demands.get(name, demand))
+            self._demands[name] = before + FALLING * (demand - before)
 
     async def _order_endpoints(self, service: Service) -> None:
         assert service.scaling is not None
@@ -346,8 +348,11 @@
         self._expect_scarcity(rows, now)
         scarce = now < self._scarce_until
         load = self._loads.get(service.name, 0.0)
-        least = self._found_at_start(service.name, rows, load, now)
-        plan = plan_endpoints(SizingInput(service.scaling, rows, load, scarce, least))
+        least = self._least_at_start(service.name, rows, load, now)
+        demand = self._demands.get(service.name, 0.0)
+        plan = plan_endpoints(
+            SizingInput(service.scaling, rows, load, scarce, least, demand)
+        )
         for part in plan:
             order = EndpointOrder(service.name, part.domain, part.on_demand, False)
             if part.on_demand != self._present(order):
@@ -388,16 +393,17 @@
             return True
         return now - self._started_at > LEARN_LOAD_S
 
-    def _found_at_start(
+    def _least_at_start(
         self, service: ServiceName, rows: Sequence[Endpoint], load: float, now: float
     ) -> int:
         """Return how many endpoints to have before the load is known.
 
         Notes
         -----
-        When the whole system starts there is no load yet, and what the operators
-        have put there is the only sign of what will come. Ordering by no load left
-        two engines for the first seconds of 437 requests a second.
+        When the whole system starts there is no load yet. What the operators have
+        put there and what the teams' quotas allow are the signs of what will come.
+        Ordering by no load left two engines for the first seconds of 437 requests a
+        second, ordering by what was found there sixteen for three dozen engines' load.
         """
         if not self._state.settings.first_start:
             return 0
@@ -409,7 +415,16 @@
                 self._found[service] = found
         elif now - self._first_load_at[service] > LEARN_FIRST_S:
             return 0
-        return self._found.get(service, 0)
+        return max(self._found.get(service, 0), self._expected(service))
+
+    def _expected(self, service: ServiceName) -> int:
+        """Return how many endpoints carry what the quotas let expect."""
+        configuration = self._state.configuration
+        if configuration is None:
+            return 0
+        scaled = _scaled_services(configuration)
+        tokens_per_s = expected_tokens_per_s(configuration.teams.values())
+        return count_for_demand(tokens_per_s / max(1, len(scaled)))
 
     def _present(self, order: EndpointOrder) -> int:
         """Return how many endpoints as ordered take work."""
@@ -479,3 +494,9 @@
                 "detail": detail,
             },
         )
+
+
+def _scaled_services(configuration: Configuration) -> list[ServiceName]:
+    """Return the services whose endpoints this system orders."""
+    services = configuration.services.values()
+    return [service.name for service in services if service.scaling is not None]
--- a/poplarrelay/entry/peers.py
+++ b/poplarrelay/entry/peers.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import Any
 
-from poplarrelay.entry.configuration import ConfigurationVersion
+from poplarrelay.entry.configuration import ConfigurationVersion, ServiceName
 from poplarrelay.entry.metering import WindowNumber
 from poplarrelay.identifiers import (
     DomainId,
@@ -65,6 +65,8 @@
         Quota that it has used since its start, by team.
     loads : dict
         Its requests at each endpoint.
+    demand : dict
+        Tokens a second that its callers ask of each service.
     """
 
     node: NodeId
@@ -77,6 +79,7 @@
     usage: dict[WindowNumber, dict[TeamId, int]] = field(default_factory=dict)
     spent: dict[TeamId, float] = field(default_factory=dict)
     loads: dict[EndpointId, int] = field(default_factory=dict)
+    demand: dict[ServiceName, int] = field(default_factory=dict)
 
     def newer_than(self, other: PeerRow) -> bool:
         """Return whether this row replaces another of the same node."""
@@ -115,13 +118,14 @@
         {str(window): counts for window, counts in row.usage.items()},
         {team: round(spent) for team, spent in row.spent.items()},
         row.loads,
+        row.demand,
     ]
 
 
 def decode_row(raw: list[Any]) -> PeerRow:
     """Return the row that a list holds; raises `ValueError` if it is none."""
     node, incarnation, version, host, domain, state, configuration, usage, *rest = raw
-    spent, loads = rest
+    spent, loads, demand = rest
     return PeerRow(
         node=NodeId(node),
         incarnation=Incarnation(incarnation),
@@ -133,6 +137,7 @@
         usage={int(window): counts for window, counts in usage.items()},
         spent=spent,
         loads=loads,
+        demand=demand,
     )
 
 
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -417,6 +417,7 @@
         for bucket in state.buckets.values():
             bucket.told = bucket.spent
         me.spent = {team: bucket.spent for team, bucket in state.buckets.items()}
+        me.demand = state.demand.rates(monotonic())
         me.loads = {
             row.endpoint: row.running
             for row in state.endpoints.rows.values()
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -149,7 +149,9 @@
         )
         refusal = self._charges.charge(case)
         if refusal is None:
-            self._state.budget(case.service).note_request(monotonic())
+            now = monotonic()
+            self._state.budget(case.service).note_request(now)
+            self._state.demand.note(case.service, request.tokens, now)
             try:
                 refusal = await self._work(case)
             except asyncio.CancelledError:
--- a/poplarrelay/entry/requests.py
+++ b/poplarrelay/entry/requests.py
@@ -76,6 +76,11 @@
     prefix: tuple[PromptPart, ...] = field(default=())
     last_event_id: bytes | None = None
 
+    @property
+    def tokens(self) -> int:
+        """Return the tokens that it reads and may generate."""
+        return (self.prompt_tokens or 0) + (self.most_output_tokens or 0)
+
     @property
     def shared_tokens(self) -> int:
         """Return the tokens of the parts that other requests may share."""
--- a/poplarrelay/entry/sizing.py
+++ b/poplarrelay/entry/sizing.py
@@ -10,7 +10,7 @@
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.identifiers import DomainId
 
-__all__ = ["DomainPlan", "Plan", "SizingInput", "plan_endpoints", "target_count"]
+__all__ = ["DomainPlan", "Plan", "SizingInput", "count_for_demand", "plan_endpoints"]
 
 #: Requests at one engine, on average, that are aimed for with reclaimable endpoints.
 #: An engine slows down with the requests that it works on, and a domain's engines go
@@ -20,8 +20,14 @@
 #: Requests at one engine that are borne before on-demand endpoints, which cost about
 #: five times as much, replace reclaimable ones that are not to be had.
 LOAD_PER_ON_DEMAND = 9.0
-#: Endpoints beyond that, so that a domain which is taken away leaves enough: a new
-#: one takes seconds to boot, and none may be had.
+#: Prompt and output tokens a second asked of one engine, on average. An engine reads
+#: about 92,000 prompt tokens a second when it does nothing else; beyond half of that
+#: the streams beside the prompts pause.
+TOKENS_PER_ENDPOINT = 50_000
+#: Endpoints beyond what the load needs, as a part of it and at least, so that a
+#: domain which is taken away leaves enough: a new one takes seconds to boot, and none
+#: may be had.
+SPARE_SHARE = 0.15
 SPARE_ENDPOINTS = 1
 #: Endpoints that a service has at least, so that losing one is not losing all.
 LEAST_ENDPOINTS = 2
@@ -53,6 +59,8 @@
         Endpoints that are wanted whatever the load.
     scarce : bool
         Whether no reclaimable endpoints are to be had at the moment.
+    demand : float
+        Tokens a second that callers ask of the service.
     """
 
     limits: ScalingLimits
@@ -60,17 +68,27 @@
     load: float
     scarce: bool
     least: int = LEAST_ENDPOINTS
+    demand: float = 0.0
 
 
-def target_count(load: float, load_per_endpoint: float, spare: int) -> int:
-    """Return how many endpoints carry a load, with some to spare.
+def count_for_demand(tokens_per_s: float) -> int:
+    """Return how many endpoints carry a demand, none of them to spare."""
+    return ceil(tokens_per_s / TOKENS_PER_ENDPOINT)
+
+
+def target_count(load: float, demand: float) -> int:
+    """Return how many reclaimable endpoints to have, some of them to spare.
 
     Examples
     --------
-    >>> [target_count(load, 10.0, spare=1) for load in (0.0, 20.0, 21.0)]
-    [2, 3, 4]
+    >>> [target_count(load, 0.0) for load in (0.0, 16.0, 17.0, 320.0)]
+    [2, 3, 4, 46]
+    >>> target_count(16.0, demand=1_400_000.0)
+    33
     """
-    return max(LEAST_ENDPOINTS, ceil(load / load_per_endpoint) + spare)
+    needed = max(ceil(load / LOAD_PER_ENDPOINT), count_for_demand(demand))
+    spare = max(SPARE_ENDPOINTS, ceil(SPARE_SHARE * needed))
+    return max(LEAST_ENDPOINTS, needed + spare)
 
 
 def _serving(rows: Sequence[Endpoint], domain: DomainId, reclaimable: bool) -> int:
@@ -102,10 +120,9 @@
         # What cannot be had must not take the room of what can.
         reclaimable = serving
     else:
-        target = target_count(given.load, LOAD_PER_ENDPOINT, SPARE_ENDPOINTS)
-        target = max(target, given.least)
+        target = max(target_count(given.load, given.demand), given.least)
         reclaimable = _spread(domains, target, present, limits)
-    bearable = target_count(given.load, LOAD_PER_ON_DEMAND, 0)
+    bearable = max(LEAST_ENDPOINTS, ceil(given.load / LOAD_PER_ON_DEMAND))
     missing = max(0, bearable - sum(serving.values()))
     if not given.scarce:
         missing = min(missing, sum(present.values()))
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -9,6 +9,7 @@
 from poplarrelay.entry.budgets import RetryBudget
 from poplarrelay.entry.clock import ClusterClock
 from poplarrelay.entry.configuration import Configuration, ServiceName, Team
+from poplarrelay.entry.demand import DemandMeter
 from poplarrelay.entry.endpoints import EndpointTable
 from poplarrelay.entry.metering import UsageCounts
 from poplarrelay.entry.pacing import fair_share
@@ -45,6 +46,8 @@
         Other nodes that the directory in the platform's store lists.
     ends : dict of ServiceName to deque of float
         Times at which requests ended, for the rate at which places come free.
+    demand : DemandMeter
+        What this node's callers ask for.
     """
 
     settings: EntrySettings
@@ -60,6 +63,7 @@
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
     buckets: dict[TeamId, Bucket] = field(default_factory=dict)
     ends: dict[ServiceName, deque[float]] = field(default_factory=dict)
+    demand: DemandMeter = field(default_factory=DemandMeter)
     stopping_at: float | None = None
     listed_nodes: int = 0
     most_nodes: list[tuple[float, int]] = field(default_factory=list)
@@ -170,6 +174,11 @@
         stopped = len(self.peers.seen) - len(known)
         return 1 + max(len(known), self.listed_nodes - stopped)
 
+    def total_demand(self, service: ServiceName, now: float) -> float:
+        """Return the tokens a second that the callers of all nodes ask for."""
+        rows = [self.me, *self.peers.alive(now)]
+        return float(sum(row.demand.get(service, 0) for row in rows))
+
     def sum_loads(self, now: float) -> None:
         """Add up what the other nodes have at each endpoint, and divide its slots."""
         nodes = self.count_nodes(now)
--- a/poplarrelay/entry/tests/test_decisions.py
+++ b/poplarrelay/entry/tests/test_decisions.py
@@ -84,6 +84,20 @@
         rows = [endpoint("a", prefill_tokens=40_000), endpoint("b", running=4)]
         assert chosen(rows, wish("k", 9000, 1000)).endpoint == "b"
 
+    def test_many_nodes_with_old_news_do_not_all_choose_the_same_endpoint(self):
+        # 61 nodes hear of each other's requests a second late, and see one engine
+        # that has just booted beside 40 with five requests each. When all took the
+        # least loaded one, it got every request of that second, and its callers
+        # waited seconds for their first event.
+        rows = [endpoint(f"e{i}", slots=24, elsewhere=5) for i in range(40)]
+        rows.append(endpoint("new", slots=24))
+        counts: dict[str, int] = {}
+        for number in range(300):
+            row = chosen(rows, wish(f"k{number}", 3000, 1000), seed=number)
+            counts[row.endpoint] = counts.get(row.endpoint, 0) + 1
+        assert counts["new"] < 60
+        assert len(counts) > 30
+
     def test_near_endpoint_goes_first_among_equals(self):
         rows = [endpoint("a", SOUTH), endpoint("b", NORTH)]
         assert chosen(rows, wish()).endpoint == "b"
--- a/poplarrelay/entry/tests/test_sizing.py
+++ b/poplarrelay/entry/tests/test_sizing.py
@@ -1,9 +1,10 @@
 """How many endpoints are ordered, played over waves of reclaims."""
 
-from poplarrelay.entry.configuration import ScalingLimits, ServiceName
+from poplarrelay.entry.configuration import Quota, ScalingLimits, ServiceName, Team
+from poplarrelay.entry.demand import DemandMeter, expected_tokens_per_s
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.sizing import SizingInput, plan_endpoints
-from poplarrelay.identifiers import DomainId, EndpointId
+from poplarrelay.identifiers import DomainId, EndpointId, TeamId
 
 DOMAINS = {DomainId("a"): 1.0, DomainId("b"): 0.8, DomainId("c"): 1.25}
 LIMITS = ScalingLimits(1, 3, 4.0, 0.18, DOMAINS)
@@ -88,3 +89,33 @@
 def test_no_on_demand_endpoint_is_added_while_reclaimable_ones_can_be_had():
     plan = plan_endpoints(SizingInput(LIMITS, rows("a"), 60.0, False))
     assert totals(plan)[1] == 0
+
+
+def test_demand_orders_endpoints_before_requests_pile_up():
+    # Traffic has just begun: callers ask for 1.4 million tokens a second, and no
+    # request has been at an engine for long. Sized by the requests there, sixteen
+    # engines were left with three dozen engines' load for the seven seconds that it
+    # took to see it and to boot more; first events took over a second.
+    limits = ScalingLimits(1, 46, 4.0, 0.18, DOMAINS)
+    early = SizingInput(limits, rows("abc"), 40.0, False, demand=1_400_000.0)
+    assert totals(plan_endpoints(early))[0] >= 28
+    calm = SizingInput(limits, rows("abc"), 40.0, False)
+    assert totals(plan_endpoints(calm))[0] < 8
+
+
+def test_quotas_tell_the_size_of_the_load_before_it_comes():
+    tokens = Quota(100_000.0, 1e6, in_tokens=True, default_cost=1.0)
+    calls = Quota(500.0, 1e3, in_tokens=False, default_cost=1.0)
+    teams = [
+        Team(TeamId(f"t{i}"), frozenset(), None, quota)
+        for i, quota in enumerate((tokens, tokens, calls, None))
+    ]
+    assert expected_tokens_per_s(teams) == 100_000.0
+
+
+def test_demand_is_that_of_the_last_seconds():
+    meter = DemandMeter()
+    for step in range(50):
+        meter.note(ServiceName("s"), 1000, step * 0.1)
+    assert meter.rates(5.0) == {"s": 10_000}
+    assert meter.rates(60.0) == {}
