--- a/poplarrelay/entry/tests/test_calls.py
+++ b/poplarrelay/entry/tests/test_calls.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from poplarrelay.entry import relaying
 from poplarrelay.entry.http.connection import header_value
 from poplarrelay.identifiers import EndpointId
 from poplarrelay.standins.users.runner import Fault
@@ -443,6 +444,37 @@
     play(scenario)
 
 
+def test_call_reaches_no_more_endpoints_than_its_route_allows():
+    # All four endpoints run the call and reset the connection. The route allows two
+    # of them; the budget for repeated sends would allow more.
+    async def scenario():
+        async with run_users_site() as site:
+            names = [f"r{number}" for number in range(4)]
+            for name in names:
+                await site.add_runner(name, CALLS, faults=[Fault.RESET] * 4)
+            await site.ready(endpoints=4)
+            answer = await site.call("/look/x")
+            assert answer.status == 502
+            assert sum(len(site.runners[name].ran) for name in names) == 2
+
+    play(scenario)
+
+
+def test_request_whose_handler_fails_gets_an_answer(monkeypatch):
+    # A fault of the node's own, in the middle of a request. The caller must not wait
+    # for an answer that nobody makes, and the node goes on serving.
+    async def scenario():
+        async with run_users_site() as site:
+            await site.add_runner("r1", CALLS)
+            await site.ready(endpoints=1)
+            with monkeypatch.context() as patch:
+                patch.setattr(relaying, "admit", None)
+                assert (await site.call("/look/x")).status == 502
+            assert (await site.call("/look/x")).status == 200
+
+    play(scenario)
+
+
 def test_address_that_refuses_is_not_an_attempt():
     # One endpoint is gone without a word: its address refuses connections. The
     # booking has reached nobody, so it may go to the other one.
