--- a/poplarrelay/commands/config.py
+++ b/poplarrelay/commands/config.py
@@ -12,6 +12,7 @@
 from poplarrelay.commands.output import ExitCode, fail, print_json, print_lines
 from poplarrelay.configuration.resolve import check_file
 from poplarrelay.configuration.schema import ConfigurationFile
+from poplarrelay.entry.settings import EntrySettings
 from poplarrelay.exception import SettingsError
 from poplarrelay.settings import NodeSettings
 from poplarrelay.testing.site import Site
@@ -52,6 +53,9 @@
     settings: Annotated[
         bool, Parameter(help="The file holds a node's settings.", negative="")
     ] = False,
+    entry: Annotated[
+        bool, Parameter(help="The file holds an entry node's settings.", negative="")
+    ] = False,
     json: Json = False,
 ) -> None:
     """Check a configuration, site or settings file, and tell every fault.
@@ -61,9 +65,11 @@
     path
         The file.
     """
-    if settings:
+    if settings or entry:
         try:
-            found = NodeSettings.from_file(path)
+            found: EntrySettings | NodeSettings = (
+                EntrySettings.from_file(path) if entry else NodeSettings.from_file(path)
+            )
         except SettingsError as error:
             fail(ExitCode.CONFIGURATION, *(str(fault) for fault in error.faults))
         text = f"{path}: settings of node {found.node} are valid"
