Notice the removal of learning the configuration from peers

A long poll that waited when the outage began still delivered the change, and a list asked of a peer brings the configuration along: the removal went unnoticed. Outages in these two tests now end the calls that wait, and one changes nothing but a key.

--- a/poplarrelay/entry/tests/test_store_troubles.py
+++ b/poplarrelay/entry/tests/test_store_troubles.py
@@ -73,7 +73,7 @@
                 await site.ready(name, endpoints=2)
             state = site.nodes["b"].state
             await until(lambda: state.peers.alive(asyncio.get_running_loop().time()))
-            site.doors["b"].outage = outage
+            site.doors["b"].shut(outage)
             tenants = [{"name": "alpha", "apiKeys": ["another"]}]
             site.configure(9, tenants=tenants)
             site.list_runner("r1", CALLS, state="draining")
@@ -88,6 +88,25 @@
     play(scenario)
 
 
+def test_change_alone_reaches_a_node_that_the_store_refuses():
+    # The store turns node b away for good and serves node a. Nothing happens to the
+    # endpoints, so a's news confirms b's list of them, and b has no reason to ask for
+    # it. Operators take away a key: b must still learn that there is a newer version.
+    async def scenario():
+        async with run_users_site(nodes=2) as site:
+            await site.add_runner("r1", CALLS)
+            for name in site.nodes:
+                await site.ready(name, endpoints=1)
+            lists = [node.state.freshness for node in site.nodes.values()]
+            await until(lambda: lists[0].digest == lists[1].digest)
+            site.doors["b"].shut(Outage.RESET)
+            site.configure(9, tenants=[{"name": "alpha", "apiKeys": ["another"]}])
+            await until(lambda: version(site, "b") == 9)
+            assert (await site.call("/look/x", node="b")).status == 401
+
+    play(scenario)
+
+
 def test_older_version_never_comes_back():
     # A read that is behind, or a peer that is, brings an older configuration. A key
     # that was taken away in between must stay away.
--- a/poplarrelay/standins/users/store.py
+++ b/poplarrelay/standins/users/store.py
@@ -96,9 +96,17 @@
         """Listen."""
         await self._listener.start()
 
+    def shut(self, outage: Outage) -> None:
+        """Begin an outage that ends the calls that wait as well."""
+        self.outage = outage
+        self._drop_connections()
+
     def stop(self) -> None:
         """Stop listening and drop all connections."""
         self._listener.stop()
+        self._drop_connections()
+
+    def _drop_connections(self) -> None:
         for connection in list(self._listener.connections):
             connection.abort()
 
