--- a/poplarrelay/entry/syncing.py
+++ b/poplarrelay/entry/syncing.py
@@ -80,11 +80,11 @@
         """Look at the peers' news until cancelled."""
         while True:
             await asyncio.sleep(LOOK_S * (0.8 + 0.4 * self.state.rng.random()))
-            peer = self._pick(monotonic())
+            peer = self.peer_to_ask(monotonic())
             if peer is not None:
                 await self._read(peer)
 
-    def _pick(self, now: float) -> str | None:
+    def peer_to_ask(self, now: float) -> str | None:
         """Return the host of the peer to ask, None if there is nothing to ask for."""
         alive = self.state.peers.alive(now)
         newer = [row.host for row in alive if row.configuration > self._version]
--- a/poplarrelay/entry/tests/test_freshness.py
+++ b/poplarrelay/entry/tests/test_freshness.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from poplarrelay.entry.following import StoreView
 from poplarrelay.entry.freshness import (
     EARLIEST_READ_S,
     LATEST_READ_S,
@@ -14,6 +15,7 @@
     ListFreshness,
 )
 from poplarrelay.entry.state import EntryState
+from poplarrelay.entry.syncing import PeerSync
 from poplarrelay.testing.users import CALLS, UsersSite, play, run_users_site, until
 
 HOST = "127.0.0.1"
@@ -113,6 +115,24 @@
     play(scenario)
 
 
+def test_peer_with_a_newer_list_is_asked_although_this_one_is_fresh():
+    # An endpoint has left, and a peer has read that already. Its list costs the store
+    # nothing, and comes up to a second before this node's own next read.
+    async def scenario():
+        async with run_users_site() as site:
+            await site.ready()
+            state = site.nodes["a"].state
+            sync = PeerSync(state, StoreView(state, lambda: None), control_port=1)
+            now = monotonic()
+            state.freshness.confirm(now)
+            assert sync.peer_to_ask(now) is None
+            claim = ListClaim("127.0.0.9", "other", age_s=0.0)
+            state.freshness.hear(claim, now + 0.1)
+            assert sync.peer_to_ask(now + 0.1) == "127.0.0.9"
+
+    play(scenario)
+
+
 def test_node_without_peers_reads_by_itself():
     async def scenario():
         async with run_users_site() as site:
