Take own scale-downs for no wave; keep booting endpoints ordered; more to spare

A wave is now a domain of which all leave; what is ordered stays ordered meanwhile. The spare part is 0.3 of what is needed, rounded down, instead of 0.15 rounded up. Ruled out: the notice's remaining time as the sign (records do not carry it).

--- a/poplarrelay/entry/dutying.py
+++ b/poplarrelay/entry/dutying.py
@@ -15,7 +15,12 @@
 from poplarrelay.entry.duties import DutyChange, DutyLease
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.metering import WindowNumber, merge_counts
-from poplarrelay.entry.sizing import SizingInput, count_for_demand, plan_endpoints
+from poplarrelay.entry.sizing import (
+    SizingInput,
+    count_for_demand,
+    domains_taken,
+    plan_endpoints,
+)
 from poplarrelay.entry.state import EntryState
 from poplarrelay.exception import AppendRefused, HistoryTrimmed, PlatformUnavailable
 from poplarrelay.identifiers import DomainId, NodeId, Offset, TeamId
@@ -345,7 +350,7 @@
             self._orders.clear()
             return
         rows = self._state.endpoints.of(service.name)
-        self._expect_scarcity(rows, now)
+        self._expect_scarcity(service.name, rows, now)
         scarce = now < self._scarce_until
         load = self._loads.get(service.name, 0.0)
         least = self._least_at_start(service.name, rows, load, now)
@@ -358,7 +363,11 @@
             if part.on_demand != self._present(order):
                 await self._order_on_demand(order, load)
         for part in plan:
-            order = EndpointOrder(service.name, part.domain, part.reclaimable, True)
+            count = part.reclaimable
+            if monotonic() < self._scarce_until:
+                room = max(0, service.scaling.most - part.on_demand)
+                count = self._kept_while_scarce(service.name, part.domain, room)
+            order = EndpointOrder(service.name, part.domain, count, True)
             if monotonic() >= self._scarce_until or self._lowers(order):
                 await self._order(order, load)
 
@@ -381,6 +390,19 @@
         last = self._orders.get((order.service, order.domain, order.reclaimable))
         return last is not None and last.count is not None and order.count < last.count
 
+    def _kept_while_scarce(
+        self, service: ServiceName, domain: DomainId, room: int
+    ) -> int:
+        """Return how many reclaimable endpoints stay ordered while none can be had.
+
+        Notes
+        -----
+        What was ordered before may be booting, and is needed more than ever. It is
+        given up only where on-demand endpoints need its room.
+        """
+        last = self._orders.get((service, domain, True))
+        return room if last is None or last.count is None else min(last.count, room)
+
     def _knows_load(self, now: float) -> bool:
         """Return whether this process has seen enough of the load to order less.
 
@@ -435,7 +457,9 @@
             for row in self._state.endpoints.of(order.service)
         )
 
-    def _expect_scarcity(self, rows: Sequence[Endpoint], now: float) -> None:
+    def _expect_scarcity(
+        self, service: ServiceName, rows: Sequence[Endpoint], now: float
+    ) -> None:
         """Expect that no reclaimable endpoints are to be had after a notice.
 
         Notes
@@ -444,7 +468,12 @@
         new ones are to be had for a while, anywhere. Replacing them at the notice
         gains its two seconds on a boot of four.
         """
-        if any(row.leaving and row.reclaimable for row in rows):
+        ordered = {
+            domain: last.count
+            for (name, domain, reclaimable), last in self._orders.items()
+            if name == service and reclaimable
+        }
+        if domains_taken(rows, ordered):
             self._scarce_until = max(self._scarce_until, now + NOTICE_SCARCE_S)
 
     def _affirm_after(self, order: EndpointOrder) -> float:
--- a/poplarrelay/entry/sizing.py
+++ b/poplarrelay/entry/sizing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from math import ceil
 
@@ -10,7 +10,14 @@
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.identifiers import DomainId
 
-__all__ = ["DomainPlan", "Plan", "SizingInput", "count_for_demand", "plan_endpoints"]
+__all__ = [
+    "DomainPlan",
+    "Plan",
+    "SizingInput",
+    "count_for_demand",
+    "domains_taken",
+    "plan_endpoints",
+]
 
 #: Requests at one engine, on average, that are aimed for with reclaimable endpoints.
 #: An engine slows down with the requests that it works on, and a domain's engines go
@@ -27,7 +34,7 @@
 #: Endpoints beyond what the load needs, as a part of it and at least, so that a
 #: domain which is taken away leaves enough: a new one takes seconds to boot, and none
 #: may be had.
-SPARE_SHARE = 0.15
+SPARE_SHARE = 0.3
 SPARE_ENDPOINTS = 1
 #: Endpoints that a service has at least, so that losing one is not losing all.
 LEAST_ENDPOINTS = 2
@@ -82,12 +89,12 @@
     Examples
     --------
     >>> [target_count(load, 0.0) for load in (0.0, 16.0, 17.0, 320.0)]
-    [2, 3, 4, 46]
+    [2, 3, 4, 52]
     >>> target_count(16.0, demand=1_400_000.0)
-    33
+    36
     """
     needed = max(ceil(load / LOAD_PER_ENDPOINT), count_for_demand(demand))
-    spare = max(SPARE_ENDPOINTS, ceil(SPARE_SHARE * needed))
+    spare = max(SPARE_ENDPOINTS, int(SPARE_SHARE * needed))
     return max(LEAST_ENDPOINTS, needed + spare)
 
 
@@ -99,6 +106,31 @@
     )
 
 
+def domains_taken(
+    rows: Sequence[Endpoint], ordered: Mapping[DomainId, int | None]
+) -> set[DomainId]:
+    """Return the domains whose reclaimable endpoints are all being taken away.
+
+    Parameters
+    ----------
+    rows : sequence of Endpoint
+        The service's endpoints as listed.
+    ordered : mapping of DomainId to int or None
+        Reclaimable endpoints last ordered there, None where that is not certain.
+
+    Notes
+    -----
+    Endpoints that were given up leave as well. Taken for a wave, a count lowered by
+    one made the next orders cancel a dozen endpoints that were booting, and replace
+    them on demand at five times the price. A wave takes all that a domain has.
+    """
+    reclaimable = [row for row in rows if row.reclaimable]
+    leaving = {row.domain for row in reclaimable if row.leaving}
+    serving = {row.domain for row in reclaimable if row.accepts_work}
+    given_up = {domain for domain, count in ordered.items() if count == 0}
+    return leaving - serving - given_up
+
+
 def plan_endpoints(given: SizingInput) -> Plan:
     """Return how many endpoints of each kind each domain shall have.
 
--- a/poplarrelay/entry/tests/test_duties.py
+++ b/poplarrelay/entry/tests/test_duties.py
@@ -200,6 +200,40 @@
     play(scenario)
 
 
+def test_wave_does_not_cancel_endpoints_that_are_booting():
+    # Reclaimable endpoints are ordered in two domains. Those of the north still boot
+    # when a wave takes the south's. They are needed more than ever; the orders for
+    # them must not be lowered to what serves at that moment, which is none.
+    async def scenario():
+        async with run_users_site(nodes=1) as site:
+            site.configure(2, **scaling_configuration())
+            await site.add_runner("r1", STREAMS)
+            await site.ready(endpoints=1)
+
+            def desired(zone, reclaimable):
+                return [
+                    call.value["desired"]
+                    for call in site.cloud.accepted
+                    if call.value.get("zone") == zone
+                    and call.value.get("preemptible", False) is reclaimable
+                ]
+
+            await until(lambda: desired("north", True) and desired("south", True))
+            site.runners["r2"] = site.runners["r1"]
+            southern: dict[str, Any] = {"zone": "south", "preemptible": True}
+            site.list_runner("r2", STREAMS, **southern)
+            rows = site.nodes["a"].state.endpoints.rows
+            await until(lambda: "r2" in rows)
+            site.list_runner("r1", STREAMS, state="draining")
+            site.list_runner("r2", STREAMS, state="draining", **southern)
+            # That on-demand endpoints are ordered shows that the wave was noticed.
+            await until(lambda: max(desired("south", False), default=0) > 0)
+            orders = desired("north", True)
+            assert orders == sorted(orders)
+
+    play(scenario)
+
+
 def test_order_is_repeated_where_the_answer_was_lost():
     async def scenario():
         async with run_users_site(nodes=1) as site:
--- a/poplarrelay/entry/tests/test_sizing.py
+++ b/poplarrelay/entry/tests/test_sizing.py
@@ -3,7 +3,7 @@
 from poplarrelay.entry.configuration import Quota, ScalingLimits, ServiceName, Team
 from poplarrelay.entry.demand import DemandMeter, expected_tokens_per_s
 from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.entry.sizing import SizingInput, plan_endpoints
+from poplarrelay.entry.sizing import SizingInput, domains_taken, plan_endpoints
 from poplarrelay.identifiers import DomainId, EndpointId, TeamId
 
 DOMAINS = {DomainId("a"): 1.0, DomainId("b"): 0.8, DomainId("c"): 1.25}
@@ -86,6 +86,17 @@
     assert totals(plan) == (1, 8)
 
 
+def test_endpoints_that_were_given_up_are_no_wave():
+    # The count of two domains is lowered by one each, and what was given up says that
+    # it leaves, as endpoints do that a wave takes. A wave takes all of a domain.
+    lowered = rows("aabbc", "", "ab")
+    ordered = {DomainId("a"): 2, DomainId("b"): 2, DomainId("c"): 1}
+    assert domains_taken(lowered, ordered) == set()
+    assert domains_taken(rows("aab", "", "cc"), ordered) == {"c"}
+    assert domains_taken(rows("aab", "", "cc"), {DomainId("c"): 0}) == set()
+    assert domains_taken(rows("aab", "", "cc"), {DomainId("c"): None}) == {"c"}
+
+
 def test_no_on_demand_endpoint_is_added_while_reclaimable_ones_can_be_had():
     plan = plan_endpoints(SizingInput(LIMITS, rows("a"), 60.0, False))
     assert totals(plan)[1] == 0
--- a/poplarrelay/testing/users.py
+++ b/poplarrelay/testing/users.py
@@ -309,9 +309,14 @@
         return runner
 
     def list_runner(
-        self, name: str, service: str, state: str = "ready", slots: int = 8
+        self,
+        name: str,
+        service: str,
+        state: str = "ready",
+        slots: int = 8,
+        **more: Any,
     ) -> None:
-        """Write an endpoint's record."""
+        """Write an endpoint's record, with more fields or others."""
         record = {
             "service": service,
             "address": self._reach(name, self.runners[name].address),
@@ -319,6 +324,7 @@
             "slots": slots,
             "state": state,
             "sequence": next(self._requests),
+            **more,
         }
         self.store.put("keyed.servers", name, record)
 
