--- a/poplarrelay/entry/freshness.py
+++ b/poplarrelay/entry/freshness.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -81,6 +81,8 @@
         Monotonic time at which that peer's list was the store's.
     read_after_s : float
         Age at which this node reads the store itself.
+    on_confirm : callable or None
+        Called when the list has been confirmed anew, so that others hear of it.
 
     Notes
     -----
@@ -98,6 +100,7 @@
     newer: ListClaim | None = None
     newer_at: float = float("-inf")
     read_after_s: float = EARLIEST_READ_S
+    on_confirm: Callable[[], None] | None = None
 
     def age_s(self, now: float) -> float:
         """Return the time since the list was known to be the store's."""
@@ -111,6 +114,8 @@
         self.read_after_s = self.rng.uniform(EARLIEST_READ_S, LATEST_READ_S)
         if self.newer_at <= at:
             self.newer = None
+        if self.on_confirm is not None:
+            self.on_confirm()
 
     def hear(self, claim: ListClaim, now: float) -> None:
         """Take what a peer says of its list."""
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -27,6 +27,11 @@
 #: Rows in one datagram at most, which bounds the time to encode them.
 MAX_ROWS = 24
 
+#: Seconds by which a list of endpoints must be fresher than when it was last told for
+#: that to be told out of turn. Regular rounds alone took up to a second to reach eight
+#: nodes, most of which had read the store themselves by then.
+FRESHER_S = 0.3
+
 _LOG = logging.getLogger("poplarrelay.entry.gossip")
 
 
@@ -84,6 +89,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._port = 0
         self._hot: dict[str, int] = {}
+        self._list_told_at = float("-inf")
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -144,8 +150,27 @@
         targets = (
             alive if to_all else pick_targets(alive, silent, other_seeds, self._rng)
         )
-        data = self._message()
-        for host in targets:
+        self._send(self._message(), targets)
+
+    def tell_list(self) -> None:
+        """Tell some nodes that the list of endpoints has been confirmed.
+
+        Notes
+        -----
+        Whoever takes it over tells some others at once, so one read of the store
+        reaches nearly all nodes within some milliseconds.
+        """
+        if self._freshness.fresh_at - self._list_told_at < FRESHER_S:
+            return
+        self._list_told_at = self._freshness.fresh_at
+        alive = [row.host for row in self._table.alive(self._monotonic())]
+        targets = self._rng.sample(alive, min(FANOUT, len(alive)))
+        self._send(self._encode([]), targets)
+
+    def _send(self, data: bytes, hosts: Sequence[str]) -> None:
+        if self._transport is None:
+            return
+        for host in hosts:
             self._transport.sendto(data, (host, self._port))
             self.sent_bytes += len(data)
 
@@ -160,15 +185,18 @@
             self._hot[node] -= 1
             if self._hot[node] <= 0:
                 del self._hot[node]
-        age_s = min(self._freshness.age_s(self._monotonic()), NEVER_S)
         while True:
-            value = {
-                "from": self._table.me.node,
-                "wall": self._clock.own,
-                "list": [self._freshness.digest, age_s],
-                "rows": rows,
-            }
-            data = zlib.compress(orjson.dumps(value), 1)
+            data = self._encode(rows)
             if len(data) <= MAX_DATAGRAM_BYTES or len(rows) == 1:
                 return data
             rows = rows[: len(rows) // 2]
+
+    def _encode(self, rows: list[list[Any]]) -> bytes:
+        age_s = min(self._freshness.age_s(self._monotonic()), NEVER_S)
+        value = {
+            "from": self._table.me.node,
+            "wall": self._clock.own,
+            "list": [self._freshness.digest, age_s],
+            "rows": rows,
+        }
+        return zlib.compress(orjson.dumps(value), 1)
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -108,6 +108,7 @@
             monotonic,
             self._rng,
         )
+        self._state.freshness.on_confirm = self._gossip.tell_list
         self._cloud: CloudApi | None = None
         self._duties: DutyRunner | None = None
         if settings.platform.cloud is not None:
--- a/poplarrelay/entry/tests/test_freshness.py
+++ b/poplarrelay/entry/tests/test_freshness.py
@@ -107,7 +107,7 @@
             passed_s = monotonic() - began
             # Each by itself, the nodes would read eight times in 0.85 to 1.2 s.
             alone = len(states) * passed_s / LATEST_READ_S
-            assert 1 <= _reads(site) - before < 0.8 * alone
+            assert 1 <= _reads(site) - before < 0.5 * alone
             site.list_runner("r1", CALLS, state="draining")
             await until(lambda: all(not _accepts(s, "r1") for s in states))
             assert all(_accepts(state, "r2") for state in states)
