Let each read of the store confirm a list of endpoints once

Each hop of a claim adds the time on its way to the time it stands for; round a circle of nodes that keeps a list fresh for ever, and claims that are told on at once go round fast. A claim now names the read that it goes back to, each read confirms a node's list once, and a claim is taken to be 30 ms older than it says. Test: three nodes in a circle, 60 ms a hop (failed before). The property over chains had no time on the way.

Seen on the way, and mended with a test that failed first: an old list alone counted as an outage of the store, which kept endpoints for 2.3 s whose records were rightly gone.

--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -254,10 +254,24 @@
     Safeguard(
         "a confirmed list is as old as the peer's",
         f"{ENTRY}/freshness.py",
-        "        at = now - claim.age_s\n",
+        "        at = now - claim.age_s - HOP_S\n",
         "        at = now\n",
         "test_freshness.py",
     ),
+    Safeguard(
+        "each read of the store confirms a list once",
+        f"{ENTRY}/freshness.py",
+        "        if at <= self.fresh_at or read in self.known_reads:\n",
+        "        if at <= self.fresh_at:\n",
+        "test_freshness.py",
+    ),
+    Safeguard(
+        "an old list alone shows no outage",
+        f"{ENTRY}/following.py",
+        "        return lost_s > OUTAGE_S and self._state",
+        "        return self._state",
+        "test_freshness.py",
+    ),
     Safeguard(
         "a newer list is asked for",
         f"{ENTRY}/syncing.py",
--- a/poplarrelay/entry/following.py
+++ b/poplarrelay/entry/following.py
@@ -37,10 +37,11 @@
 #: Pause after a failed read, in seconds, doubled up to the longest with each failure.
 FIRST_PAUSE_S = 0.15
 LONGEST_PAUSE_S = 0.6
-#: Age of the list, in seconds, from which the store counts as having been away, and a
-#: record that has gone missing is given the time to come back. In calm times no list
-#: gets older than 1.2 s.
-OUTAGE_S = 1.9
+#: Seconds for which reads must have failed, and the list not been confirmed, for the
+#: store to count as having been away: then a record that has gone missing is given the
+#: time to come back. Entries lapse after more than three seconds; a kept connection
+#: that the store has closed costs some tenths.
+OUTAGE_S = 1.0
 #: That time. Entries that lapsed during an outage are written again within two
 #: seconds of the store's return, if the endpoint lives.
 COMEBACK_S = 2.3
@@ -53,6 +54,10 @@
         self._name = name
         self._lost_at: float | None = None
 
+    def lost_s(self, now: float) -> float:
+        """Return for how long calls have failed, 0 if the last one did not."""
+        return 0.0 if self._lost_at is None else now - self._lost_at
+
     def note_answer(self) -> None:
         """Note an answer."""
         now = monotonic()
@@ -66,10 +71,10 @@
             )
             self._lost_at = None
 
-    def note_failure(self, error: PlatformUnavailable) -> None:
-        """Note a failed call."""
+    def note_failure(self, error: PlatformUnavailable, sent_at: float) -> None:
+        """Note a failed call, and when it was sent."""
         if self._lost_at is None:
-            self._lost_at = monotonic()
+            self._lost_at = sent_at
             _LOG.warning(
                 "dependency lost", extra={"dependency": self._name, "why": str(error)}
             )
@@ -215,13 +220,14 @@
         """Follow the topic until cancelled."""
         failures = 0
         while True:
+            sent_at = monotonic()
             try:
                 await self._read()
             except HistoryTrimmed:
                 self._next = None
                 continue
             except PlatformUnavailable as error:
-                self._dependency.note_failure(error)
+                self._dependency.note_failure(error, sent_at)
                 pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**failures)
                 failures = min(failures + 1, 6)
                 await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
@@ -243,7 +249,7 @@
         caught_up = await self._read_records()
         self._read_at = sent_at
         if caught_up and self._freshness is not None:
-            self._freshness.confirm(sent_at)
+            self._freshness.note_read(sent_at)
 
     async def _read_records(self) -> bool:
         """Read what is new, and return whether that was all."""
@@ -273,12 +279,17 @@
     ----------
     state : EntryState
         The tables.
+    reads : Dependency
+        The reads of the endpoints' topic.
     on_change : callable
         Called after endpoints or the configuration have changed.
     """
 
-    def __init__(self, state: EntryState, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self, state: EntryState, reads: Dependency, on_change: Callable[[], None]
+    ) -> None:
         self._state = state
+        self._reads = reads
         self._on_change = on_change
         self.records: dict[EndpointId, bytes] = {}
 
@@ -292,7 +303,7 @@
     def take_endpoints(self, records: list[KeyedRecord], newest: bool) -> None:
         """Take records of the endpoints' topic."""
         now = monotonic()
-        after_outage = self._state.freshness.age_s(now) > OUTAGE_S
+        after_outage = self._was_away(now)
         listed: set[EndpointId] = set()
         for record in records:
             endpoint = EndpointId(record.key)
@@ -307,6 +318,19 @@
             self._state.endpoints_known = True
         self.note_change()
 
+    def _was_away(self, now: float) -> bool:
+        """Return whether the store has just come back, for all nodes.
+
+        Notes
+        -----
+        An old list alone does not show it. A node whose kept connections had been
+        closed took some tenths longer to read, and sent requests to an endpoint
+        whose record was rightly gone for 2.3 s more. Nor do failed reads alone: a
+        node that the store refuses may have had its list confirmed all the while.
+        """
+        lost_s = self._reads.lost_s(now)
+        return lost_s > OUTAGE_S and self._state.freshness.age_s(now) > OUTAGE_S
+
     def note_change(self) -> None:
         """Note that the list may have changed."""
         self._state.freshness.digest = digest_of(self._state.endpoints.rows.values())
--- a/poplarrelay/entry/freshness.py
+++ b/poplarrelay/entry/freshness.py
@@ -4,7 +4,7 @@
 
 import hashlib
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from poplarrelay.entry.endpoints import Endpoint
@@ -17,6 +17,11 @@
 #: its news reaches the others before their turn comes.
 EARLIEST_READ_S = 0.85
 LATEST_READ_S = 1.2
+#: Seconds that a claim is taken to have been on its way. Datagrams take a millisecond
+#: or two; a busy node reads them some ten later.
+HOP_S = 0.03
+#: Seconds for which a read of the store is remembered: nodes pass it on within two.
+REMEMBERED_S = 10.0
 #: Age told of a list that was never the store's; JSON has no infinity.
 NEVER_S = 1e9
 
@@ -33,11 +38,14 @@
         What its list comes to.
     age_s : float
         Time since its list was known to be the store's.
+    read : str
+        The read of the store that showed it: the node that read, and a number.
     """
 
     host: str
     digest: str
     age_s: float
+    read: str
 
 
 def digest_of(rows: Iterable[Endpoint]) -> str:
@@ -79,6 +87,12 @@
         A peer whose list is newer and not the same.
     newer_at : float
         Monotonic time at which that peer's list was the store's.
+    read : str
+        The read of the store that confirmed the list last, by whichever node.
+    reads : int
+        How often this node has read the store.
+    known_reads : dict of str to float
+        Reads that have confirmed this list, and the time that each stood for.
     read_after_s : float
         Age at which this node reads the store itself.
     on_confirm : callable or None
@@ -89,16 +103,24 @@
     Each node that polled the store by itself cost 1.4 reads a second: 61 nodes made
     14,500 priced calls in a day of 76 s, and at 410 nodes the store's limit is near.
     Here news carries the digest and the age of the sender's list. A peer with the
-    same digest need not read; the age that it takes over is the sender's, so however
-    long the chain, a node's list is never older than it believes but for the time a
-    datagram takes. Reads of all nodes together hardly grow with their number.
+    same digest need not read, and takes over the age. Reads of all nodes together
+    hardly grow with their number.
+
+    Each hop adds the time that the datagram took. Round a circle of nodes that would
+    go on for ever: their lists seemed fresh for three seconds in which nobody had read
+    the store, and an endpoint that had left got a request. So a claim names the read
+    that it goes back to, and each read confirms a node's list once.
     """
 
     rng: Random
+    node: str = ""
     digest: str = ""
     fresh_at: float = float("-inf")
     newer: ListClaim | None = None
     newer_at: float = float("-inf")
+    read: str = ""
+    reads: int = 0
+    known_reads: dict[str, float] = field(default_factory=dict)
     read_after_s: float = EARLIEST_READ_S
     on_confirm: Callable[[], None] | None = None
 
@@ -106,11 +128,20 @@
         """Return the time since the list was known to be the store's."""
         return now - self.fresh_at
 
-    def confirm(self, at: float) -> None:
-        """Note that the list was the store's at a time."""
-        if at <= self.fresh_at:
+    def note_read(self, at: float) -> None:
+        """Note that this node's own read showed the list to be the store's."""
+        self.reads += 1
+        self.confirm(at, f"{self.node}/{self.reads}")
+
+    def confirm(self, at: float, read: str) -> None:
+        """Note that a read of the store showed the list to be the store's at a time."""
+        if at <= self.fresh_at or read in self.known_reads:
             return
         self.fresh_at = at
+        self.read = read
+        self.known_reads[read] = at
+        for old in [r for r, t in self.known_reads.items() if t < at - REMEMBERED_S]:
+            del self.known_reads[old]
         self.read_after_s = self.rng.uniform(EARLIEST_READ_S, LATEST_READ_S)
         if self.newer_at <= at:
             self.newer = None
@@ -119,11 +150,11 @@
 
     def hear(self, claim: ListClaim, now: float) -> None:
         """Take what a peer says of its list."""
-        at = now - claim.age_s
+        at = now - claim.age_s - HOP_S
         if at <= self.fresh_at:
             return
         if claim.digest == self.digest:
-            self.confirm(at)
+            self.confirm(at, claim.read)
         elif at > self.newer_at:
             self.newer = claim
             self.newer_at = at
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -113,13 +113,13 @@
         try:
             message = orjson.loads(zlib.decompress(data))
             rows = [decode_row(raw) for raw in message["rows"]]
-            digest, age_s = message["list"]
+            claim = ListClaim(addr[0], *message["list"])
         except (zlib.error, ValueError, KeyError, TypeError) as error:
             _LOG.warning("unreadable news", extra={"from": addr[0], "why": str(error)})
             return
         now = self._monotonic()
         self._clock.hear(message["from"], message["wall"], now)
-        self._freshness.hear(ListClaim(addr[0], digest, age_s), now)
+        self._freshness.hear(claim, now)
         for row in rows:
             if self._table.hear(row, now):
                 self._hot[row.node] = HOT_ROUNDS
@@ -196,7 +196,7 @@
         value = {
             "from": self._table.me.node,
             "wall": self._clock.own,
-            "list": [self._freshness.digest, age_s],
+            "list": [self._freshness.digest, age_s, self._freshness.read],
             "rows": rows,
         }
         return zlib.compress(orjson.dumps(value), 1)
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -97,7 +97,7 @@
         )
         self._endpoints_read = Dependency("store: endpoints")
         self._configuration_read = Dependency("store: configuration")
-        self._view = StoreView(self._state, self._on_change)
+        self._view = StoreView(self._state, self._endpoints_read, self._on_change)
         self._followers = self._make_followers()
         self._directory = HostDirectory(self._state, self._store)
         self._gossip = Gossip(
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -94,7 +94,7 @@
             clock=ClusterClock(),
             peers=PeerTable(me),
             usage=usage,
-            freshness=ListFreshness(rng),
+            freshness=ListFreshness(rng, f"{settings.node}/{incarnation}"),
         )
 
     @property
--- a/poplarrelay/entry/tests/test_freshness.py
+++ b/poplarrelay/entry/tests/test_freshness.py
@@ -4,12 +4,14 @@
 from random import Random
 from time import monotonic
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from poplarrelay.entry.following import StoreView
+from poplarrelay.entry.following import Dependency, StoreView
 from poplarrelay.entry.freshness import (
     EARLIEST_READ_S,
+    HOP_S,
     LATEST_READ_S,
     ListClaim,
     ListFreshness,
@@ -22,20 +24,20 @@
 
 
 def freshness(digest="d", fresh_at=0.0):
-    return ListFreshness(Random(1), digest, fresh_at)
+    return ListFreshness(Random(1), "me", digest, fresh_at)
 
 
 class TestClaims:
     def test_same_list_of_a_newer_peer_confirms_this_one(self):
         mine = freshness()
-        mine.hear(ListClaim(HOST, "d", age_s=0.4), 1.0)
-        assert mine.fresh_at == 0.6
+        mine.hear(ListClaim(HOST, "d", age_s=0.4, read="a/1"), 1.0)
+        assert mine.fresh_at == pytest.approx(0.6 - HOP_S)
         assert mine.newer is None
 
     def test_older_peer_changes_nothing(self):
         mine = freshness(fresh_at=2.0)
         for digest in ("d", "other"):
-            mine.hear(ListClaim(HOST, digest, age_s=1.5), 3.0)
+            mine.hear(ListClaim(HOST, digest, age_s=1.5, read="a/1"), 3.0)
         assert mine.fresh_at == 2.0
         assert mine.newer is None
 
@@ -43,11 +45,11 @@
         # The peer read after an endpoint left. Its list does not make this one
         # fresh; the store is still read in time if the peer does not answer.
         mine = freshness()
-        claim = ListClaim(HOST, "other", age_s=0.1)
+        claim = ListClaim(HOST, "other", age_s=0.1, read="a/1")
         mine.hear(claim, 0.5)
         assert mine.newer == claim
         assert mine.due_in_s(LATEST_READ_S) <= 0
-        mine.confirm(0.6)
+        mine.confirm(0.6, "a/2")
         assert mine.newer is None
 
     def test_after_a_freeze_the_store_is_read_at_once(self):
@@ -72,7 +74,7 @@
     # Five nodes tell each other their lists; in between, endpoints leave, and some
     # nodes read the store. Whoever believes its list fresh as of some time must
     # hold what the store held then: else it would send to one that left long ago.
-    nodes = [freshness("0", 0.0) for _ in range(5)]
+    nodes = [ListFreshness(Random(1), f"n{i}", "0", 0.0) for i in range(5)]
     history = [(0.0, "0")]
     now = 0.0
     for source, target, passed_s, changes in steps:
@@ -81,16 +83,33 @@
             history.append((now, str(len(history))))
         if source == target:
             nodes[source].digest = history[-1][1]
-            nodes[source].confirm(now)
+            nodes[source].note_read(now)
         else:
             told = nodes[source]
-            claim = ListClaim(HOST, told.digest, told.age_s(now))
+            claim = ListClaim(HOST, told.digest, told.age_s(now), told.read)
             nodes[target].hear(claim, now)
         for node in nodes:
             held = [d for at, d in history if at <= node.fresh_at + 1e-6]
             assert node.digest == held[-1]
 
 
+def test_claims_that_go_round_do_not_keep_a_list_fresh():
+    # Three nodes tell each other in a circle that their lists are the same. Each
+    # datagram takes 60 ms, and whoever hears it counts the age from its arrival. Only
+    # the first node has read the store, once: after two seconds all three must know
+    # that their lists are old, else an endpoint that has left would get requests.
+    nodes = [ListFreshness(Random(1), f"n{i}", "d", 0.0) for i in range(3)]
+    nodes[0].note_read(0.1)
+    now = 0.1
+    for step in range(60):
+        told = nodes[step % 3]
+        claim = ListClaim(HOST, told.digest, told.age_s(now), told.read)
+        now += 0.06
+        nodes[(step + 1) % 3].hear(claim, now)
+    assert all(node.fresh_at < 0.25 for node in nodes)
+    assert all(node.due_in_s(now) < 0 for node in nodes)
+
+
 def test_leaving_endpoint_is_known_everywhere_in_time_with_few_reads():
     # Eight nodes serve and confirm each other's lists, so that few of them read the
     # store. An endpoint leaves: all of them learn it nevertheless.
@@ -122,17 +141,36 @@
         async with run_users_site() as site:
             await site.ready()
             state = site.nodes["a"].state
-            sync = PeerSync(state, StoreView(state, lambda: None), control_port=1)
+            view = StoreView(state, Dependency("endpoints"), lambda: None)
+            sync = PeerSync(state, view, control_port=1)
             now = monotonic()
-            state.freshness.confirm(now)
+            state.freshness.note_read(now)
             assert sync.peer_to_ask(now) is None
-            claim = ListClaim("127.0.0.9", "other", age_s=0.0)
+            claim = ListClaim("127.0.0.9", "other", age_s=0.0, read="b/1")
             state.freshness.hear(claim, now + 0.1)
             assert sync.peer_to_ask(now + 0.1) == "127.0.0.9"
 
     play(scenario)
 
 
+def test_old_list_alone_does_not_keep_an_endpoint_that_is_gone():
+    # The store answers all the time, but this node's list has got old, as after some
+    # slow reads. An endpoint's record is removed: it gets no request more, since only
+    # records that lapse while the store is away may come back.
+    async def scenario():
+        async with run_users_site() as site:
+            await site.add_runner("r1", CALLS)
+            await site.ready(endpoints=1)
+            state = site.nodes["a"].state
+            row = next(iter(state.endpoints.rows.values()))
+            state.freshness.distrust()
+            site.store.put("keyed.servers", "r1", None)
+            await until(lambda: row.gone or row.suspended_until is not None)
+            assert row.gone
+
+    play(scenario)
+
+
 def test_node_without_peers_reads_by_itself():
     async def scenario():
         async with run_users_site() as site:
