Let the soak's callers close their connections when they leave

A caller that left, or gave up waiting, dropped another connection than the one that it waited on, so nodes never saw callers leave.

--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -139,6 +139,9 @@
         except (ConnectionError, asyncio.IncompleteReadError, h11.ProtocolError):
             # The other side broke off, which is what some tests are about.
             pass
+        except asyncio.CancelledError:
+            # The event loop ends; passed on, asyncio prints it for each connection.
+            pass
         finally:
             self._writers.discard(writer)
             writer.close()
--- a/poplarrelay/testing/soak/callers.py
+++ b/poplarrelay/testing/soak/callers.py
@@ -94,15 +94,25 @@
                 await self._exchange(asked)
         except ExchangeFailed:
             asked.ending = asked.ending or Ending.CUT
-            self._drop(node)
         except TimeoutError:
             asked.ending = Ending.STILL_OPEN if leaves_s is None else Ending.CUT
             asked.disturbed = self._paused(node, sent_at)
-            self._drop(node)
         return asked
 
     async def _exchange(self, asked: Asked) -> None:
         connection = await self._connect(asked)
+        kept = False
+        try:
+            kept = await self._answer_on(connection, asked)
+        finally:
+            # Also when the caller leaves: only a closed connection tells the node.
+            if kept:
+                self._open[asked.node] = connection
+            else:
+                connection.abort()
+
+    async def _answer_on(self, connection: Connection, asked: Asked) -> bool:
+        """Send a request, take its answer, and tell if the connection may go on."""
         body = asked.request.encode()
         headers: Headers = [
             (b"Host", HOST.encode()),
@@ -116,14 +126,11 @@
         asked.status = response.status
         asked.body = response.body
         asked.ending = Ending.ANSWERED
-        if connection.recycle(response.headers, asyncio.get_running_loop().time()):
-            self._open[asked.node] = connection
-        else:
-            connection.abort()
+        return connection.recycle(response.headers, monotonic())
 
     async def _connect(self, asked: Asked) -> Connection:
         connection = self._open.pop(asked.node, None)
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         if connection is not None and connection.usable(now):
             return connection
         try:
@@ -132,11 +139,6 @@
             asked.ending = Ending.REFUSED_CONNECTION
             raise
 
-    def _drop(self, node: str) -> None:
-        connection = self._open.pop(node, None)
-        if connection is not None:
-            connection.abort()
-
 
 async def configuration_of(site: UsersSite, node: str) -> int:
     """Return the version that a node says it goes by, 0 if it does not answer."""
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -106,7 +106,6 @@
     runners: list[RunnerStandIn] = field(default_factory=list)
     listed: dict[str, str] = field(default_factory=dict)
     paused_until: dict[str, float] = field(default_factory=dict)
-    restarts: list[asyncio.Task[None]] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)
     numbers: count[int] = field(default_factory=lambda: count(1))
 
