Start a node once where two faults ended it; end every process of a run

A kill and a stop that struck one node each started it again; the process that was replaced in the table was left behind when its run ended (seven of them were found, and ended by their ids), and went on calling its store's port, which an endpoint of a later run had got.

--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import signal
 import traceback
@@ -35,7 +34,7 @@
 from poplarrelay.testing.soak.plan import FaultKind, PlannedFault, draw_plan
 from poplarrelay.testing.users import CALLS, STREAMS, UsersSite, users_configuration
 
-__all__ = ["SoakReport", "SoakSize", "soak"]
+__all__ = ["SoakReport", "SoakRun", "SoakSize", "soak"]
 
 _LOG = logging.getLogger("poplarrelay.testing.soak")
 
@@ -84,7 +83,7 @@
 
 
 @dataclass(slots=True)
-class _Run:
+class SoakRun:
     """A run under way.
 
     Attributes
@@ -93,6 +92,8 @@
         All endpoints of the run, those that have left included.
     paused_until : dict of str to float
         Monotonic time of the end of a node's last pause, infinite during one.
+    starting : dict of str to asyncio.Lock
+        Held while a node's process is started, so that it is started once.
     errors : list of str
         Faults that could not be brought about, which is a fault of the soak.
     """
@@ -106,6 +107,7 @@
     runners: list[RunnerStandIn] = field(default_factory=list)
     listed: dict[str, str] = field(default_factory=dict)
     paused_until: dict[str, float] = field(default_factory=dict)
+    starting: dict[str, asyncio.Lock] = field(default_factory=dict)
     errors: list[str] = field(default_factory=list)
     numbers: count[int] = field(default_factory=lambda: count(1))
 
@@ -186,40 +188,34 @@
     async def _kill(self, draw: Random, for_s: float) -> None:
         name = self._node(draw)
         await self.site.processes[name].kill()
-        await self._start_again(name)
+        await self.start_again(name)
 
     async def _stop(self, draw: Random, for_s: float) -> None:
         name = self._node(draw)
         process = self.site.processes[name]
-        if process.process.returncode is None:
-            process.signal(signal.SIGTERM)
+        process.signal(signal.SIGTERM)
         await process.process.wait()
-        await self._start_again(name)
+        await self.start_again(name)
 
-    async def _start_again(self, name: str) -> None:
+    async def start_again(self, name: str) -> None:
+        """Start a node whose process has ended, once for all who ended it."""
         await asyncio.sleep(RESTART_S)
-        process = self.site.processes[name]
-        if process.process.returncode is not None:
-            await self.site.run_process(name, process.path)
+        async with self.starting.setdefault(name, asyncio.Lock()):
+            process = self.site.processes[name]
+            if process.process.returncode is not None:
+                await self.site.run_process(name, process.path)
 
     async def _pause(self, draw: Random, for_s: float) -> None:
         name = self._node(draw)
         process = self.site.processes[name]
         self.paused_until[name] = float("inf")
-        self._signal(process.process.pid, process.process.returncode, signal.SIGSTOP)
+        process.signal(signal.SIGSTOP)
         await asyncio.sleep(for_s)
-        self._signal(process.process.pid, process.process.returncode, signal.SIGCONT)
+        process.signal(signal.SIGCONT)
         self.paused_until[name] = monotonic()
 
-    def _signal(self, pid: int, ended: int | None, number: signal.Signals) -> None:
-        for process in self.site.processes.values():
-            if process.process.pid == pid and ended is None:
-                process.signal(number)
-
     async def _reload(self, draw: Random, for_s: float) -> None:
-        process = self.site.processes[self._node(draw)]
-        if process.process.returncode is None:
-            process.signal(signal.SIGHUP)
+        self.site.processes[self._node(draw)].signal(signal.SIGHUP)
 
     async def _trouble_store_link(self, draw: Random, for_s: float) -> None:
         await self._trouble(self._node(draw), draw, for_s)
@@ -316,7 +312,7 @@
         return statuses == [200, 200]
 
 
-async def _run_faults(run: _Run, plan: list[PlannedFault]) -> None:
+async def _run_faults(run: SoakRun, plan: list[PlannedFault]) -> None:
     started_at = monotonic()
     async with asyncio.TaskGroup() as group:
         for fault in plan:
@@ -340,7 +336,7 @@
     """
     site = UsersSite(StoreStandIn(), CloudStandIn("127.0.0.1"), linked=True)
     await site.cloud.start()
-    run = _Run(site, size, Random(seed), folder)
+    run = SoakRun(site, size, Random(seed), folder)
     plan = draw_plan(seed, size.length_s)
     try:
         await run.start()
@@ -357,10 +353,8 @@
         ends = await asyncio.gather(*callers, return_exceptions=True)
         run.errors += [repr(e) for e in ends if not _was_cancelled(e)]
     finally:
-        with contextlib.suppress(ProcessLookupError):
-            for process in site.processes.values():
-                if process.process.returncode is None:
-                    process.signal(signal.SIGCONT)
+        for process in site.started:
+            process.signal(signal.SIGCONT)
         await site.stop()
     if run.errors:
         raise RuntimeError("\n".join(run.errors))
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak itself: that it finds what it is there to find, and a short run of it."""
 
 import asyncio
+from random import Random
 
 import pytest
 
@@ -15,14 +16,17 @@
     check_requests,
 )
 from poplarrelay.testing.soak.plan import FaultKind, draw_plan
-from poplarrelay.testing.soak.run import SoakSize, soak
+from poplarrelay.testing.soak.run import SoakRun, SoakSize, soak
+from poplarrelay.testing.users import play, run_users_site
 
 #: Seeds of the short run that CI makes, those that ever showed something among them.
 #: 2: an endpoint that misbehaves answers a stream's request in one piece; the check
 #: took that for a wrong answer.
 #: 19: a request lay in the socket of a paused process for 2.3 s and was answered 4 s
 #: after it was read; the check forgot pauses that had ended.
-SEEDS = (2, 19)
+#: 33: a node's process that another run had left behind, since two faults had started
+#: it twice, called its store at a port that an endpoint of this run had got.
+SEEDS = (2, 19, 33)
 
 
 def runner(name="r1", *attempts, **headers):
@@ -123,6 +127,22 @@
         parse_seeds("a")
 
 
+@pytest.mark.processes
+def test_node_that_two_faults_ended_is_started_once(tmp_path):
+    # A kill and a stop strike the same node; both wait and start it again. The second
+    # process would be left behind when the run ends.
+    async def scenario():
+        async with run_users_site(nodes=0) as site:
+            run = SoakRun(site, SoakSize(nodes=1), Random(1), tmp_path)
+            await run.start()
+            await site.processes["a"].kill()
+            await asyncio.gather(run.start_again("a"), run.start_again("a"))
+            assert len(site.started) == 2
+        assert all(each.process.returncode is not None for each in site.started)
+
+    play(scenario)
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_under_random_faults(seed, tmp_path):
--- a/poplarrelay/testing/users.py
+++ b/poplarrelay/testing/users.py
@@ -170,8 +170,9 @@
         return [line["message"] for line in self.lines()]
 
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
-        self.process.send_signal(number)
+        """Send a signal to the process, if it still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
 
     async def kill(self) -> None:
         """End the process at once, if it still runs."""
@@ -188,6 +189,8 @@
     ----------
     doors : dict of str to StoreDoor
         The store's address for each node.
+    started : list of EntryProcess
+        All processes of the test, those that were replaced included.
     linked : bool
         Whether links that a test can cut lie before the store's doors and the
         endpoints.
@@ -201,6 +204,7 @@
     doors: dict[str, StoreDoor] = field(default_factory=dict)
     runners: dict[str, RunnerStandIn] = field(default_factory=dict)
     processes: dict[str, EntryProcess] = field(default_factory=dict)
+    started: list[EntryProcess] = field(default_factory=list)
     linked: bool = False
     links: dict[str, Link] = field(default_factory=dict)
     _settings: dict[str, EntrySettings] = field(default_factory=dict)
@@ -282,8 +286,10 @@
                 stdout=stream,
                 stderr=stream,
             )
-        self.processes[name] = EntryProcess(process, settings, output)
-        return self.processes[name]
+        started = EntryProcess(process, settings, output)
+        self.started.append(started)
+        self.processes[name] = started
+        return started
 
     async def end_node(self, name: str) -> None:
         """Wait until a node that was told to stop has ended."""
@@ -399,7 +405,7 @@
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
         for node in self.nodes.values():
             await node.abandon()
-        for process in self.processes.values():
+        for process in self.started:
             await process.kill()
         for runner in self.runners.values():
             runner.stop()
