Keep who ran a request as a plain list in the soak's ledger

A class of one list, made twice over, is a defaultdict; the summary is named as public, since run.py uses it.

--- a/poplarrelay/testing/soak/ledger.py
+++ b/poplarrelay/testing/soak/ledger.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from poplarrelay.standins.users.cloud import AcceptedCall
 from poplarrelay.standins.users.runner import ReceivedRequest, RunnerStandIn
 
-__all__ = ["Asked", "Ending", "Promise", "Violation", "check_duties", "check_requests"]
+__all__ = [
+    "Asked",
+    "Ending",
+    "Promise",
+    "Violation",
+    "check_duties",
+    "check_requests",
+    "summary",
+]
 
 #: Statuses that say that a request has not run and will not.
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -72,13 +80,6 @@
     what: str
 
 
-@dataclass(slots=True)
-class _Ran:
-    """Who ran a request, and how often."""
-
-    endpoints: list[str] = field(default_factory=list)
-
-
 def check_requests(
     asked: Iterable[Asked], runners: Iterable[RunnerStandIn], keys: Iterable[str]
 ) -> list[Violation]:
@@ -94,7 +95,7 @@
         The callers' keys, which no endpoint may see.
     """
     runners = list(runners)
-    ran: dict[str, _Ran] = {}
+    ran: defaultdict[str, list[str]] = defaultdict(list)
     found: list[Violation] = []
     by_request = {each.request: each for each in asked}
     secrets = list(keys)
@@ -102,13 +103,10 @@
         for received in runner.received:
             found += _check_received(received, by_request, secrets)
             if received.ran:
-                ran.setdefault(received.attempt, _Ran()).endpoints.append(
-                    runner.endpoint
-                )
+                ran[received.attempt].append(runner.endpoint)
     by_endpoint = {runner.endpoint: runner for runner in runners}
     for each in by_request.values():
-        endpoints = ran.get(each.request, _Ran()).endpoints
-        found += _check_asked(each, endpoints, by_endpoint)
+        found += _check_asked(each, ran[each.request], by_endpoint)
     return found
 
 
