Log what a node's belief of an endpoint goes back to

Nothing told apart an endpoint that is kept after its record went, a list that is older than it seems, and a departure that a read did not bring. The lines now carry the offset of the record, the age of the list and the read that confirmed it; a kept endpoint and each read that brings records have a line of their own. No decision changed.

--- a/poplarrelay/entry/following.py
+++ b/poplarrelay/entry/following.py
@@ -9,7 +9,7 @@
 from time import monotonic
 
 from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.entry.freshness import ListFreshness, digest_of
+from poplarrelay.entry.freshness import NEVER_S, ListFreshness, digest_of
 from poplarrelay.entry.state import EntryState
 from poplarrelay.exception import (
     HistoryTrimmed,
@@ -25,7 +25,7 @@
     decode_configuration,
     decode_endpoint,
 )
-from poplarrelay.platform.store import KeyedRecord, Store, split_keyed
+from poplarrelay.platform.store import KeyedRecord, Store, split_page
 
 __all__ = ["Dependency", "TopicFollower", "apply_configuration", "apply_endpoint"]
 
@@ -115,8 +115,16 @@
     return True
 
 
-def apply_endpoint(state: EntryState, record: EndpointRecord) -> bool:
-    """Take an endpoint's record, and return whether anything changed."""
+def apply_endpoint(
+    state: EntryState, record: EndpointRecord, offset: Offset | None
+) -> bool:
+    """Take an endpoint's record, and return whether anything changed.
+
+    Parameters
+    ----------
+    offset : Offset or None
+        Where the record stands in the store's topic, None if a peer passed it on.
+    """
     row = state.endpoints.rows.get(record.endpoint)
     if row is None:
         row = Endpoint(
@@ -150,12 +158,25 @@
                 "domain": record.domain,
                 "reclaimable": record.reclaimable,
                 "leaves_in_s": record.leaves_in_s,
+                "offset": offset,
+                **_list_facts(state),
             },
         )
     return bool(change)
 
 
-def drop_endpoint(state: EntryState, endpoint: EndpointId, why: str) -> bool:
+def _list_facts(state: EntryState) -> dict[str, object]:
+    """Return how old the list was before a change, and by which read it was known."""
+    age_s = state.freshness.age_s(monotonic())
+    return {
+        "list_age_s": round(min(age_s, NEVER_S), 2),
+        "list_read": state.freshness.read,
+    }
+
+
+def drop_endpoint(
+    state: EntryState, endpoint: EndpointId, why: str, offset: Offset | None = None
+) -> bool:
     """Take an endpoint out, and return whether it was in."""
     row = state.endpoints.rows.get(endpoint)
     if row is None:
@@ -168,6 +189,8 @@
             "service": row.service,
             "change": "gone",
             "why": why,
+            "offset": offset,
+            **_list_facts(state),
         },
     )
     return True
@@ -258,6 +281,7 @@
         if self._next is None:
             records, start = await self._store.newest(self._topic)
             self._next = start
+            self._log_read(None, start, len(records))
             self._apply(records, True)
             return True
         start = self._next
@@ -270,9 +294,21 @@
             self._next = None
             return False
         if page.records:
-            self._apply([split_keyed(record) for record in page.records], False)
+            self._log_read(start, page.next, len(page.records))
+            self._apply(split_page(page, start), False)
         return page.next >= page.end
 
+    def _log_read(self, start: Offset | None, end: Offset, records: int) -> None:
+        _LOG.info(
+            "topic read",
+            extra={
+                "topic": self._topic,
+                "start": "newest of all keys" if start is None else start,
+                "next": end,
+                "records": records,
+            },
+        )
+
 
 class StoreView:
     """Applies what followers read to the node's tables.
@@ -310,13 +346,13 @@
         for record in records:
             endpoint = EndpointId(record.key)
             if record.value is None:
-                self._missing(endpoint, now, after_outage)
+                self._missing(endpoint, now, after_outage, record.offset)
                 continue
             listed.add(endpoint)
-            self.put(endpoint, record.value)
+            self.put(endpoint, record.value, record.offset)
         if newest:
             for endpoint in [e for e in self._state.endpoints.rows if e not in listed]:
-                self._missing(endpoint, now, after_outage)
+                self._missing(endpoint, now, after_outage, None)
             self._state.endpoints_known = True
         self.note_change()
 
@@ -338,7 +374,9 @@
         self._state.freshness.digest = digest_of(self._state.endpoints.rows.values())
         self._on_change()
 
-    def put(self, endpoint: EndpointId, content: bytes) -> None:
+    def put(
+        self, endpoint: EndpointId, content: bytes, offset: Offset | None = None
+    ) -> None:
         """Take one endpoint's record."""
         if self.records.get(endpoint) == content:
             return
@@ -348,20 +386,43 @@
             _LOG.error("endpoint unreadable", extra={"why": str(error)})
             return
         self.records[endpoint] = content
-        apply_endpoint(self._state, record)
+        apply_endpoint(self._state, record, offset)
 
-    def _missing(self, endpoint: EndpointId, now: float, after_outage: bool) -> None:
+    def _missing(
+        self,
+        endpoint: EndpointId,
+        now: float,
+        after_outage: bool,
+        offset: Offset | None,
+    ) -> None:
         row = self._state.endpoints.rows.get(endpoint)
         if row is not None and after_outage:
             if row.suspended_until is None:
                 row.suspended_until = now + COMEBACK_S
+                self._log_kept(row, now, offset)
             return
-        self.remove(endpoint, "record removed")
+        self.remove(endpoint, "record removed", offset)
 
-    def remove(self, endpoint: EndpointId, why: str) -> None:
+    def _log_kept(self, row: Endpoint, now: float, offset: Offset | None) -> None:
+        _LOG.warning(
+            "endpoint kept",
+            extra={
+                "endpoint": row.endpoint,
+                "service": row.service,
+                "why": "its record went while reads failed",
+                "for_s": COMEBACK_S,
+                "reads_failed_s": round(self._reads.lost_s(now), 2),
+                "offset": offset,
+                **_list_facts(self._state),
+            },
+        )
+
+    def remove(
+        self, endpoint: EndpointId, why: str, offset: Offset | None = None
+    ) -> None:
         """Take an endpoint out."""
         self.records.pop(endpoint, None)
-        drop_endpoint(self._state, endpoint, why)
+        drop_endpoint(self._state, endpoint, why, offset)
 
     def expire(self, now: float) -> None:
         """Take out endpoints whose records did not come back after an outage."""
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -19,6 +19,7 @@
     RouteKind,
 )
 from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.health import note_failure, note_success, note_success_time
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest
 from poplarrelay.entry.http.pool import ConnectionPool
@@ -236,6 +237,8 @@
         row = choice.endpoint
         case.tried.append(row.endpoint)
         sent_at = monotonic()
+        list_age_s = round(min(self._state.freshness.age_s(sent_at), NEVER_S), 2)
+        list_read = self._state.freshness.read
         plan = AttemptPlan(
             endpoint=row,
             until=case.until,
@@ -286,6 +289,8 @@
                 "result": type(result).__name__,
                 "why": result.why,
                 "took_ms": round(1000 * (monotonic() - sent_at), 1),
+                "list_age_s": list_age_s,
+                "list_read": list_read,
             },
         )
         return result
--- a/poplarrelay/entry/syncing.py
+++ b/poplarrelay/entry/syncing.py
@@ -120,9 +120,11 @@
         content = value.get("configuration")
         if content is not None:
             apply_configuration(self.state, base64.b64decode(content), f"peer {host}")
-        self._take_endpoints(value, asked_at)
+        self._take_endpoints(value, asked_at, host)
 
-    def _take_endpoints(self, value: dict[str, Any], asked_at: float) -> None:
+    def _take_endpoints(
+        self, value: dict[str, Any], asked_at: float, peer: str
+    ) -> None:
         self.endpoints_read_at = monotonic()
         listed_at = asked_at - value["endpoints_age_s"]
         if listed_at <= self.state.freshness.fresh_at:
@@ -131,7 +133,7 @@
         for name, content in value["endpoints"].items():
             self.view.put(EndpointId(name), base64.b64decode(content))
         for endpoint in [e for e in self.state.endpoints.rows if e not in listed]:
-            self.view.remove(endpoint, "gone from a peer's list")
+            self.view.remove(endpoint, f"gone from the list of peer {peer}")
         if listed:
             self.state.endpoints_known = True
         self.view.note_change()
--- a/poplarrelay/platform/store.py
+++ b/poplarrelay/platform/store.py
@@ -29,6 +29,7 @@
     "Store",
     "keyed_topic",
     "split_keyed",
+    "split_page",
 ]
 
 #: Seconds for a new connection to the store: it answers in 4 ms on a calm day, and
@@ -65,10 +66,17 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
-    """A record with a key; without a value the key has been dropped."""
+    """A record with a key; without a value the key has been dropped.
+
+    Attributes
+    ----------
+    offset : Offset
+        Its position in the partition; of two records of a key the later one holds.
+    """
 
     key: str
     value: bytes | None
+    offset: Offset
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,7 +204,8 @@
             resume = int(page["endOffset"]) if resume is None else resume
             for entry in page["entries"]:
                 value = base64.b64decode(entry["data"])
-                found.append(KeyedRecord(entry["key"], value or None))
+                offset = Offset(int(entry["offset"]))
+                found.append(KeyedRecord(entry["key"], value or None, offset))
                 after = entry["key"]
             if not page.get("hasMore") or not page["entries"]:
                 return found, Offset(resume)
@@ -285,11 +294,19 @@
     return f"keyed.{name}"
 
 
-def split_keyed(record: bytes) -> KeyedRecord:
+def split_keyed(record: bytes, offset: Offset) -> KeyedRecord:
     """Return the key and the value of a record of a keyed topic."""
     size = record[0]
     value = record[1 + size :]
-    return KeyedRecord(record[1 : 1 + size].decode(), value or None)
+    return KeyedRecord(record[1 : 1 + size].decode(), value or None, offset)
+
+
+def split_page(page: LogPage, start: Offset) -> list[KeyedRecord]:
+    """Return the records of a page of a keyed topic that was read from an offset."""
+    return [
+        split_keyed(record, Offset(offset))
+        for offset, record in enumerate(page.records, start)
+    ]
 
 
 def _split_records(content: bytes) -> tuple[bytes, ...]:
