Test that nodes stop sending to endpoints that leave, failing on the code as it is

Three ways to the fault, each with the store sound: one read of one node that gets no answer, news that waited on the way, and a node that the store refuses.

--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -133,6 +133,11 @@
         """Return the node's tables."""
         return self._state
 
+    @property
+    def gossip(self) -> Gossip:
+        """Return what carries news between this node and its peers."""
+        return self._gossip
+
     @property
     def duties(self) -> DutyRunner:
         """Return what does the duties; only on platforms that have any."""
--- /dev/null
+++ b/poplarrelay/entry/tests/test_departures.py
@@ -0,0 +1,114 @@
+"""Endpoints that leave: within which time every node stops sending to them.
+
+What callers saw: a request reached an endpoint over three seconds after the store had
+acknowledged its departure; it ran, and a little later it would have been cut off. The
+node chose the endpoint from a list that it took for fresh, or knew to be old and used
+as if it were not. Each test plays one way into that, with the store sound throughout.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from time import monotonic
+
+import pytest
+
+from poplarrelay.entry.state import EntryState
+from poplarrelay.testing.users import CALLS, UsersSite, play, run_users_site, until
+
+#: Seconds after the store's acknowledgement from which a leaving endpoint may get
+#: nothing more, as in the settings of the test's nodes.
+BOUND_S = 2.0
+TOPIC = "keyed.servers"
+
+
+def accepts(state: EntryState, name: str) -> bool:
+    """Return whether a node sends new requests to an endpoint."""
+    rows = state.endpoints.rows.values()
+    return any(row.endpoint == name and row.accepts_work for row in rows)
+
+
+async def start(site: UsersSite) -> None:
+    """Add two endpoints, and wait until all nodes know them and each other."""
+    for runner in ("r1", "r2"):
+        await site.add_runner(runner, CALLS)
+    for name in site.nodes:
+        await site.ready(name, endpoints=2)
+    states = [node.state for node in site.nodes.values()]
+    await until(lambda: all(len(s.peers.seen) == len(states) - 1 for s in states))
+
+
+async def assert_left_within_bound(site: UsersSite, node: str, acked_at: float) -> None:
+    """Check that a node stops sending to r1 in time, and goes on sending to r2."""
+    state = site.nodes[node].state
+    await until(lambda: not accepts(state, "r1"), "departure known")
+    assert monotonic() - acked_at <= BOUND_S
+    assert accepts(state, "r2")
+
+
+@pytest.mark.parametrize("record", ["removed", "leaving"])
+def test_one_unanswered_read_does_not_hide_a_departure(record):
+    # One read of one node gets no answer, as on a busy link. Meanwhile an endpoint
+    # leaves. The node read the list when it was up to 1.2 s old, waited 1.2 s for the
+    # answer, took its own trouble for an outage of the store, and kept a record that
+    # had rightly gone for 2.3 s more (`record did not come back` in its log, where
+    # all other nodes said `record removed`).
+    async def scenario():
+        async with run_users_site() as site:
+            await start(site)
+            store, door = site.store, site.doors["a"]
+            before = store.reads[TOPIC]
+            await until(lambda: store.reads[TOPIC] > before)
+            door.missed[TOPIC] = 1
+            if record == "removed":
+                store.put(TOPIC, "r1", None)
+            else:
+                site.list_runner("r1", CALLS, state="draining")
+            await assert_left_within_bound(site, "a", monotonic())
+
+    play(scenario)
+
+
+def test_news_that_waited_on_the_way_does_not_make_a_list_fresh():
+    # News to node b waits for 2.5 s before b reads it. Each tells that a peer has
+    # confirmed the list just now; b counted that from the arrival, never read the
+    # store, and sent to an endpoint that had left 2.5 s and more before. The store
+    # answers b all the time: an age that b cannot know must not keep it from asking.
+    async def scenario():
+        async with run_users_site(nodes=3) as site:
+            await start(site)
+            reading = asyncio.create_task(_keep_reading(site.nodes["a"].state))
+            site.delay_news("b", 2.5)
+            await asyncio.sleep(4.0)
+            site.list_runner("r1", CALLS, state="draining")
+            await assert_left_within_bound(site, "b", monotonic())
+            reading.cancel()
+
+    play(scenario)
+
+
+async def _keep_reading(state: EntryState) -> None:
+    """Let a node read the store twice a second, as many nodes together do."""
+    while True:
+        state.freshness.distrust()
+        await asyncio.sleep(0.5)
+
+
+def test_departure_reaches_a_node_that_the_store_refuses_within_tenths():
+    # The store does not answer node b. An endpoint leaves, and node a reads it. b asked
+    # a peer for its whole list when its own was 1.6 s old; news of the departure itself
+    # was not passed on, so b was the last to know by two seconds.
+    async def scenario():
+        async with run_users_site(nodes=3) as site:
+            await start(site)
+            site.doors["b"].silent_topics.add(TOPIC)
+            await asyncio.sleep(2.0)
+            site.list_runner("r1", CALLS, state="draining")
+            others = [site.nodes[name].state for name in ("a", "c")]
+            await until(lambda: any(not accepts(s, "r1") for s in others))
+            known_at = monotonic()
+            state = site.nodes["b"].state
+            await until(lambda: not accepts(state, "r1"), "departure known")
+            assert monotonic() - known_at < 0.5
+
+    play(scenario)
--- a/poplarrelay/standins/users/store.py
+++ b/poplarrelay/standins/users/store.py
@@ -82,6 +82,8 @@
         Whether their calls are carried out and not answered.
     silent_topics : set of str
         Topics whose reads get no answer, while all others do.
+    missed : Counter of str
+        Reads of a topic that get no answer, before all others do again.
     """
 
     def __init__(self, store: StoreStandIn, host: str) -> None:
@@ -91,6 +93,7 @@
         self.outage = Outage.NONE
         self.lose_answers = False
         self.silent_topics: set[str] = set()
+        self.missed: Counter[str] = Counter()
 
     async def start(self) -> None:
         """Listen."""
@@ -124,6 +127,10 @@
             return
         target = incoming.target.decode()
         hidden = any(f"topic={topic}&" in target for topic in self.silent_topics)
+        for topic in [t for t, left in self.missed.items() if left > 0]:
+            if f"topic={topic}&" in target:
+                self.missed[topic] -= 1
+                hidden = True
         if hidden or self.outage is Outage.SILENT:
             await self._hang()
         status, body = await self._store.call(incoming)
--- a/poplarrelay/testing/users.py
+++ b/poplarrelay/testing/users.py
@@ -212,6 +212,17 @@
     _ports: dict[str, str] = field(default_factory=dict)
     _requests: count[int] = field(default_factory=lambda: count(1))
 
+    def delay_news(self, name: str, delay_s: float) -> None:
+        """Let datagrams to a node wait before it reads them, as in a busy link."""
+        gossip = self.nodes[name].gossip
+        read = type(gossip).datagram_received
+        loop = asyncio.get_running_loop()
+
+        def wait(data: bytes, addr: Any) -> None:
+            loop.call_later(delay_s, read, gossip, data, addr)
+
+        gossip.datagram_received = wait  # type: ignore[method-assign]
+
     def _reach(self, name: str, address: str) -> str:
         """Return the address by which nodes reach something."""
         if not self.linked:
