--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -132,6 +132,9 @@
         if echoed is not None and echoed != self.request.request:
             # A late second answer to the request before on this connection.
             raise ExchangeFailed("answer to another request", sent=True)
+        if head.status == 200 and not _closes(head):
+            # An endpoint that leaves closes its connections with every answer.
+            self.plan.endpoint.vouched_at = self._sent_at
         if head.status == 200 and _is_event_stream(head):
             return await self._pass_on(head)
         return await self._collect(head)
@@ -139,6 +142,10 @@
     async def _send(self) -> None:
         plan = self.plan
         self._connection = await self.pool.take(plan.endpoint.address)
+        if not plan.endpoint.accepts_work:
+            # It left while this node connected, which takes up to 0.6 s. Nothing has
+            # been sent, so the request may go to any other endpoint.
+            raise ExchangeFailed("the endpoint left meanwhile", sent=False)
         remaining_s = plan.until - monotonic()
         headers = attempt_headers(
             self.request,
@@ -212,6 +219,11 @@
         self._connection = None
 
 
+def _closes(head: ResponseHead) -> bool:
+    value = header_value(head.headers, b"connection") or b""
+    return b"close" in value.lower()
+
+
 def _is_event_stream(head: ResponseHead) -> bool:
     kind = header_value(head.headers, b"content-type") or b""
     return kind.strip().lower().startswith(b"text/event-stream")
--- a/poplarrelay/entry/choosing.py
+++ b/poplarrelay/entry/choosing.py
@@ -12,7 +12,7 @@
 from poplarrelay.entry.http.pool import Address
 from poplarrelay.identifiers import DomainId, EndpointId
 
-__all__ = ["Choice", "Wish", "choose_endpoint"]
+__all__ = ["Choice", "Wish", "choose_endpoint", "vouched_rows"]
 
 #: Prompt tokens that count like one request already at an engine. An engine reads
 #: about 90 tokens in a millisecond, and each request in its batch makes every step
@@ -133,6 +133,24 @@
     return Choice(best, "less work than at its home", fetch_from)
 
 
+def vouched_rows(rows: Sequence[Endpoint], since: float) -> list[Endpoint]:
+    """Return the endpoints whose own answers show that they have not left.
+
+    Parameters
+    ----------
+    rows : sequence of Endpoint
+        Those of the service that accept work, as far as this node knows.
+    since : float
+        Monotonic time of the oldest request whose answer counts.
+
+    Notes
+    -----
+    For a node that can no longer tell how old its list is: any endpoint may have left
+    meanwhile, but for those that have just answered.
+    """
+    return [row for row in rows if row.vouched_at >= since]
+
+
 def choose_endpoint(
     rows: Sequence[Endpoint], wish: Wish, now: float, rng: Random
 ) -> Choice | None:
--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -62,6 +62,9 @@
     suspended_until : float
         Monotonic time until which a record that went missing while the store was
         away is given the chance to come back.
+    vouched_at : float
+        Monotonic time of the last request whose answer shows that the endpoint was
+        not leaving then.
     """
 
     endpoint: EndpointId
@@ -79,6 +82,7 @@
     elsewhere: int = 0
     prefill_tokens: int = 0
     suspended_until: float | None = None
+    vouched_at: float = float("-inf")
     health: Health = field(default_factory=Health)
 
     @property
--- a/poplarrelay/entry/freshness.py
+++ b/poplarrelay/entry/freshness.py
@@ -1,191 +1,178 @@
-"""How old a node's list of endpoints is, and who has a newer one."""
+"""How old a node's list of endpoints is, and when it must be renewed."""
 
 from __future__ import annotations
 
-import hashlib
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 
-from poplarrelay.entry.endpoints import Endpoint
-
-__all__ = ["NEVER_S", "ListClaim", "ListFreshness", "digest_of"]
-
-#: Age of the list, in seconds, at which a node reads the store itself. A leaving
-#: endpoint may get nothing more after two seconds; the read and a slow answer of the
-#: store still fit in. The age is drawn anew each time, so that one node reads and
-#: its news reaches the others before their turn comes.
-EARLIEST_READ_S = 0.85
-LATEST_READ_S = 1.2
-#: Shortest time in seconds between two reads of a node, also when it hears of a newer
-#: list. While endpoints come and go all the time, each node reads that often; a leaving
-#: one is then known 0.7 s and a read after its report.
-SHORTEST_READ_S = 0.7
-#: Seconds that a claim is taken to have been on its way. Datagrams take a millisecond
-#: or two; a busy node reads them some ten later.
-HOP_S = 0.03
-#: Hops over which a read of the store is passed on. Each may make it seem younger by
-#: what a datagram takes beyond `HOP_S`; over a path through all of 61 busy nodes that
-#: came to seconds. Four reach 3 + 9 + 27 + 81 nodes; who is not reached reads itself.
-MOST_HOPS = 4
-#: Seconds for which a read of the store is remembered: nodes pass it on within two.
-REMEMBERED_S = 10.0
+from poplarrelay.entry.settings import BoundSettings
+from poplarrelay.identifiers import Offset
+
+__all__ = ["NEVER_S", "ListFreshness", "ListTimes"]
+
+#: Parts of the time after which a leaving endpoint may get no new work. Their sum on
+#: the longest way is less than one: a list that nobody has renewed is read at half of
+#: that time at the latest, one answer may be missing, and the repeated read is answered
+#: just in time. What is left is for the request's own way to the endpoint.
+#: The age at which a node reads the store is drawn anew each time, so that one node
+#: reads and its news reaches the others before their turn comes.
+EARLIEST_READ = 0.35
+LATEST_READ = 0.5
+#: Time that a read is given. A store's slow spell answers in about 0.25 s; the smallest
+#: bound in use, 2 s, gives 0.4 s.
+ANSWER = 0.2
+#: Pause between a read without an answer and the next.
+PAUSE = 0.02
+#: What is left for a request on its way: a connection within one zone takes some
+#: milliseconds, one whose first packet is lost is given up for another endpoint.
+SENDING = 0.07
+#: Shortest time in seconds between two reads of a node that peers have told of newer
+#: records than they can pass on: while endpoints come and go all the time, each node
+#: would otherwise read with every change.
+SHORTEST_READ_S = 0.3
+_START = Offset(0)
 #: Age told of a list that was never the store's; JSON has no infinity.
 NEVER_S = 1e9
 
 
 @dataclass(frozen=True, slots=True)
-class ListClaim:
-    """What a peer says of its list.
+class ListTimes:
+    """Times by which a departure is known before the bound on it has passed.
 
     Attributes
     ----------
-    digest : str
-        What its list comes to.
-    age_s : float
-        Time since its list was known to be the store's.
-    read : str
-        The read of the store that showed it: the node that read, and a number.
-    hops : int
-        Nodes that have passed it on since, the sender not included.
+    bound_s : float
+        Time from the store's acknowledgement that an endpoint leaves, after which
+        it may get nothing more.
+    earliest_read_s, latest_read_s : float
+        Age of the list at which this node reads the store.
+    answer_s : float
+        Time that the first read, and its first repetition, wait for an answer.
+    pause_s : float
+        Pause after a read without an answer.
+    vouched_s : float
+        Age up to which a list, with a request's way added, keeps the bound.
     """
 
-    digest: str
-    age_s: float
-    read: str
-    hops: int
-
-
-def digest_of(rows: Iterable[Endpoint]) -> str:
-    """Return what a list of endpoints comes to; equal lists have equal digests.
-
-    Notes
-    -----
-    Only what decides where requests go counts: records are written again at every
-    heartbeat. Endpoints whose records are away since an outage of the store do not
-    count, since the store does not list them.
-    """
-    facts = sorted(
-        (
-            row.endpoint,
-            row.service,
-            *row.address,
-            row.slots,
-            row.leaving,
-            row.reclaimable,
+    bound_s: float
+    earliest_read_s: float
+    latest_read_s: float
+    answer_s: float
+    pause_s: float
+    vouched_s: float
+
+    @classmethod
+    def from_config(cls, bounds: BoundSettings) -> ListTimes:
+        """Return the times that a bound on leaving endpoints leaves."""
+        bound_s = bounds.leaving_endpoint_ms / 1000
+        return cls(
+            bound_s=bound_s,
+            earliest_read_s=EARLIEST_READ * bound_s,
+            latest_read_s=LATEST_READ * bound_s,
+            answer_s=ANSWER * bound_s,
+            pause_s=PAUSE * bound_s,
+            vouched_s=(1 - SENDING) * bound_s,
         )
-        for row in rows
-        if row.suspended_until is None
-    )
-    return hashlib.blake2b(repr(facts).encode(), digest_size=8).hexdigest()
 
 
 @dataclass(slots=True)
 class ListFreshness:
-    """Since when this node's list of endpoints is known to be the store's.
+    """Up to where, and since when, this node's list of endpoints is the store's.
 
     Attributes
     ----------
-    digest : str
-        What this node's list comes to.
+    as_of : Offset
+        This node knows every record of the endpoints' topic before this offset.
     fresh_at : float
-        Monotonic time at which the store, or a chain of peers that begins at it,
-        confirmed the list.
-    newer_heard : bool
-        Whether a peer has told of a newer list that is not the same.
+        Monotonic time of this node at which that was all that the topic held.
+    source : str
+        Who showed that: the store, or a peer.
     read_at : float
         Monotonic time of this node's last own read.
-    read : str
-        The read of the store that confirmed the list last, by whichever node.
-    hops : int
-        Nodes that passed that read on before it came here.
-    reads : int
-        How often this node has read the store.
-    known_reads : dict of str to float
-        Reads that have confirmed this list, and the time that each stood for.
+    behind : bool
+        Whether a peer knows more than it can pass on in a datagram.
     read_after_s : float
         Age at which this node reads the store itself.
+    trusted_from : float
+        What was asked before this time confirms nothing.
     on_confirm : callable or None
         Called when the list has been confirmed anew, so that others hear of it.
 
     Notes
     -----
-    Each node that polled the store by itself cost 1.4 reads a second: 61 nodes made
-    14,500 priced calls in a day of 76 s, and at 410 nodes the store's limit is near.
-    Here news carries the digest and the age of the sender's list. A peer with the
-    same digest need not read, and takes over the age. Reads of all nodes together
-    hardly grow with their number.
-
-    Each hop adds the time that the datagram took. Round a circle of nodes that would
-    go on for ever: their lists seemed fresh for three seconds in which nobody had read
-    the store, and an endpoint that had left got a request. So a claim names the read
-    that it goes back to, each read confirms a node's list once, and it is passed on
-    over a few hops only.
+    `fresh_at` is always the time at which this node *asked*, less the age that the
+    answer states: whatever the question or the answer waited for on its way, the
+    store or the peer answered later than that. An age counted back from the arrival of
+    news left out the time that it lay in a busy link or process; nodes took lists for
+    fresh that were seconds old, and sent to endpoints that had left. Since no step
+    makes a list younger than it is, none does however many nodes pass it on.
     """
 
     rng: Random
-    node: str = ""
-    digest: str = ""
+    times: ListTimes
+    as_of: Offset = _START
     fresh_at: float = float("-inf")
-    newer_heard: bool = False
+    source: str = ""
     read_at: float = float("-inf")
-    read: str = ""
-    hops: int = 0
-    reads: int = 0
-    known_reads: dict[str, float] = field(default_factory=dict)
-    read_after_s: float = EARLIEST_READ_S
+    behind: bool = False
+    read_after_s: float = 0.0
+    trusted_from: float = float("-inf")
     on_confirm: Callable[[], None] | None = None
 
     def age_s(self, now: float) -> float:
         """Return the time since the list was known to be the store's."""
         return now - self.fresh_at
 
-    def note_read(self, at: float) -> None:
-        """Note that this node's own read showed the list to be the store's."""
-        self.reads += 1
-        self.read_at = at
-        self.newer_heard = False
-        self.confirm(at, f"{self.node}/{self.reads}", 0)
-
-    def confirm(self, at: float, read: str, hops: int) -> None:
-        """Note that a read of the store showed the list to be the store's at a time."""
-        if at <= self.fresh_at or read in self.known_reads:
+    def vouched(self, now: float) -> bool:
+        """Return whether a request sent now keeps the bound on leaving endpoints."""
+        return self.age_s(now) <= self.times.vouched_s
+
+    def note_read(self, sent_at: float, as_of: Offset) -> None:
+        """Note that this node's own read was answered with all that there was."""
+        self.read_at = sent_at
+        self.behind = False
+        self.confirm(sent_at, as_of, "store")
+
+    def confirm(self, at: float, as_of: Offset, source: str) -> None:
+        """Note up to where the list is known, and the time as of which.
+
+        Parameters
+        ----------
+        at : float
+            Monotonic time of this node at which there was nothing more.
+        as_of : Offset
+            End of the records that are known.
+        source : str
+            Who showed it.
+        """
+        self.as_of = max(self.as_of, as_of)
+        if at <= self.fresh_at or at < self.trusted_from:
             return
         self.fresh_at = at
-        self.read = read
-        self.hops = hops
-        self.known_reads[read] = at
-        for old in [r for r, t in self.known_reads.items() if t < at - REMEMBERED_S]:
-            del self.known_reads[old]
-        self.read_after_s = self.rng.uniform(EARLIEST_READ_S, LATEST_READ_S)
+        self.source = source
+        self.read_after_s = self.rng.uniform(
+            self.times.earliest_read_s, self.times.latest_read_s
+        )
         if self.on_confirm is not None:
             self.on_confirm()
 
-    def hear(self, claim: ListClaim, now: float) -> None:
-        """Take what a peer says of its list."""
-        at = now - claim.age_s - HOP_S
-        if at <= self.fresh_at:
-            return
-        if claim.digest == self.digest:
-            if claim.hops < MOST_HOPS:
-                self.confirm(at, claim.read, claim.hops + 1)
-        else:
-            self.newer_heard = True
-
     def due_in_s(self, now: float) -> float:
-        """Return the time until this node reads the store itself.
-
-        Notes
-        -----
-        A newer list is read from the store, not asked of the peer that told of it: all
-        nodes asked the one that had read last, and sixty answers of 45 KB kept its link
-        of 10 Mbit/s busy for seconds, in which it served nobody and learned nothing.
-        """
+        """Return the time until this node reads the store itself."""
         due_at = self.fresh_at + self.read_after_s
-        if self.newer_heard:
+        if self.behind:
             due_at = min(due_at, self.read_at + SHORTEST_READ_S)
         return due_at - now
 
-    def distrust(self) -> None:
-        """Take the list for old, as after a freeze."""
+    def distrust(self, since: float = float("-inf")) -> None:
+        """Take the list for old, as after a freeze.
+
+        Parameters
+        ----------
+        since : float
+            Monotonic time before which nothing may have been asked that confirms it.
+            That clock may have stood still in a freeze, and an answer that lay here
+            meanwhile would seem as young as when it came.
+        """
         self.fresh_at = float("-inf")
+        self.trusted_from = since
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -12,8 +12,10 @@
 import orjson
 
 from poplarrelay.entry.clock import ClusterClock
-from poplarrelay.entry.freshness import NEVER_S, ListClaim, ListFreshness
+from poplarrelay.entry.exchange import Answer, Hint, ListExchange, Question
+from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.peers import PeerRow, PeerTable, decode_row, encode_row
+from poplarrelay.identifiers import Offset
 
 __all__ = ["FANOUT", "Gossip", "pick_targets"]
 
@@ -27,11 +29,6 @@
 #: Rows in one datagram at most, which bounds the time to encode them.
 MAX_ROWS = 24
 
-#: Seconds by which a list of endpoints must be fresher than when it was last told for
-#: that to be told out of turn. Regular rounds alone took up to a second to reach eight
-#: nodes, most of which had read the store themselves by then.
-FRESHER_S = 0.3
-
 _LOG = logging.getLogger("poplarrelay.entry.gossip")
 
 
@@ -61,8 +58,6 @@
         Where rows go.
     clock : ClusterClock
         Learns the senders' time of day.
-    freshness : ListFreshness
-        Learns how old the senders' lists of endpoints are.
     on_news : callable
         Is given each row that is news.
     monotonic : callable
@@ -75,24 +70,26 @@
         self,
         table: PeerTable,
         clock: ClusterClock,
-        freshness: ListFreshness,
         on_news: Callable[[PeerRow], None],
         monotonic: Callable[[], float],
         rng: Random,
     ) -> None:
         self._table = table
         self._clock = clock
-        self._freshness = freshness
+        self._exchange: ListExchange | None = None
         self._on_news = on_news
         self._monotonic = monotonic
         self._rng = rng
         self._transport: asyncio.DatagramTransport | None = None
         self._port = 0
         self._hot: dict[str, int] = {}
-        self._list_told_at = float("-inf")
         self.sent_bytes = 0
         self.received_bytes = 0
 
+    def carry(self, exchange: ListExchange) -> None:
+        """Carry what nodes tell each other of their lists of endpoints as well."""
+        self._exchange = exchange
+
     async def start(self, host: str, port: int) -> None:
         """Bind the node's datagram port."""
         loop = asyncio.get_running_loop()
@@ -108,18 +105,34 @@
             self._transport.close()
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Take the rows of a datagram."""
+        """Take a datagram: rows and a hint, or a question, or an answer."""
         self.received_bytes += len(data)
         try:
             message = orjson.loads(zlib.decompress(data))
-            rows = [decode_row(raw) for raw in message["rows"]]
-            claim = ListClaim(*message["list"])
+            self._take(message, addr[0])
         except (zlib.error, ValueError, KeyError, TypeError) as error:
             _LOG.warning("unreadable news", extra={"from": addr[0], "why": str(error)})
-            return
+
+    def _take(self, message: dict[str, Any], host: str) -> None:
         now = self._monotonic()
+        exchange = self._exchange
+        if "question" in message:
+            question = Question.decode(message["question"])
+            if exchange is not None:
+                exchange.hear_question(host, question, now)
+        elif "answer" in message:
+            answer = Answer.decode(message["answer"])
+            if exchange is not None:
+                exchange.hear_answer(host, answer, now)
+        else:
+            self._take_rows(message, host, now)
+
+    def _take_rows(self, message: dict[str, Any], host: str, now: float) -> None:
+        rows = [decode_row(raw) for raw in message["rows"]]
+        hint = Hint.decode(message["hint"])
         self._clock.hear(message["from"], message["wall"], now)
-        self._freshness.hear(claim, now)
+        if self._exchange is not None:
+            self._exchange.hear_hint(host, hint, now)
         for row in rows:
             if self._table.hear(row, now):
                 self._hot[row.node] = HOT_ROUNDS
@@ -152,20 +165,17 @@
         )
         self._send(self._message(), targets)
 
-    def tell_list(self) -> None:
-        """Tell some nodes that the list of endpoints has been confirmed.
+    def send_hint(self, hosts: Sequence[str], hint: Hint) -> None:
+        """Tell some nodes of this node's list out of turn."""
+        self._send(self._encode([], hint), hosts)
 
-        Notes
-        -----
-        Whoever takes it over tells some others at once, so one read of the store
-        reaches nearly all nodes within some milliseconds.
-        """
-        if self._freshness.fresh_at - self._list_told_at < FRESHER_S:
-            return
-        self._list_told_at = self._freshness.fresh_at
-        alive = [row.host for row in self._table.alive(self._monotonic())]
-        targets = self._rng.sample(alive, min(FANOUT, len(alive)))
-        self._send(self._encode([]), targets)
+    def send_question(self, hosts: Sequence[str], question: Question) -> None:
+        """Ask some nodes what this node's list lacks."""
+        self._send(_pack({"question": question.encode()}), hosts)
+
+    def send_answer(self, host: str, answer: Answer) -> None:
+        """Answer a node's question."""
+        self._send(_pack({"answer": answer.encode()}), [host])
 
     def _send(self, data: bytes, hosts: Sequence[str]) -> None:
         if self._transport is None:
@@ -185,23 +195,28 @@
             self._hot[node] -= 1
             if self._hot[node] <= 0:
                 del self._hot[node]
+        hint = self._hint()
         while True:
-            data = self._encode(rows)
+            data = self._encode(rows, hint)
             if len(data) <= MAX_DATAGRAM_BYTES or len(rows) == 1:
                 return data
             rows = rows[: len(rows) // 2]
 
-    def _encode(self, rows: list[list[Any]]) -> bytes:
-        age_s = min(self._freshness.age_s(self._monotonic()), NEVER_S)
-        value = {
-            "from": self._table.me.node,
-            "wall": self._clock.own,
-            "list": [
-                self._freshness.digest,
-                age_s,
-                self._freshness.read,
-                self._freshness.hops,
-            ],
-            "rows": rows,
-        }
-        return zlib.compress(orjson.dumps(value), 1)
+    def _hint(self) -> Hint:
+        if self._exchange is None:
+            return Hint(Offset(0), NEVER_S)
+        return self._exchange.hint(self._monotonic())
+
+    def _encode(self, rows: list[list[Any]], hint: Hint) -> bytes:
+        return _pack(
+            {
+                "from": self._table.me.node,
+                "wall": self._clock.own,
+                "hint": hint.encode(),
+                "rows": rows,
+            }
+        )
+
+
+def _pack(value: dict[str, Any]) -> bytes:
+    return zlib.compress(orjson.dumps(value), 1)
--- a/poplarrelay/entry/places.py
+++ b/poplarrelay/entry/places.py
@@ -6,7 +6,7 @@
 from time import monotonic
 
 from poplarrelay.entry.case import Case
-from poplarrelay.entry.choosing import Choice, Wish, choose_endpoint
+from poplarrelay.entry.choosing import Choice, Wish, choose_endpoint, vouched_rows
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.outcomes import Refusal, RefusalReason
@@ -45,12 +45,15 @@
 
     def _choose(self, service: ServiceName, wish: Wish) -> Choice | None:
         """Choose an endpoint with room and take a place at it."""
-        choice = choose_endpoint(
-            self._state.endpoints.accepting(service),
-            wish,
-            monotonic(),
-            self._state.rng,
-        )
+        now = monotonic()
+        rows = self._state.endpoints.accepting(service)
+        freshness = self._state.freshness
+        choice = None
+        if not freshness.vouched(now):
+            vouched = vouched_rows(rows, now - freshness.times.vouched_s)
+            choice = choose_endpoint(vouched, wish, now, self._state.rng)
+        if choice is None:
+            choice = choose_endpoint(rows, wish, now, self._state.rng)
         if choice is not None:
             choice.endpoint.running += 1
         return choice
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -16,28 +16,31 @@
 from poplarrelay.entry.configuration import CallerLimits
 from poplarrelay.entry.directory import HostDirectory
 from poplarrelay.entry.dutying import DutyRunner
+from poplarrelay.entry.exchange import TELL_S, ListExchange
 from poplarrelay.entry.following import (
+    ConfigurationFollower,
+    ConfigurationView,
     Dependency,
-    StoreView,
-    TopicFollower,
-    topics,
 )
+from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.gossip import Gossip
 from poplarrelay.entry.http.listener import Handler, Listener
 from poplarrelay.entry.http.pool import ConnectionPool
+from poplarrelay.entry.listing import EndpointList
 from poplarrelay.entry.metrics import EntryMetrics
 from poplarrelay.entry.peers import (
     NodeState,
     PeerRow,
     reporter_of,
 )
+from poplarrelay.entry.reading import EndpointReader
 from poplarrelay.entry.relaying import Relay
 from poplarrelay.entry.serving import NodeAnswers
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.syncing import PeerSync
 from poplarrelay.exception import SettingsError
-from poplarrelay.identifiers import Incarnation
+from poplarrelay.identifiers import EndpointId, Incarnation
 from poplarrelay.platform.cloud import CloudApi
 from poplarrelay.platform.store import Store
 
@@ -97,18 +100,42 @@
         )
         self._endpoints_read = Dependency("store: endpoints")
         self._configuration_read = Dependency("store: configuration")
-        self._view = StoreView(self._state, self._endpoints_read, self._on_change)
-        self._followers = self._make_followers()
-        self._directory = HostDirectory(self._state, self._store)
         self._gossip = Gossip(
-            self._state.peers,
-            self._state.clock,
+            self._state.peers, self._state.clock, self._on_news, monotonic, self._rng
+        )
+        self._endpoints = EndpointList(
+            self._state,
+            self._endpoints_read.lost_s,
+            self._on_change,
+            self._on_departure,
+        )
+        self._follower = ConfigurationFollower(
+            self._store,
+            self._configuration_read,
+            ConfigurationView(self._state, self._on_change),
+            CONFIGURATION_WAIT_S,
+            self._rng,
+        )
+        self._reader = EndpointReader(
+            self._store,
+            self._endpoints_read,
+            self._endpoints,
             self._state.freshness,
-            self._on_news,
-            monotonic,
             self._rng,
         )
-        self._state.freshness.on_confirm = self._gossip.tell_list
+        self._exchange = ListExchange(
+            self._endpoints,
+            self._state.freshness,
+            self._gossip,
+            self._alive_hosts,
+            self._reader.start_over,
+            self._wake_exchange,
+            self._rng,
+        )
+        self._gossip.carry(self._exchange)
+        self._state.freshness.on_confirm = self._exchange.note_confirmed
+        self._vouched = True
+        self._directory = HostDirectory(self._state, self._store)
         self._cloud: CloudApi | None = None
         self._duties: DutyRunner | None = None
         if settings.platform.cloud is not None:
@@ -118,6 +145,7 @@
         self._stopping_at: float | None = None
         self._next_gossip_at = 0.0
         self._announcement: asyncio.TimerHandle | None = None
+        self._telling: asyncio.TimerHandle | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners = self._make_listeners()
 
@@ -133,6 +161,16 @@
         """Return the node's tables."""
         return self._state
 
+    @property
+    def endpoints(self) -> EndpointList:
+        """Return the list of endpoints."""
+        return self._endpoints
+
+    @property
+    def exchange(self) -> ListExchange:
+        """Return what keeps the list as fresh as the peers'."""
+        return self._exchange
+
     @property
     def gossip(self) -> Gossip:
         """Return what carries news between this node and its peers."""
@@ -144,33 +182,10 @@
         assert self._duties is not None
         return self._duties
 
-    def _make_followers(self) -> tuple[TopicFollower, TopicFollower]:
-        configuration, endpoints = topics()
-        return (
-            TopicFollower(
-                self._store,
-                configuration,
-                self._configuration_read,
-                self._view.take_configuration,
-                CONFIGURATION_WAIT_S,
-                None,
-                self._rng,
-            ),
-            TopicFollower(
-                self._store,
-                endpoints,
-                self._endpoints_read,
-                self._view.take_endpoints,
-                0.0,
-                self._state.freshness,
-                self._rng,
-            ),
-        )
-
     def _make_listeners(self) -> dict[str, Listener]:
         answers = NodeAnswers(
             self._state,
-            self._view,
+            self._endpoints,
             self._metrics,
             self._gauges,
         )
@@ -247,8 +262,8 @@
 
     def _start_tasks(self) -> None:
         control_port = parse_address(self._settings.listeners.control)[1]
-        sync = PeerSync(self._state, self._view, control_port)
-        works = [follower.run() for follower in self._followers]
+        sync = PeerSync(self._state, self._endpoints, control_port)
+        works = [self._follower.run(), self._reader.run()]
         works += [self._directory.run(), sync.run(), self._watch_settings()]
         if self._duties is not None:
             works += [
@@ -381,7 +396,9 @@
             state.me.state = NodeState.READY
             _LOG.info("ready", extra={"configuration": state.me.configuration})
             self._tell_all()
-        self._view.expire(now)
+        self._endpoints.expire(now)
+        self._exchange.tick(now)
+        self._log_vouched(now)
         if now >= self._next_gossip_at:
             self._next_gossip_at = now + GOSSIP_S * (0.9 + 0.2 * self._rng.random())
             self._run_gossip(now)
@@ -393,17 +410,54 @@
         """Distrust what was known before the process stood still."""
         _LOG.warning("frozen", extra={"for_s": round(frozen_s, 2)})
         self._state.peers.thaw(frozen_s)
-        self._state.freshness.distrust()
+        self._state.freshness.distrust(monotonic())
         if self._duties is not None:
             self._duties.lease.give_up()
-        for follower in self._followers:
-            follower.start_over()
+        self._follower.start_over()
+        self._reader.start_over()
+
+    def _log_vouched(self, now: float) -> None:
+        """Tell the log when this node can no longer vouch for its list, or can again.
+
+        Notes
+        -----
+        Such a node prefers endpoints whose own answers show that they have not left,
+        and serves on with the others: an old list is better than no answer.
+        """
+        freshness = self._state.freshness
+        vouched = freshness.vouched(now) or not self._state.endpoints_known
+        if vouched == self._vouched:
+            return
+        self._vouched = vouched
+        age_s = round(min(freshness.age_s(now), NEVER_S), 2)
+        extra = {"list_age_s": age_s, "bound_s": freshness.times.bound_s}
+        if vouched:
+            _LOG.info("endpoints vouched for", extra=extra)
+        else:
+            _LOG.warning("endpoints not vouched for", extra=extra)
+
+    def _alive_hosts(self, now: float) -> list[str]:
+        return [row.host for row in self._state.peers.alive(now)]
+
+    def _on_departure(self, endpoint: EndpointId) -> None:
+        self._exchange.note_departure(endpoint)
+
+    def _wake_exchange(self) -> None:
+        """Have news of the list told as soon as what comes with it is collected."""
+        if self._telling is None:
+            loop = asyncio.get_running_loop()
+            self._telling = loop.call_later(TELL_S, self._tell_list)
+
+    def _tell_list(self) -> None:
+        self._telling = None
+        self._exchange.tick(monotonic())
 
     def _run_gossip(self, now: float) -> None:
         state = self._state
         state.listed_nodes = len(self._directory.hosts)
         self._refresh_own_row()
         state.peers.forget(now)
+        self._endpoints.forget(now)
         known = {reporter_of(seen.row) for seen in state.peers.seen.values()}
         for bucket in state.buckets.values():
             bucket.forget(known)
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -238,7 +238,7 @@
         case.tried.append(row.endpoint)
         sent_at = monotonic()
         list_age_s = round(min(self._state.freshness.age_s(sent_at), NEVER_S), 2)
-        list_read = self._state.freshness.read
+        list_as_of = self._state.freshness.as_of
         plan = AttemptPlan(
             endpoint=row,
             until=case.until,
@@ -290,7 +290,7 @@
                 "why": result.why,
                 "took_ms": round(1000 * (monotonic() - sent_at), 1),
                 "list_age_s": list_age_s,
-                "list_read": list_read,
+                "list_as_of": list_as_of,
             },
         )
         return result
--- a/poplarrelay/entry/serving.py
+++ b/poplarrelay/entry/serving.py
@@ -8,8 +8,9 @@
 
 import orjson
 
-from poplarrelay.entry.following import StoreView
+from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest
+from poplarrelay.entry.listing import EndpointList
 from poplarrelay.entry.metrics import EntryMetrics
 from poplarrelay.entry.peers import choose_addresses
 from poplarrelay.entry.settings import parse_address
@@ -37,7 +38,7 @@
     ----------
     state : EntryState
         The node's tables.
-    view : StoreView
+    endpoints : EndpointList
         The endpoints' records, to be passed on to peers.
     metrics : EntryMetrics
         The node's metrics.
@@ -48,12 +49,12 @@
     def __init__(
         self,
         state: EntryState,
-        view: StoreView,
+        endpoints: EndpointList,
         metrics: EntryMetrics,
         gauges: Callable[[], dict[str, float]],
     ) -> None:
         self._state = state
-        self._view = view
+        self._endpoints = endpoints
         self._metrics = metrics
         self._gauges = gauges
 
@@ -87,7 +88,7 @@
         path, _, query = incoming.target.decode("latin-1").partition("?")
         if path == STATE_PATH:
             known = int(parse_qs(query).get("version", ["0"])[0])
-            body = encode_state(self._state, self._view, known)
+            body = encode_state(self._state, self._endpoints, known)
             await exchange.send(200, [(b"Content-Type", b"application/json")], body)
         elif path == METRICS_PATH:
             await self.metrics(incoming, exchange)
@@ -112,6 +113,10 @@
             "node": state.me.node,
             "state": state.me.state.value,
             "configuration": state.me.configuration,
+            "endpoints_as_of": state.freshness.as_of,
+            "endpoints_age_s": round(min(state.freshness.age_s(now), NEVER_S), 2),
+            "endpoints_vouched": state.freshness.vouched(now),
+            "endpoints_source": state.freshness.source,
             "peers": {
                 node: {
                     "state": seen.row.state.value,
@@ -140,6 +145,7 @@
             "ready": float(state.ready),
             "peers_alive": float(len(state.peers.alive(monotonic()))),
             "endpoints": float(len(state.endpoints.rows)),
+            "endpoints_age_s": min(state.freshness.age_s(monotonic()), NEVER_S),
             "configuration_version": float(state.me.configuration),
             "running": float(sum(r.running for r in state.endpoints.rows.values())),
         }
--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -84,6 +84,8 @@
     ----------
     leaving_endpoint_ms : int
         Time after which a leaving endpoint may get no new work.
+    endpoint_heartbeat_ms : int
+        Time between two records of an endpoint; three without one, and it lapses.
     stop_grace_s : float
         Time from the stop signal to the end of the process.
     retry_ratio, retry_slack, retry_window_s : float
@@ -99,6 +101,7 @@
     """
 
     leaving_endpoint_ms: int = Field(default=2000, gt=0)
+    endpoint_heartbeat_ms: int = Field(default=1200, gt=0)
     stop_grace_s: float = Field(default=8, gt=0)
     retry_ratio: float = Field(default=0.2, ge=0)
     retry_slack: float = Field(default=50, ge=0)
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -11,7 +11,7 @@
 from poplarrelay.entry.configuration import Configuration, ServiceName, Team
 from poplarrelay.entry.demand import DemandMeter
 from poplarrelay.entry.endpoints import EndpointTable
-from poplarrelay.entry.freshness import ListFreshness
+from poplarrelay.entry.freshness import ListFreshness, ListTimes
 from poplarrelay.entry.metering import UsageCounts
 from poplarrelay.entry.pacing import fair_share
 from poplarrelay.entry.peers import NodeState, PeerRow, PeerTable
@@ -94,7 +94,7 @@
             clock=ClusterClock(),
             peers=PeerTable(me),
             usage=usage,
-            freshness=ListFreshness(rng, f"{settings.node}/{incarnation}"),
+            freshness=ListFreshness(rng, ListTimes.from_config(settings.bounds)),
         )
 
     @property
@@ -116,6 +116,7 @@
         would allow a whole window of them again.
         """
         self.settings = settings
+        self.freshness.times = ListTimes.from_config(settings.bounds)
         for budget in self.budgets.values():
             budget.ratio = settings.bounds.retry_ratio
             budget.slack = settings.bounds.retry_slack
--- a/poplarrelay/entry/syncing.py
+++ b/poplarrelay/entry/syncing.py
@@ -11,12 +11,13 @@
 
 import orjson
 
-from poplarrelay.entry.following import StoreView, apply_configuration
+from poplarrelay.entry.following import apply_configuration
 from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.http.pool import JsonClient
+from poplarrelay.entry.listing import EndpointChange, EndpointList
 from poplarrelay.entry.state import EntryState
 from poplarrelay.exception import ExchangeFailed
-from poplarrelay.identifiers import EndpointId
+from poplarrelay.identifiers import EndpointId, Offset
 
 __all__ = ["PeerSync", "STATE_PATH", "encode_state"]
 
@@ -25,8 +26,10 @@
 STATE_PATH = "/v1/state"
 #: Seconds between looks at what peers know.
 LOOK_S = 0.25
-#: Age of the list of endpoints, in seconds, after which any peer is asked for its.
-STALE_S = 1.6
+#: Age of the list of endpoints, as a part of the time after which a leaving endpoint
+#: may get nothing more, from which a peer is asked for its whole list: by then neither
+#: the store nor the peers' datagrams have renewed it.
+STALE = 0.8
 #: Seconds between such reads.
 ENDPOINTS_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
@@ -34,7 +37,9 @@
 MAX_ANSWER_BYTES = 8_000_000
 
 
-def encode_state(state: EntryState, view: StoreView, known_version: int) -> bytes:
+def encode_state(
+    state: EntryState, endpoints: EndpointList, known_version: int
+) -> bytes:
     """Return what this node knows, for a peer that knows less.
 
     Parameters
@@ -44,12 +49,15 @@
     """
     value: dict[str, Any] = {
         "endpoints_age_s": min(state.freshness.age_s(monotonic()), NEVER_S),
-        "endpoints_read": state.freshness.read,
-        "endpoints_hops": state.freshness.hops,
-        "endpoints": {
-            endpoint: base64.b64encode(content).decode()
-            for endpoint, content in view.records.items()
-        },
+        "endpoints_as_of": state.freshness.as_of,
+        "endpoints": [
+            [
+                change.endpoint,
+                change.offset,
+                base64.b64encode(change.content or b"").decode(),
+            ]
+            for change in endpoints.all()
+        ],
     }
     configuration = state.configuration
     if configuration is not None and configuration.version > known_version:
@@ -74,7 +82,7 @@
     """
 
     state: EntryState
-    view: StoreView
+    endpoints: EndpointList
     control_port: int
     endpoints_read_at: float = float("-inf")
 
@@ -92,7 +100,8 @@
         newer = [row.host for row in alive if row.configuration > self._version]
         if newer:
             return self.state.rng.choice(newer)
-        stale = self.state.freshness.age_s(now) > STALE_S
+        freshness = self.state.freshness
+        stale = freshness.age_s(now) > STALE * freshness.times.bound_s
         if stale and alive and now - self.endpoints_read_at > ENDPOINTS_S:
             return self.state.rng.choice(alive).host
         return None
@@ -129,14 +138,14 @@
         listed_at = asked_at - value["endpoints_age_s"]
         if listed_at <= self.state.freshness.fresh_at:
             return
-        listed = {EndpointId(name) for name in value["endpoints"]}
-        for name, content in value["endpoints"].items():
-            self.view.put(EndpointId(name), base64.b64decode(content))
-        for endpoint in [e for e in self.state.endpoints.rows if e not in listed]:
-            self.view.remove(endpoint, f"gone from the list of peer {peer}")
-        if listed:
+        as_of = Offset(value["endpoints_as_of"])
+        changes = [
+            EndpointChange(
+                EndpointId(endpoint), Offset(offset), base64.b64decode(content)
+            )
+            for endpoint, offset, content in value["endpoints"]
+        ]
+        self.endpoints.take_all(changes, as_of, peer)
+        if as_of > 0:
             self.state.endpoints_known = True
-        self.view.note_change()
-        self.state.freshness.confirm(
-            listed_at, value["endpoints_read"], value["endpoints_hops"] + 1
-        )
+        self.state.freshness.confirm(listed_at, as_of, f"peer {peer}")
--- a/poplarrelay/entry/tests/test_deploy_files.py
+++ b/poplarrelay/entry/tests/test_deploy_files.py
@@ -26,6 +26,7 @@
     "portRange": [7600, 7615],
     "seedNodes": ["10.1.0.14:8229", "10.2.0.4:8229"],
     "isBootstrap": True,
+    "heartbeatMs": 1200,
     "platform": {"address": "10.200.1.7:8225", "ttlMinMs": 1000},
     "cloudApi": {"address": "10.200.0.35:8225", "duties": ["metering", "autoscale"]},
     "bounds": {
--- a/poplarrelay/entry/tests/test_freshness.py
+++ b/poplarrelay/entry/tests/test_freshness.py
@@ -1,131 +1,204 @@
 """How old lists of endpoints are, and what nodes confirm to each other."""
 
 from functools import partial
-from itertools import pairwise
 from random import Random
 from time import monotonic
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
-from poplarrelay.entry.following import Dependency, StoreView
-from poplarrelay.entry.freshness import (
-    EARLIEST_READ_S,
-    HOP_S,
-    LATEST_READ_S,
-    MOST_HOPS,
-    SHORTEST_READ_S,
-    ListClaim,
-    ListFreshness,
-)
+from poplarrelay.entry.exchange import FANOUT, MOST_BYTES, Answer, Hint, Question
+from poplarrelay.entry.freshness import ListFreshness, ListTimes
+from poplarrelay.entry.settings import BoundSettings
 from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.syncing import PeerSync
+from poplarrelay.identifiers import EndpointId, Offset
+from poplarrelay.testing.lists import ListNetwork, endpoint_record
 from poplarrelay.testing.users import CALLS, UsersSite, play, run_users_site, until
 
-
-def freshness(digest="d", fresh_at=0.0):
-    return ListFreshness(Random(1), "me", digest, fresh_at)
-
-
-class TestClaims:
-    def test_same_list_of_a_newer_peer_confirms_this_one(self):
-        mine = freshness()
-        mine.hear(ListClaim("d", age_s=0.4, read="a/1", hops=0), 1.0)
-        assert mine.fresh_at == pytest.approx(0.6 - HOP_S)
-        assert not mine.newer_heard
+TIMES = ListTimes.from_config(BoundSettings())
+
+
+def network(count: int) -> ListNetwork:
+    """Return nodes that have all read the same two endpoints."""
+    found = ListNetwork.of(count, Random(7))
+    for name in ("r1", "r2"):
+        found.write(name, endpoint_record())
+    for node in found.nodes.values():
+        node.read()
+    return found
+
+
+class TestQuestions:
+    def test_answer_counts_from_the_question(self):
+        # The question waits for 0.7 s and the answer for 0.9 s in busy links. The peer
+        # read just before it answered; the list is taken as of the question all the
+        # same, since nobody can tell the one wait from the other.
+        lists = network(2)
+        asker, peer = lists.nodes.values()
+        lists.now += 2.0
+        asked_at = lists.now
+        asker.exchange.tick(asker.now())
+        lists.now += 0.7
+        peer.read()
+        lists.deliver_next(Question)
+        lists.now += 0.9
+        lists.deliver_next(Answer)
+        assert asker.fresh_at == pytest.approx(asked_at)
 
     def test_older_peer_changes_nothing(self):
-        mine = freshness(fresh_at=2.0)
-        for digest in ("d", "other"):
-            mine.hear(ListClaim(digest, age_s=1.5, read="a/1", hops=0), 3.0)
-        assert mine.fresh_at == 2.0
-        assert not mine.newer_heard
-
-    def test_newer_list_of_a_peer_is_read_from_the_store(self):
-        # The peer read after an endpoint left. This node reads the store sooner than
-        # it would have, but no two reads follow each other at once.
-        mine = freshness()
-        mine.note_read(1.0)
-        later_s = mine.due_in_s(1.2)
-        mine.hear(ListClaim("other", age_s=0.05, read="a/1", hops=0), 1.2)
-        assert mine.due_in_s(1.2) == pytest.approx(1.0 + SHORTEST_READ_S - 1.2)
-        assert mine.due_in_s(1.2) < later_s
-        mine.note_read(1.8)
-        assert not mine.newer_heard
-
-    def test_after_a_freeze_the_store_is_read_at_once(self):
-        mine = freshness(fresh_at=5.0)
-        mine.distrust()
-        assert mine.due_in_s(5.1) < 0
-
-
-@settings(derandomize=True, max_examples=150, deadline=None)
-@given(
-    st.lists(
-        st.tuples(
-            st.integers(0, 4),
-            st.integers(0, 4),
-            st.floats(0.01, 0.3),
-            st.booleans(),
-        ),
-        max_size=60,
-    )
-)
-def test_no_chain_of_peers_makes_a_list_younger_than_it_is(steps):
-    # Five nodes tell each other their lists; in between, endpoints leave, and some
-    # nodes read the store. Whoever believes its list fresh as of some time must
-    # hold what the store held then: else it would send to one that left long ago.
-    nodes = [ListFreshness(Random(1), f"n{i}", "0", 0.0) for i in range(5)]
-    history = [(0.0, "0")]
-    now = 0.0
-    for source, target, passed_s, changes in steps:
-        now += passed_s
-        if changes:
-            history.append((now, str(len(history))))
-        if source == target:
-            nodes[source].digest = history[-1][1]
-            nodes[source].note_read(now)
-        else:
-            told = nodes[source]
-            claim = ListClaim(told.digest, told.age_s(now), told.read, told.hops)
-            nodes[target].hear(claim, now)
-        for node in nodes:
-            held = [d for at, d in history if at <= node.fresh_at + 1e-6]
-            assert node.digest == held[-1]
+        lists = network(2)
+        asker, peer = lists.nodes.values()
+        lists.now += 2.0
+        asker.exchange.tick(asker.now())
+        asker.read()
+        before = asker.fresh_at
+        while lists.letters:
+            lists.deliver()
+        assert asker.fresh_at == before
+        assert peer.fresh_at < before
+
+    def test_hint_alone_confirms_nothing(self):
+        # Nobody can tell how long a hint was on its way; it brings a departure, which
+        # holds whenever it comes, and shows whom to ask.
+        lists = network(2)
+        asker, peer = lists.nodes.values()
+        before = asker.fresh_at
+        lists.now += 0.5
+        lists.write("r1", None)
+        peer.read()
+        peer.exchange.tick(peer.now())
+        lists.now += 3.0
+        lists.deliver_next(Hint)
+        assert not asker.uses("r1")
+        assert asker.fresh_at == before
+        assert [type(letter.message) for letter in lists.letters] == [Question]
+
+    def test_answer_that_does_not_hold_all_does_not_confirm(self):
+        # More endpoints came than a datagram holds. The asker takes what fits, knows
+        # that there is more, and reads the store before its list's age would have it.
+        lists = network(2)
+        asker, peer = lists.nodes.values()
+        asker.read()
+        before = asker.fresh_at
+        for number in range(200):
+            lists.write(f"n{number}", endpoint_record())
+        lists.now += 0.5
+        peer.read()
+        peer.exchange.tick(peer.now())
+        while lists.letters:
+            lists.deliver()
+        assert asker.fresh_at == before
+        assert 2 < asker.state.freshness.as_of < lists.topic.end
+        assert asker.state.freshness.due_in_s(asker.now()) <= 0
+        lists.now += 0.1
+        asker.read()
+        assert asker.uses("n199")
+
+    def test_answer_from_before_a_freeze_confirms_nothing(self):
+        # The process stands still while an answer lies in its socket, and its clock
+        # with it: the answer seems to have come at once.
+        lists = network(2)
+        asker, peer = lists.nodes.values()
+        lists.now += 2.0
+        asker.exchange.tick(asker.now())
+        peer.read()
+        lists.deliver_next(Question)
+        asker.state.freshness.distrust(asker.now() + 0.001)
+        lists.deliver_next(Answer)
+        assert asker.fresh_at == float("-inf")
+
+    def test_two_lists_of_the_same_records_are_read_anew(self):
+        # One node missed a removal, for whatever reason. It and a peer know the same
+        # records, but not the same endpoints: both read everything again.
+        lists = network(2)
+        asker, peer = lists.nodes.values()
+        peer.state.endpoints.drop(EndpointId("r1"))
+        lists.write("r2", endpoint_record("draining"))
+        lists.now += 2.0
+        peer.read()
+        asker.exchange.tick(asker.now())
+        while lists.letters:
+            lists.deliver()
+        assert asker.whole_reads_asked == 1
+
+
+def test_after_a_freeze_the_store_is_read_at_once():
+    mine = ListFreshness(Random(1), TIMES)
+    mine.note_read(5.0, Offset(3))
+    assert mine.due_in_s(5.0) >= TIMES.earliest_read_s
+    mine.distrust()
+    assert mine.due_in_s(5.1) < 0
+
+
+@given(st.integers(100, 60_000))
+def test_reads_end_before_the_bound_with_one_answer_missing(bound_ms):
+    # A list that nobody has renewed, a read without an answer, the pause, the read
+    # again, and the request's own way: all of it within the bound of the settings.
+    times = ListTimes.from_config(BoundSettings(leaving_endpoint_ms=bound_ms))
+    longest_s = times.latest_read_s + times.answer_s + times.pause_s + times.answer_s
+    assert longest_s <= times.vouched_s < times.bound_s == bound_ms / 1000
 
 
 def test_claims_that_go_round_do_not_keep_a_list_fresh():
-    # Three nodes tell each other in a circle that their lists are the same. Each
-    # datagram takes 60 ms, and whoever hears it counts the age from its arrival. Only
-    # the first node has read the store, once: after two seconds all three must know
-    # that their lists are old, else an endpoint that has left would get requests.
-    nodes = [ListFreshness(Random(1), f"n{i}", "d", 0.0) for i in range(3)]
-    nodes[0].note_read(0.1)
-    now = 0.1
-    for step in range(60):
-        told = nodes[step % 3]
-        claim = ListClaim(told.digest, told.age_s(now), told.read, told.hops)
-        now += 0.06
-        nodes[(step + 1) % 3].hear(claim, now)
-    assert all(node.fresh_at < 0.25 for node in nodes)
-    assert all(node.due_in_s(now) < 0 for node in nodes)
+    # Three nodes tell each other in a circle. Each datagram takes 60 ms. Only the first
+    # node has read the store, once: after two seconds all three must know that their
+    # lists are old, else an endpoint that has left would get requests.
+    lists = network(3)
+    read_at = lists.now
+    lists.run(2.0, step_s=0.02, way_s=0.06)
+    nodes = lists.nodes.values()
+    assert all(node.fresh_at <= read_at for node in nodes)
+    assert all(node.state.freshness.due_in_s(node.now()) < 0 for node in nodes)
 
 
 def test_read_does_not_get_younger_on_a_long_way():
     # One node of sixty has read the store. All are busy: a datagram lies for 0.2 s
-    # until it is read, and the news takes the longest way, through one after the other.
-    # The last one must not take the list for seconds younger than it is.
-    nodes = [ListFreshness(Random(1), f"n{i}", "d") for i in range(60)]
-    now = 0.1
-    nodes[0].note_read(now)
-    for told, hearing in pairwise(nodes):
-        claim = ListClaim(told.digest, told.age_s(now), told.read, told.hops)
-        now += 0.2
-        hearing.hear(claim, now)
-    assert all(node.fresh_at <= 0.1 + MOST_HOPS * 0.2 for node in nodes)
-    assert nodes[MOST_HOPS].fresh_at > 0.0
-    assert nodes[-1].age_s(now) == float("inf")
+    # until it is read. However many nodes pass the read on, no list seems younger than
+    # that read; and all have it, since each way ends at a node that has asked.
+    lists = network(60)
+    lists.now += 0.7
+    first = lists.nodes["n0"]
+    first.read()
+    read_at = lists.now
+    lists.run(4.0, step_s=0.02, way_s=0.2)
+    nodes = lists.nodes.values()
+    assert all(node.fresh_at <= read_at for node in nodes)
+    assert sum(node.fresh_at > read_at - 0.7 for node in nodes) >= 58
+
+
+def test_departure_reaches_all_nodes_within_tenths():
+    # One node of seventy-five reads that an endpoint leaves; datagrams take 10 ms.
+    lists = network(75)
+    lists.now += 0.7
+    lists.write("r1", endpoint_record("draining"))
+    lists.nodes["n0"].read()
+    lists.run(0.4, step_s=0.02, way_s=0.01)
+    assert sum(node.uses("r1") for node in lists.nodes.values()) == 0
+    assert all(node.uses("r2") for node in lists.nodes.values())
+
+
+def test_node_that_has_read_is_asked_by_few_and_answers_with_little():
+    # Sixty nodes hear that one has read a newer list. When all asked it for the whole,
+    # sixty answers of 45 KB kept its small link busy for seconds.
+    lists = network(60)
+    lists.run(0.1, step_s=0.02, way_s=0.01)
+    for number in range(100):
+        lists.write(f"n{number}", endpoint_record())
+    lists.now += 0.5
+    lists.nodes["n0"].read()
+    for node in lists.nodes.values():
+        node.exchange.tick(node.now())
+    assert len(lists.letters) == FANOUT
+    while any(letter.sender == "n0" for letter in lists.letters):
+        lists.deliver()
+        for letter in lists.letters:
+            if isinstance(letter.message, Answer):
+                records = [change.content or b"" for change in letter.message.changes]
+                assert sum(map(len, records)) <= MOST_BYTES
+    asked = [letter for letter in lists.letters if letter.receiver == "n0"]
+    assert len(asked) <= FANOUT
 
 
 def test_leaving_endpoint_is_known_everywhere_in_time_with_few_reads():
@@ -142,8 +215,8 @@
             began, before = monotonic(), _reads(site)
             await until(lambda: all(s.freshness.fresh_at > began + 3 for s in states))
             passed_s = monotonic() - began
-            # Each by itself, the nodes would read eight times in 0.85 to 1.2 s.
-            alone = len(states) * passed_s / LATEST_READ_S
+            # Each by itself, the nodes would read eight times in 1.2 s at the least.
+            alone = len(states) * passed_s / 1.2
             assert 1 <= _reads(site) - before < 0.5 * alone
             site.list_runner("r1", CALLS, state="draining")
             await until(lambda: all(not _accepts(s, "r1") for s in states))
@@ -154,19 +227,24 @@
 
 def test_newer_list_is_not_asked_of_the_peer_that_told_of_it():
     # Sixty nodes hear at once that one has read a newer list. Its link is small: sixty
-    # answers with all endpoints would keep it busy for seconds.
+    # answers with all endpoints would keep it busy for seconds. Nobody asks a peer for
+    # the whole list while its own is young; once it is old, any peer is asked.
     async def scenario():
-        async with run_users_site() as site:
-            await site.ready()
-            state = site.nodes["a"].state
-            view = StoreView(state, Dependency("endpoints"), lambda: None)
-            sync = PeerSync(state, view, control_port=1)
+        async with run_users_site(nodes=2) as site:
+            for name in site.nodes:
+                await site.ready(name)
+            node = site.nodes["a"]
+            state = node.state
+            await until(lambda: state.peers.alive(monotonic()))
+            sync = PeerSync(state, node.endpoints, control_port=1)
+            host = state.peers.alive(monotonic())[0].host
             now = monotonic()
-            state.freshness.note_read(now)
-            claim = ListClaim("other", age_s=0.0, read="b/1", hops=0)
-            state.freshness.hear(claim, now + 0.1)
+            state.freshness.note_read(now, state.freshness.as_of)
+            hint = Hint(Offset(state.freshness.as_of + 100), age_s=0.0)
+            node.exchange.hear_hint(host, hint, now + 0.1)
             assert sync.peer_to_ask(now + 0.1) is None
-            assert state.freshness.due_in_s(now) <= SHORTEST_READ_S
+            state.freshness.distrust()
+            assert sync.peer_to_ask(now + 0.1) == host
 
     play(scenario)
 
@@ -197,7 +275,7 @@
             for _ in range(3):
                 read_at = freshness.fresh_at
                 await until(partial(_confirmed_after, freshness, read_at))
-                assert freshness.fresh_at - read_at >= EARLIEST_READ_S
+                assert freshness.fresh_at - read_at >= freshness.times.earliest_read_s
 
     play(scenario)
 
--- /dev/null
+++ b/poplarrelay/entry/tests/test_lists.py
@@ -0,0 +1,239 @@
+"""What nodes conclude from records, in whatever order and by whichever way they come.
+
+What callers saw: requests to endpoints that had left, and refusals while endpoints that
+the store held got none. Nodes replaced their lists by those of peers that they took for
+newer; here every record counts by its place in the store alone.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from poplarrelay.entry.listing import COMEBACK_S, EndpointChange
+from poplarrelay.identifiers import EndpointId, Offset
+from poplarrelay.testing.lists import ListNetwork, endpoint_record
+
+R1 = EndpointId("r1")
+
+
+def network(count: int = 2) -> ListNetwork:
+    """Return nodes that have all read the same two endpoints."""
+    found = ListNetwork.of(count, Random(3))
+    for name in ("r1", "r2"):
+        found.write(name, endpoint_record())
+    for node in found.nodes.values():
+        node.read()
+    return found
+
+
+def test_older_list_of_a_peer_removes_nothing_that_came_later():
+    # A peer's list is from before r3 came. It was taken for newer than this node's by
+    # its age, and r3 got no request until the next read of the store.
+    lists = network()
+    mine, peer = lists.nodes.values()
+    lists.write("r3", endpoint_record())
+    mine.read()
+    older = peer.endpoints.all()
+    mine.endpoints.take_all(older, peer.state.freshness.as_of, "peer")
+    assert mine.uses("r3")
+
+
+def test_older_list_of_a_peer_brings_back_nothing_that_left():
+    lists = network()
+    mine, peer = lists.nodes.values()
+    older = peer.endpoints.all()
+    lists.write("r1", None)
+    lists.write("r2", endpoint_record("draining"))
+    mine.read()
+    mine.endpoints.take_all(older, peer.state.freshness.as_of, "peer")
+    assert not mine.uses("r1")
+    assert not mine.uses("r2")
+
+
+def test_newer_list_of_a_peer_takes_out_what_is_gone():
+    lists = network()
+    mine, peer = lists.nodes.values()
+    lists.write("r1", None)
+    peer.read(whole=True)
+    mine.endpoints.take_all(peer.endpoints.all(), peer.state.freshness.as_of, "peer")
+    assert not mine.uses("r1")
+    assert mine.uses("r2")
+
+
+def test_heartbeat_that_only_this_node_read_keeps_an_endpoint():
+    # The same record again is no news to tell others, but it is later than a list that
+    # does not hold the endpoint.
+    lists = network()
+    mine, peer = lists.nodes.values()
+    as_of = peer.state.freshness.as_of
+    lists.write("r1", endpoint_record(sequence=2))
+    mine.read()
+    others = [change for change in peer.endpoints.all() if change.endpoint != "r1"]
+    mine.endpoints.take_all(others, as_of, "peer")
+    assert mine.uses("r1")
+
+
+def test_own_trouble_is_told_from_an_outage_by_a_peer():
+    # A node got no answers for long, alone. A record went meanwhile: it takes that for
+    # the effect of an outage, keeps the endpoint, and asks. A peer that saw the record
+    # go while the store was there settles it at once.
+    lists = network()
+    mine, peer = lists.nodes.values()
+    lists.write("r1", None)
+    peer.read()
+    lists.now += 5.0
+    mine.reads_failed_s = 4.0
+    mine.read()
+    mine.reads_failed_s = 0.0
+    assert mine.uses("r1")
+    lists.run(0.3, step_s=0.02, way_s=0.01)
+    assert not mine.uses("r1")
+
+
+def test_record_that_lapsed_for_all_may_come_back():
+    # The store was away for all. No node can vouch that the record went for good.
+    lists = network()
+    lists.write("r1", None)
+    lists.now += 5.0
+    for node in lists.nodes.values():
+        node.reads_failed_s = 4.0
+        node.read()
+        node.reads_failed_s = 0.0
+    lists.run(COMEBACK_S - 0.5, step_s=0.02, way_s=0.01)
+    assert all(node.uses("r1") for node in lists.nodes.values())
+    lists.now += 0.6
+    for node in lists.nodes.values():
+        node.endpoints.expire(node.now())
+    assert not any(node.uses("r1") for node in lists.nodes.values())
+
+
+def test_late_news_of_a_lapse_does_not_end_the_wait_for_another():
+    # Two nodes saw the same record go in an outage, one by its removal, one since it
+    # was missing in the list of all. The later of the two does not count as its end.
+    lists = network(1)
+    (mine,) = lists.nodes.values()
+    for offset in (5, 6):
+        lapse = EndpointChange(R1, Offset(offset), None, lapsed=True)
+        mine.endpoints.take_changes([lapse], "peer")
+    assert mine.uses("r1")
+
+
+@settings(derandomize=True, max_examples=150, stateful_step_count=40, deadline=None)
+class ListMachine(RuleBasedStateMachine):
+    """Endpoints come, leave, start again and vanish; nodes read, ask and tell.
+
+    Messages are delivered in any order, late, or never; the history may be dropped, so
+    that a node reads the newest records only; nodes pass whole lists on, old ones
+    too. Whatever a node takes its list for must hold: it knows each record that was
+    there as of the time and the offset that it believes in, or a later one.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.lists = ListNetwork.of(4, Random(5))
+        for node in self.lists.nodes.values():
+            node.read()
+        self.kept = []
+
+    def node(self, number):
+        return self.lists.nodes[f"n{number}"]
+
+    @rule(seconds=st.floats(0.01, 3.0))
+    def pass_time(self, seconds):
+        self.lists.now += seconds
+
+    @rule(
+        name=st.sampled_from(["r1", "r2", "r3"]),
+        content=st.sampled_from(
+            [
+                endpoint_record(),
+                endpoint_record(sequence=2),
+                endpoint_record("draining"),
+                endpoint_record(address="10.9.0.2:7000"),
+                endpoint_record(slots="many"),
+                b"\xff\x00",
+                None,
+            ]
+        ),
+    )
+    def write(self, name, content):
+        self.lists.write(name, content)
+
+    @rule(number=st.integers(0, 3), answer_s=st.floats(0, 1.0), whole=st.booleans())
+    def read(self, number, answer_s, whole):
+        self.node(number).read(answer_s, whole)
+
+    @rule(number=st.integers(0, 3))
+    def tick(self, number):
+        node = self.node(number)
+        node.exchange.tick(node.now())
+
+    @precondition(lambda self: self.lists.letters)
+    @rule(data=st.data())
+    def deliver(self, data):
+        self.lists.deliver(data.draw(st.integers(0, len(self.lists.letters) - 1)))
+
+    @precondition(lambda self: self.lists.letters)
+    @rule(data=st.data())
+    def lose(self, data):
+        self.lists.letters.pop(data.draw(st.integers(0, len(self.lists.letters) - 1)))
+
+    @rule(number=st.integers(0, 3))
+    def keep_whole_list(self, number):
+        node = self.node(number)
+        self.kept.append((node.endpoints.all(), node.state.freshness.as_of))
+
+    @precondition(lambda self: self.kept)
+    @rule(number=st.integers(0, 3), data=st.data())
+    def take_whole_list(self, number, data):
+        changes, as_of = data.draw(st.sampled_from(self.kept))
+        freshness = self.node(number).state.freshness
+        self.node(number).endpoints.take_all(changes, as_of, "peer")
+        freshness.confirm(float("-inf"), as_of, "peer")
+
+    @rule(number=st.integers(0, 3))
+    def freeze(self, number):
+        node = self.node(number)
+        node.state.freshness.distrust(node.now())
+
+    @invariant()
+    def lists_hold_what_they_vouch_for(self):
+        topic = self.lists.topic
+        for node in self.lists.nodes.values():
+            for name in ("r1", "r2", "r3"):
+                in_time = topic.written(name, node.fresh_at - 1e-6)
+                as_of = node.state.freshness.as_of
+                before = [
+                    offset
+                    for offset, (_, key, _) in enumerate(topic.records[:as_of])
+                    if key == name
+                ]
+                oldest = max([in_time, *before])
+                allowed = {_usable(None)} if oldest < 0 else set()
+                allowed |= {
+                    _usable(content)
+                    for offset, (_, key, content) in enumerate(topic.records)
+                    if key == name and offset >= oldest
+                }
+                row = node.state.endpoints.rows.get(EndpointId(name))
+                used = row.address[0] if row and row.accepts_work else ""
+                assert used in allowed
+
+
+def _usable(content: bytes | None) -> str:
+    """Return the host at which a record allows requests, empty if at none."""
+    if content is None or b"ready" not in content or b"many" in content:
+        return ""
+    return "10.9.0.2" if b"10.9.0.2" in content else "10.9.0.1"
+
+
+TestLists = ListMachine.TestCase
--- a/poplarrelay/entry/tests/test_store_troubles.py
+++ b/poplarrelay/entry/tests/test_store_troubles.py
@@ -5,7 +5,8 @@
 import orjson
 import pytest
 
-from poplarrelay.entry.following import COMEBACK_S, apply_configuration
+from poplarrelay.entry.following import apply_configuration
+from poplarrelay.entry.listing import COMEBACK_S
 from poplarrelay.identifiers import EndpointId
 from poplarrelay.standins.users.store import Outage
 from poplarrelay.testing.users import (
@@ -97,7 +98,7 @@
             await site.add_runner("r1", CALLS)
             for name in site.nodes:
                 await site.ready(name, endpoints=1)
-            lists = [node.state.freshness for node in site.nodes.values()]
+            lists = [node.endpoints for node in site.nodes.values()]
             await until(lambda: lists[0].digest == lists[1].digest)
             site.doors["b"].shut(Outage.RESET)
             site.configure(9, tenants=[{"name": "alpha", "apiKeys": ["another"]}])
--- a/poplarrelay/platform/records.py
+++ b/poplarrelay/platform/records.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
@@ -61,7 +61,8 @@
     reclaimable : bool
         Whether the platform may take it away on short notice.
     leaves_in_s : float or None
-        Seconds until it is gone, where it knows.
+        Seconds until it is gone, where it knows. They run down with every record, and
+        make it no other record.
     """
 
     endpoint: EndpointId
@@ -72,7 +73,7 @@
     slots: int
     leaving: bool
     reclaimable: bool
-    leaves_in_s: float | None
+    leaves_in_s: float | None = field(compare=False)
 
 
 def _route(raw: dict[str, Any]) -> Route:
--- a/poplarrelay/platform/store.py
+++ b/poplarrelay/platform/store.py
@@ -22,6 +22,7 @@
 from poplarrelay.identifiers import Offset
 
 __all__ = [
+    "ANSWER_TIMEOUT_S",
     "Appender",
     "GroupShare",
     "KeyedRecord",
@@ -139,11 +140,16 @@
         return self._calls
 
     async def _call(
-        self, name: str, method: str, target: str, body: bytes, wait_s: float = 0.0
+        self,
+        name: str,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> WholeResponse:
         self._calls += 1
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S + wait_s):
+            async with asyncio.timeout(timeout_s):
                 response = await self._client.call(method, target, [], body)
         except (ExchangeFailed, TimeoutError) as error:
             raise PlatformUnavailable(name, None, str(error)) from error
@@ -152,7 +158,12 @@
         return response
 
     async def read(
-        self, topic: str, partition: int, start: Offset, wait_s: float = 0.0
+        self,
+        topic: str,
+        partition: int,
+        start: Offset,
+        wait_s: float = 0.0,
+        answer_s: float = ANSWER_TIMEOUT_S,
     ) -> LogPage:
         """Read records from an offset on, waiting for the first one.
 
@@ -172,7 +183,7 @@
         if wait_s > 0:
             query["waitMs"] = int(1000 * wait_s)
         target = f"/api/log-read?{urlencode(query)}"
-        response = await self._call("read", "GET", target, b"", wait_s)
+        response = await self._call("read", "GET", target, b"", wait_s + answer_s)
         if response.status == 410:
             raise HistoryTrimmed(int(_json(response).get("startOffset", 0)))
         if response.status != 200:
@@ -181,7 +192,9 @@
         records = _split_records(response.body[_OFFSETS.size :])
         return LogPage(records, Offset(start + len(records)), Offset(end))
 
-    async def newest(self, topic: str) -> tuple[list[KeyedRecord], Offset]:
+    async def newest(
+        self, topic: str, answer_s: float = ANSWER_TIMEOUT_S
+    ) -> tuple[list[KeyedRecord], Offset]:
         """Return the newest record of each key, and where to read on.
 
         Notes
@@ -197,7 +210,7 @@
             if after is not None:
                 query["after"] = after
             target = f"/api/log-newest?{urlencode(query)}"
-            response = await self._call("newest", "GET", target, b"")
+            response = await self._call("newest", "GET", target, b"", answer_s)
             if response.status != 200:
                 raise PlatformUnavailable("newest", response.status, _text(response))
             page = _json(response)
--- /dev/null
+++ b/poplarrelay/testing/lists.py
@@ -0,0 +1,256 @@
+"""Nodes that tell each other of their lists of endpoints, without a network."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import orjson
+
+from poplarrelay.entry.exchange import Answer, Hint, ListExchange, Question
+from poplarrelay.entry.listing import EndpointList
+from poplarrelay.entry.settings import EntrySettings
+from poplarrelay.entry.state import EntryState
+from poplarrelay.identifiers import EndpointId, Incarnation, Offset
+from poplarrelay.platform.store import KeyedRecord
+
+__all__ = ["ListNetwork", "ListNode", "Letter", "StoredTopic", "endpoint_record"]
+
+
+def endpoint_record(state: str = "ready", **changes: Any) -> bytes:
+    """Return an endpoint's record; fields may be changed, or left out by None."""
+    value = {
+        "service": "desk",
+        "address": "10.9.0.1:7000",
+        "zone": "north",
+        "version": "1",
+        "slots": 4,
+        "state": state,
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        **changes,
+    }
+    return orjson.dumps({name: v for name, v in value.items() if v is not None})
+
+
+@dataclass(slots=True)
+class StoredTopic:
+    """All records of the endpoints' topic, and when each was written."""
+
+    records: list[tuple[float, str, bytes | None]] = field(default_factory=list)
+
+    def write(self, now: float, key: str, content: bytes | None) -> None:
+        """Append a record; None removes the key's."""
+        self.records.append((now, key, content))
+
+    @property
+    def end(self) -> Offset:
+        """Return the offset after the last record."""
+        return Offset(len(self.records))
+
+    def newest(self) -> list[KeyedRecord]:
+        """Return the newest record of each key that has one."""
+        found = {key: offset for offset, (_, key, _) in enumerate(self.records)}
+        return [
+            KeyedRecord(key, content, Offset(offset))
+            for key, offset in found.items()
+            if (content := self.records[offset][2]) is not None
+        ]
+
+    def since(self, start: Offset) -> list[KeyedRecord]:
+        """Return all records from an offset on."""
+        return [
+            KeyedRecord(key, content, Offset(offset))
+            for offset, (_, key, content) in enumerate(self.records)
+            if offset >= start
+        ]
+
+    def written(self, key: str, before: float) -> int:
+        """Return the offset of a key's newest record before a time, -1 if none."""
+        offsets = [
+            offset
+            for offset, (at, name, _) in enumerate(self.records)
+            if name == key and at < before
+        ]
+        return max(offsets, default=-1)
+
+
+@dataclass(frozen=True, slots=True)
+class Letter:
+    """A message on its way, in the form for JSON."""
+
+    sender: str
+    receiver: str
+    message: Hint | Question | Answer
+
+
+@dataclass(slots=True)
+class ListNode:
+    """One node: its tables, its list, and what it tells.
+
+    Attributes
+    ----------
+    ahead_s : float
+        By how much its monotonic clock is ahead of true time; nodes' clocks have
+        nothing to do with each other.
+    """
+
+    name: str
+    network: ListNetwork
+    ahead_s: float
+    state: EntryState = field(init=False)
+    endpoints: EndpointList = field(init=False)
+    exchange: ListExchange = field(init=False)
+    reads_failed_s: float = 0.0
+    whole_reads_asked: int = 0
+
+    def __post_init__(self) -> None:
+        listener = "127.0.0.1:1"
+        names = ("callers", "readiness", "discovery", "control")
+        settings = EntrySettings.model_validate(
+            {
+                "node": self.name,
+                "failure_domain": "north",
+                "listeners": {
+                    **{name: listener for name in names},
+                    "gossip_port": 1,
+                },
+                "platform": {"store": listener},
+            }
+        )
+        rng = Random(self.name)
+        self.state = EntryState.from_settings(settings, Incarnation("1-1"), rng)
+        self.endpoints = EndpointList(
+            self.state,
+            lambda now: self.reads_failed_s,
+            lambda: None,
+            lambda endpoint: self.exchange.note_departure(endpoint),
+            self.now,
+        )
+        self.exchange = ListExchange(
+            self.endpoints,
+            self.state.freshness,
+            self,
+            lambda now: [name for name in self.network.nodes if name != self.name],
+            self._ask_whole,
+            lambda: None,
+            rng,
+        )
+
+    def _ask_whole(self) -> None:
+        self.whole_reads_asked += 1
+
+    def now(self) -> float:
+        """Return the node's monotonic time."""
+        return self.network.now + self.ahead_s
+
+    @property
+    def fresh_at(self) -> float:
+        """Return the true time as of which the node takes its list for the store's."""
+        return self.state.freshness.fresh_at - self.ahead_s
+
+    def read(self, answer_after_s: float = 0.0, whole: bool = False) -> None:
+        """Read the store, which answers after a while."""
+        freshness = self.state.freshness
+        sent_at, start = self.now(), freshness.as_of
+        self.network.now += answer_after_s
+        topic = self.network.topic
+        end = topic.end
+        if whole or sent_at - freshness.fresh_at > 1e6:
+            self.endpoints.take_newest(topic.newest(), end)
+        else:
+            self.endpoints.take_records(topic.since(start))
+        freshness.note_read(sent_at, end)
+
+    def uses(self, name: str) -> bool:
+        """Return whether the node sends new requests to an endpoint."""
+        row = self.state.endpoints.rows.get(EndpointId(name))
+        return row is not None and row.accepts_work
+
+    # the sender's side
+
+    def send_hint(self, hosts: Sequence[str], hint: Hint) -> None:
+        """Put a hint on its way."""
+        self.network.post(self.name, hosts, hint)
+
+    def send_question(self, hosts: Sequence[str], question: Question) -> None:
+        """Put a question on its way."""
+        self.network.post(self.name, hosts, question)
+
+    def send_answer(self, host: str, answer: Answer) -> None:
+        """Put an answer on its way."""
+        self.network.post(self.name, [host], answer)
+
+    def receive(self, letter: Letter) -> None:
+        """Take what another node sent, as decoded from its bytes."""
+        message = letter.message
+        raw = orjson.loads(orjson.dumps(message.encode()))
+        now = self.now()
+        if isinstance(message, Hint):
+            self.exchange.hear_hint(letter.sender, Hint.decode(raw), now)
+        elif isinstance(message, Question):
+            self.exchange.hear_question(letter.sender, Question.decode(raw), now)
+        else:
+            self.exchange.hear_answer(letter.sender, Answer.decode(raw), now)
+
+
+@dataclass(slots=True)
+class ListNetwork:
+    """Nodes, the store's topic, and what is on its way between nodes.
+
+    Attributes
+    ----------
+    now : float
+        True time in seconds, which no node knows.
+    """
+
+    nodes: dict[str, ListNode] = field(default_factory=dict)
+    topic: StoredTopic = field(default_factory=StoredTopic)
+    letters: list[Letter] = field(default_factory=list)
+    now: float = 100.0
+
+    @classmethod
+    def of(cls, count: int, rng: Random) -> ListNetwork:
+        """Return a network of nodes whose clocks differ by hours."""
+        network = cls()
+        for number in range(count):
+            name = f"n{number}"
+            network.nodes[name] = ListNode(name, network, rng.uniform(0, 9_999))
+        return network
+
+    def post(
+        self, sender: str, hosts: Sequence[str], message: Hint | Question | Answer
+    ) -> None:
+        """Put a message on its way to some nodes."""
+        self.letters += [Letter(sender, host, message) for host in hosts]
+
+    def deliver(self, index: int = 0) -> None:
+        """Let one message arrive."""
+        letter = self.letters.pop(index)
+        self.nodes[letter.receiver].receive(letter)
+
+    def deliver_next(self, kind: type[Hint | Question | Answer]) -> None:
+        """Let the first message of a kind arrive, before all others."""
+        kinds = [type(letter.message) for letter in self.letters]
+        self.deliver(kinds.index(kind))
+
+    def write(self, name: str, content: bytes | None) -> None:
+        """Let an endpoint write its record, or remove it."""
+        self.topic.write(self.now, name, content)
+
+    def run(self, seconds: float, step_s: float, way_s: float) -> None:
+        """Let time pass, in which every message takes the same time on its way."""
+        end = self.now + seconds
+        due: list[tuple[float, Letter]] = []
+        while self.now < end:
+            self.now += step_s
+            for node in self.nodes.values():
+                node.exchange.tick(node.now())
+            due += [(self.now + way_s, letter) for letter in self.letters]
+            self.letters.clear()
+            arrived = [letter for at, letter in due if at <= self.now]
+            due = [(at, letter) for at, letter in due if at > self.now]
+            for letter in arrived:
+                self.nodes[letter.receiver].receive(letter)
