--- a/poplarrelay/entry/tests/test_calls.py
+++ b/poplarrelay/entry/tests/test_calls.py
@@ -485,8 +485,8 @@
                 dead = probe.getsockname()[1]
             sound = await site.add_runner("r1", CALLS)
             gone = await site.add_runner("r2", CALLS)
-            gone.stop()
             site.list_runner("r2", CALLS, address=f"127.0.0.1:{dead}")
+            gone.stop()
             await site.ready(endpoints=2)
             for _ in range(6):
                 assert (await site.call("/book/x")).status == 200
