--- /dev/null
+++ b/poplarrelay/entry/tests/test_days.py
@@ -0,0 +1,42 @@
+"""Days of our own: each file says only what the page of kinds knows."""
+
+import re
+import tomllib
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[3]
+DAYS = sorted((ROOT / "deploy" / "days").glob("*.toml"))
+#: Fields that hold numbers, and the largest where there is one.
+NUMBERS = {"at": None, "share": 1.0, "x": None, "for_s": None, "gap_s": None}
+
+
+def known_kinds():
+    page = (ROOT / "docs" / "DAYS.md").read_text()
+    rows = re.findall(r"^\| `(\w+)` \| ((?:`\w+`(?:, )?)+) \|$", page, re.MULTILINE)
+    return {kind: set(re.findall(r"`(\w+)`", fields)) for kind, fields in rows}
+
+
+def test_the_page_knows_every_day():
+    page = (ROOT / "docs" / "DAYS.md").read_text()
+    assert DAYS
+    assert all(f"`{path.stem}`" in page for path in DAYS)
+
+
+@pytest.mark.parametrize("path", DAYS, ids=lambda path: path.stem)
+def test_day_has_known_kinds_and_fields(path):
+    day = tomllib.loads(path.read_text())
+    assert set(day) == {"name", "plan", "faults"}
+    assert day["name"] == path.stem
+    kinds = known_kinds()
+    for entry in [*day["plan"], *day["faults"]]:
+        assert entry["kind"] in kinds
+        assert set(entry) - {"at", "kind"} <= kinds[entry["kind"]]
+        assert "at" in entry
+        for field, value in entry.items():
+            if field in NUMBERS:
+                assert 0 <= value <= (NUMBERS[field] or float("inf"))
+            else:
+                assert isinstance(value, str)
+                assert re.fullmatch(r"@[csz]0|[a-z_ ]+", value)
