Judge a hurried stop by the node's own decisions; show why a node is not ready

test_second_signal_hurries failed once beside load with 5.47 s from the second signal to the end of the process, where 5.0 s were allowed. That time holds the end of the interpreter and the wait for a processor. A second signal now logs its decision, and the test checks by the node's own clock that the hand-over began before the first signal would have had it begin, and that the node had left within the first signal's time.

A node that is not ready in time now shows its status and its last log lines.

--- a/poplarrelay/systems/draining.py
+++ b/poplarrelay/systems/draining.py
@@ -90,6 +90,9 @@
     accept = min(world.settings.timing.address_ttl_s, ACCEPT_SHARE * within_s)
     world.refuse_from = min(world.refuse_from, now + accept)
     if world.phase in (NodePhase.DRAINING, NodePhase.STOPPED):
+        if world.drain_until == until:
+            step = (("step", "hurrying"), ("within_s", within_s))
+            yield Decided(Decision.DRAIN, step)
         return
     world.phase = NodePhase.DRAINING
     world.me.status = MemberStatus.LEAVING
--- a/poplarrelay/testing/processes.py
+++ b/poplarrelay/testing/processes.py
@@ -273,8 +273,14 @@
 
     def wait_ready(self) -> None:
         """Wait until all nodes know each other and all endpoints."""
-        for name in self.nodes:
-            wait_until(partial(self._complete, name), what=f"{name} ready")
+        for name, process in self.nodes.items():
+            try:
+                wait_until(partial(self._complete, name), what=f"{name} ready")
+            except NotReached as error:
+                # Without its own words nobody can tell a slow start from a failed one.
+                said = process.output.read_text(errors="replace")[-2000:]
+                status = self.status(name)
+                raise NotReached(f"{error}; status {status}; log: {said}") from error
 
     def _complete(self, node: str) -> bool:
         process = self.nodes[node]
--- a/poplarrelay/testing/tests/test_leaving_nodes.py
+++ b/poplarrelay/testing/tests/test_leaving_nodes.py
@@ -1,11 +1,12 @@
 """Planned stops of nodes cut nothing off."""
 
 import signal
-import time
+from datetime import datetime
 
 import pytest
 
 from poplarrelay.client import CallerClient, CallerFailure
+from poplarrelay.systems.draining import HANDOVER_SHARE
 from poplarrelay.testing.processes import wait_until
 from poplarrelay.testing.site import team_token
 from poplarrelay.testing.steps import (
@@ -78,11 +79,21 @@
     node.signal(signal.SIGTERM)
     wait_until(lambda: not site.ready(node.name), 5.0)
     node.signal(signal.SIGTERM)
-    started = time.monotonic()
     assert node.popen.wait(timeout=20.0) == 0
-    assert time.monotonic() - started < 5.0
     drain_stream(stream)
     assert result.tokens == whole(PROMPT, 900)
+    # What the node decided, by its own clock: how long the process then takes to end
+    # depends on how busy the host is, and shows nothing of the second signal.
+    steps = {line.get("step"): line for line in node.log_lines()}
+    assert steps["hurrying"]["within_s"] < steps["leaving"]["within_s"]
+    assert _seconds(steps["left"]) - _seconds(steps["leaving"]) < 6.0
+    handed = [line for line in node.log_lines() if "to" in line and "step" not in line]
+    unhurried_s = _seconds(steps["leaving"]) + 6.0 - HANDOVER_SHARE * 6.0
+    assert _seconds(handed[0]) < unhurried_s
+
+
+def _seconds(line):
+    return datetime.strptime(line["time"], "%Y-%m-%d %H:%M:%S,%f").timestamp()
 
 
 def test_deferred_requests_survive_the_crash_of_their_home(site):
