--- a/poplarrelay/entry/tests/test_departures.py
+++ b/poplarrelay/entry/tests/test_departures.py
@@ -87,6 +87,19 @@
     play(scenario)
 
 
+def test_departure_in_a_history_that_was_dropped_is_known_in_time():
+    # The store drops its history, and with it the removal of an endpoint's record that
+    # this node has not read yet. Reading on is refused, so the newest records are read.
+    async def scenario():
+        async with run_users_site() as site:
+            await start(site)
+            site.store.put(TOPIC, "r1", None)
+            site.store.compact(TOPIC)
+            await assert_left_within_bound(site, "a", monotonic())
+
+    play(scenario)
+
+
 async def _keep_reading(state: EntryState) -> None:
     """Let a node read the store twice a second, as many nodes together do."""
     while True:
