--- a/poplarrelay/entry/tests/test_lists.py
+++ b/poplarrelay/entry/tests/test_lists.py
@@ -9,6 +9,7 @@
 
 from random import Random
 
+import orjson
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -24,6 +25,7 @@
 from poplarrelay.testing.lists import ListNetwork, endpoint_record
 
 R1 = EndpointId("r1")
+NAMES = st.sampled_from(["r1", "r2", "r3"])
 
 
 def network(count: int = 2) -> ListNetwork:
@@ -235,6 +237,7 @@
         for node in self.lists.nodes.values():
             node.read()
         self.kept = []
+        self.born = dict.fromkeys(("r1", "r2", "r3"), 1000)
 
     def node(self, number):
         return self.lists.nodes[f"n{number}"]
@@ -244,20 +247,29 @@
         self.lists.now += seconds
 
     @rule(
-        name=st.sampled_from(["r1", "r2", "r3"]),
-        content=st.sampled_from(
+        name=NAMES,
+        changes=st.sampled_from(
             [
-                endpoint_record(),
-                endpoint_record(sequence=2),
-                endpoint_record("draining"),
-                endpoint_record(address="10.9.0.2:7000"),
-                endpoint_record(slots="many"),
-                b"\xff\x00",
-                None,
+                {},
+                {"sequence": 2},
+                {"state": "draining"},
+                {"address": "10.9.0.2:7000"},
+                {"slots": "many"},
+                {"service": "not in the configuration"},
             ]
         ),
     )
-    def write(self, name, content):
+    def write(self, name, changes):
+        self.lists.write(name, endpoint_record(born=self.born[name], **changes))
+
+    @rule(name=NAMES, content=st.sampled_from([None, b"\xff\x00", b'{"state":']))
+    def remove_or_spoil(self, name, content):
+        self.lists.write(name, content)
+
+    @rule(name=NAMES, host=st.sampled_from(["10.9.0.1", "10.9.0.2"]))
+    def start_again(self, name, host):
+        self.born[name] += 1000
+        content = endpoint_record(born=self.born[name], address=f"{host}:7000")
         self.lists.write(name, content)
 
     @rule(number=st.integers(0, 3), answer_s=st.floats(0, 1.0), whole=st.booleans())
@@ -310,22 +322,27 @@
                     if key == name
                 ]
                 oldest = max([in_time, *before])
-                allowed = {_usable(None)} if oldest < 0 else set()
+                allowed: set[tuple[str, str, int] | None] = set()
+                if oldest < 0:
+                    allowed.add(None)
                 allowed |= {
                     _usable(content)
                     for offset, (_, key, content) in enumerate(topic.records)
                     if key == name and offset >= oldest
                 }
                 row = node.state.endpoints.rows.get(EndpointId(name))
-                used = row.address[0] if row and row.accepts_work else ""
+                used = None
+                if row is not None and row.accepts_work:
+                    used = (row.address[0], row.service, row.started_ms)
                 assert used in allowed
 
 
-def _usable(content: bytes | None) -> str:
-    """Return the host at which a record allows requests, empty if at none."""
+def _usable(content: bytes | None) -> tuple[str, str, int] | None:
+    """Return where and at which run a record allows requests, None if it does not."""
     if content is None or b"ready" not in content or b"many" in content:
-        return ""
-    return "10.9.0.2" if b"10.9.0.2" in content else "10.9.0.1"
+        return None
+    value = orjson.loads(content)
+    return value["address"].split(":")[0], value["service"], value["born"]
 
 
 TestLists = ListMachine.TestCase
