--- a/poplarrelay/entry/tests/test_departures.py
+++ b/poplarrelay/entry/tests/test_departures.py
@@ -9,11 +9,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from time import monotonic
 
 import pytest
 
+from poplarrelay.entry.http.pool import ConnectionPool
 from poplarrelay.entry.state import EntryState
+from poplarrelay.identifiers import EndpointId
 from poplarrelay.testing.users import CALLS, UsersSite, play, run_users_site, until
 
 #: Seconds after the store's acknowledgement from which a leaving endpoint may get
@@ -100,6 +103,56 @@
     play(scenario)
 
 
+def test_request_whose_endpoint_leaves_while_it_connects_goes_elsewhere(monkeypatch):
+    # A new connection takes up to 0.6 s, and the endpoint's departure becomes known in
+    # that time. Nothing has been sent: a booking may still go to the other endpoint.
+    async def scenario():
+        async with run_users_site() as site:
+            await start(site)
+            rows = site.nodes["a"].state.endpoints.rows
+            left = rows[EndpointId("r1")]
+            take = ConnectionPool.take
+
+            async def take_late(pool, address):
+                connection = await take(pool, address)
+                if address == left.address:
+                    left.leaving = True
+                return connection
+
+            monkeypatch.setattr(ConnectionPool, "take", take_late)
+            for _ in range(6):
+                assert (await site.call("/book/x")).status == 200
+            assert left.leaving
+            assert site.runners["r1"].received == []
+
+    play(scenario)
+
+
+def test_node_that_cannot_vouch_for_its_list_prefers_endpoints_that_answered(caplog):
+    # The store answers nobody for longer than the bound, and there are no peers. Any
+    # endpoint may have left but the one that has just answered; the log says so.
+    async def scenario():
+        async with run_users_site() as site:
+            await start(site)
+            state = site.nodes["a"].state
+            site.doors["a"].silent_topics.add(TOPIC)
+            await until(lambda: not state.freshness.vouched(monotonic()))
+            await until(lambda: "endpoints not vouched for" in caplog.text)
+            answered, silent = (
+                state.endpoints.rows[EndpointId(n)] for n in ("r1", "r2")
+            )
+            answered.vouched_at, silent.vouched_at = monotonic(), float("-inf")
+            for _ in range(6):
+                assert (await site.call("/look/x")).status == 200
+            assert len(site.runners["r1"].ran) == 6
+            answered.leaving = True
+            assert (await site.call("/look/x")).status == 200
+            assert len(site.runners["r2"].ran) == 1
+
+    caplog.set_level(logging.INFO)
+    play(scenario)
+
+
 async def _keep_reading(state: EntryState) -> None:
     """Let a node read the store twice a second, as many nodes together do."""
     while True:
