Tell the age of a list in one place; drop a check that another one makes needless

A record later than a list refuses that list's removal by its offset, so the same comparison before it was done twice.

--- a/poplarrelay/entry/exchange.py
+++ b/poplarrelay/entry/exchange.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import Any, Protocol
 
-from poplarrelay.entry.freshness import NEVER_S, ListFreshness
+from poplarrelay.entry.freshness import ListFreshness
 from poplarrelay.entry.listing import EndpointChange, EndpointList
 from poplarrelay.identifiers import EndpointId, Offset
 
@@ -237,7 +237,7 @@
 
     def hint(self, now: float) -> Hint:
         """Return what to tell peers with the next datagram."""
-        age_s = min(self.freshness.age_s(now), NEVER_S)
+        age_s = self.freshness.told_age_s(now)
         return Hint(self.freshness.as_of, age_s, self._hot_changes())
 
     def _hot_changes(self) -> tuple[EndpointChange, ...]:
@@ -317,7 +317,7 @@
         changes = self.endpoints.since(question.since)
         if changes is None:
             return Answer(question.number, Offset(0), None, "", ())
-        age_s: float | None = min(self.freshness.age_s(now), NEVER_S)
+        age_s: float | None = self.freshness.told_age_s(now)
         digest = self._exact_digest()
         room = MOST_BYTES
         fitting = []
--- a/poplarrelay/entry/freshness.py
+++ b/poplarrelay/entry/freshness.py
@@ -138,6 +138,10 @@
         """Return the time since the list was known to be the store's."""
         return now - self.fresh_at
 
+    def told_age_s(self, now: float) -> float:
+        """Return the age as it is told to logs and peers: finite, `NEVER_S` at most."""
+        return min(self.age_s(now), NEVER_S)
+
     def steady(self, now: float) -> bool:
         """Return whether the store has certainly not been away lately."""
         confirmed = self.age_s(now) <= self.times.outage_s
--- a/poplarrelay/entry/listing.py
+++ b/poplarrelay/entry/listing.py
@@ -9,7 +9,6 @@
 from time import monotonic
 
 from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.state import EntryState
 from poplarrelay.exception import PlatformRecordMalformed
 from poplarrelay.identifiers import EndpointId, Offset, StartTime
@@ -246,8 +245,9 @@
         now = self._clock()
         lapsed = self._was_away(now)
         for endpoint, known in list(self._known.items()):
-            if known.content is None or endpoint in listed or known.offset >= as_of:
+            if known.content is None or endpoint in listed:
                 continue
+            # Refused where a record later than the list is known.
             gone = EndpointChange(endpoint, Offset(as_of - 1), None, lapsed)
             self._take(gone, why, now)
 
@@ -387,7 +387,7 @@
                 "reclaimable": row.reclaimable,
                 "leaves_in_s": None if row.leaves_at is None else row.leaves_at - now,
                 "offset": offset,
-                "list_age_s": round(min(freshness.age_s(now), NEVER_S), 2),
+                "list_age_s": round(freshness.told_age_s(now), 2),
                 "reads_failed_s": round(self._reads_failed_s(now), 2),
             },
         )
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -22,7 +22,6 @@
     ConfigurationView,
     Dependency,
 )
-from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.gossip import Gossip
 from poplarrelay.entry.http.listener import Handler, Listener
 from poplarrelay.entry.http.pool import ConnectionPool
@@ -430,7 +429,7 @@
         if vouched == self._vouched:
             return
         self._vouched = vouched
-        age_s = round(min(freshness.age_s(now), NEVER_S), 2)
+        age_s = round(freshness.told_age_s(now), 2)
         extra = {"list_age_s": age_s, "bound_s": freshness.times.bound_s}
         if vouched:
             _LOG.info("endpoints vouched for", extra=extra)
--- a/poplarrelay/entry/reading.py
+++ b/poplarrelay/entry/reading.py
@@ -144,6 +144,6 @@
                 "start": "newest of each" if start is None else start,
                 "next": end,
                 "records": records,
-                "list_age_s": round(min(self._freshness.age_s(monotonic()), 1e9), 2),
+                "list_age_s": round(self._freshness.told_age_s(monotonic()), 2),
             },
         )
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -19,7 +19,6 @@
     RouteKind,
 )
 from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.health import note_failure, note_success, note_success_time
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest
 from poplarrelay.entry.http.pool import ConnectionPool
@@ -237,7 +236,7 @@
         row = choice.endpoint
         case.tried.append(row.endpoint)
         sent_at = monotonic()
-        list_age_s = round(min(self._state.freshness.age_s(sent_at), NEVER_S), 2)
+        list_age_s = round(self._state.freshness.told_age_s(sent_at), 2)
         list_as_of = self._state.freshness.as_of
         plan = AttemptPlan(
             endpoint=row,
--- a/poplarrelay/entry/serving.py
+++ b/poplarrelay/entry/serving.py
@@ -8,7 +8,6 @@
 
 import orjson
 
-from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest
 from poplarrelay.entry.listing import EndpointList
 from poplarrelay.entry.metrics import EntryMetrics
@@ -114,7 +113,7 @@
             "state": state.me.state.value,
             "configuration": state.me.configuration,
             "endpoints_as_of": state.freshness.as_of,
-            "endpoints_age_s": round(min(state.freshness.age_s(now), NEVER_S), 2),
+            "endpoints_age_s": round(state.freshness.told_age_s(now), 2),
             "endpoints_vouched": state.freshness.vouched(now),
             "endpoints_source": state.freshness.source,
             "endpoints_unreadable": self._endpoints.unreadable,
@@ -146,7 +145,7 @@
             "ready": float(state.ready),
             "peers_alive": float(len(state.peers.alive(monotonic()))),
             "endpoints": float(len(state.endpoints.rows)),
-            "endpoints_age_s": min(state.freshness.age_s(monotonic()), NEVER_S),
+            "endpoints_age_s": state.freshness.told_age_s(monotonic()),
             "endpoints_unreadable": float(len(self._endpoints.unreadable)),
             "configuration_version": float(state.me.configuration),
             "running": float(sum(r.running for r in state.endpoints.rows.values())),
--- a/poplarrelay/entry/syncing.py
+++ b/poplarrelay/entry/syncing.py
@@ -12,7 +12,6 @@
 import orjson
 
 from poplarrelay.entry.following import apply_configuration
-from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.http.pool import JsonClient
 from poplarrelay.entry.listing import EndpointChange, EndpointList
 from poplarrelay.entry.state import EntryState
@@ -48,7 +47,7 @@
         The peer's configuration; it is sent only if it is older.
     """
     value: dict[str, Any] = {
-        "endpoints_age_s": min(state.freshness.age_s(monotonic()), NEVER_S),
+        "endpoints_age_s": state.freshness.told_age_s(monotonic()),
         "endpoints_as_of": state.freshness.as_of,
         "endpoints": [
             [
