Append undecided usage counts again as they were, until the store answers

Cause: an append whose answer is lost leaves its sequence number used, and the node went on under the same one with newer counts or with the next window. The store then repeats its first answer and keeps the first record: this node reports counts that are not in the ledger, and a successor may report others for the same window. The test fails on the code before (a reported window is not in the ledger). Now the same record follows until one append is answered; a new tenure reads what the ledger holds.

--- a/poplarrelay/entry/dutying.py
+++ b/poplarrelay/entry/dutying.py
@@ -113,6 +113,7 @@
         self._ledger_next = Offset(0)
         self._prepared_token = -1
         self._sequence = 0
+        self._pending: tuple[WindowNumber, dict[TeamId, int]] | None = None
         self._retired = False
         self._endpoint_orders = EndpointOrders(
             state, cloud, self._lease, lambda: self._stamp
@@ -213,6 +214,7 @@
         """Shut out earlier holders, and learn what they have decided."""
         if self._prepared_token != self._lease.token:
             self._sequence = 0
+            self._pending = None
             await self._store.append(LEDGER_TOPIC, 0, [], self._appender())
             self._sequence = 1
             self._prepared_token = self._lease.token
@@ -236,6 +238,8 @@
         wall = self._state.clock.now()
         newest = int((wall - SETTLE_S) // window_s) - 1
         oldest = int((wall - LATEST_S) // window_s)
+        if self._pending is not None:
+            await self._append_pending()
         for window in range(oldest, newest + 1):
             if window not in self._ledger.decided:
                 if (window + 1) * window_s <= self._state.peers.earliest_start():
@@ -249,9 +253,26 @@
 
     async def _decide(self, window: WindowNumber) -> None:
         counts = merge_counts(self._state.peers.usage_reports(), window)
+        self._pending = (window, counts)
+        await self._append_pending()
+
+    async def _append_pending(self) -> None:
+        """Append the counts that have been decided last.
+
+        Notes
+        -----
+        An append without an answer may be carried out, now or later. Until one is
+        answered, only the same record may follow under its sequence number: with
+        newer counts, or those of the next window, the store would repeat its first
+        answer and keep the first record, and a successor would report other counts
+        than this node has.
+        """
+        assert self._pending is not None
+        window, counts = self._pending
         record = UsageLedger.encode(window, counts)
         await self._store.append(LEDGER_TOPIC, 0, [record], self._appender())
         self._sequence += 1
+        self._pending = None
         self._ledger.decided[window] = counts
         _LOG.info("usage decided", extra={"window": window, "counts": counts})
 
--- a/poplarrelay/entry/tests/test_duties.py
+++ b/poplarrelay/entry/tests/test_duties.py
@@ -4,10 +4,12 @@
 from itertools import pairwise
 from typing import Any
 
+import orjson
 import pytest
 
 from poplarrelay.entry.duties import DutyChange, DutyLease
 from poplarrelay.entry.dutying import GROUP, LEDGER_TOPIC, UsageLedger
+from poplarrelay.exception import PlatformUnavailable
 from poplarrelay.identifiers import TeamId
 from poplarrelay.standins.users.store import Outage
 from poplarrelay.testing.users import CALLS, STREAMS, play, run_users_site, until
@@ -250,3 +252,38 @@
             await until(lambda: len(orders()) >= 2)
 
     play(scenario)
+
+
+def test_counts_whose_append_was_not_answered_stay_as_decided(monkeypatch):
+    # The holder decides a window, and the store's answer is lost though it took the
+    # record. More requests of that window are heard of before it tries again. With
+    # the newer counts under the same sequence number the store repeats its first
+    # answer and keeps the first record: a successor then reports other counts.
+    async def scenario():
+        async with run_users_site(nodes=1) as site:
+            await site.add_runner("r1", CALLS)
+            await site.ready("a", endpoints=1)
+            await until(lambda: site.cloud.windows(), "a first report")
+            node = site.nodes["a"]
+            append = node.duties._store.append
+            lost: list[bytes] = []
+
+            async def lose_one(topic, partition, records, appender=None):
+                end = await append(topic, partition, records, appender)
+                if topic == LEDGER_TOPIC and records and not lost:
+                    lost.extend(records)
+                    value = orjson.loads(records[0])
+                    node.state.usage.windows[value["window"]] = {TeamId("alpha"): 99}
+                    raise PlatformUnavailable("append", None, "answer lost")
+                return end
+
+            monkeypatch.setattr(node.duties._store, "append", lose_one)
+            await until(lambda: lost)
+            window = orjson.loads(lost[0])["window"]
+            await until(lambda: max(site.cloud.windows()) > window + 1)
+            records = [orjson.loads(r) for r in site.store.records(LEDGER_TOPIC) if r]
+            kept = {record["window"]: record["counts"] for record in reversed(records)}
+            for number, counts in site.cloud.windows().items():
+                assert counts == [kept[number]] * len(counts)
+
+    play(scenario)
