Vote on the time of day when it is asked for

Cause, from a profiled trial with 195 nodes: a vote went through all peers' readings with each datagram, 0.15 s of 1.9 s of processor time in 21 s. The time of day is needed for a request that begins and for usage windows; readings of peers that have been silent for three seconds are dropped then too. Not measured by itself.

--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -170,7 +170,7 @@
     Safeguard(
         "time on which most nodes agree",
         f"{ENTRY}/clock.py",
-        "        return self._wall() + self._correction\n",
+        "        return self._wall() + self.correction\n",
         "        return self._wall()\n",
         "test_clock.py",
     ),
--- a/poplarrelay/entry/clock.py
+++ b/poplarrelay/entry/clock.py
@@ -16,7 +16,7 @@
 TOLERANCE_S = 0.25
 #: Seconds for which a peer's reading is used.
 READING_LIVES_S = 3.0
-#: Readings of a peer that are kept; all peers' are gone through with each datagram.
+#: Readings of a peer that are kept.
 MOST_READINGS = 4
 
 
@@ -40,6 +40,8 @@
         self._wall = wall
         self._readings: dict[str, deque[tuple[float, float]]] = {}
         self._correction = 0.0
+        #: When the last reading came, and this host's clock against the monotonic one.
+        self._uncounted: tuple[float, float] | None = None
 
     @property
     def own(self) -> float:
@@ -49,11 +51,12 @@
     @property
     def correction(self) -> float:
         """Return what is added to this host's time of day."""
+        self._vote()
         return self._correction
 
     def now(self) -> float:
         """Return the time of day on which most nodes agree."""
-        return self._wall() + self._correction
+        return self._wall() + self.correction
 
     def hear(self, peer: str, peer_wall: float, at: float) -> None:
         """Take the time of day that a peer has just sent.
@@ -70,14 +73,29 @@
         # The reading is kept against the monotonic clock, which never jumps.
         kept = self._readings.setdefault(peer, deque(maxlen=MOST_READINGS))
         kept.append((peer_wall - at, at))
-        readings = [
-            offset
-            for each in self._readings.values()
-            if (offset := _least_delayed(each, at)) is not None
-        ]
+        self._uncounted = (at, self._wall() - at)
+
+    def _vote(self) -> None:
+        """Take the median of all readings, if any has come since the last time.
+
+        Notes
+        -----
+        Only when the time is asked for: with a vote for each reading a node among
+        195 spent 0.7% of a core on it.
+        """
+        if self._uncounted is None:
+            return
+        at, own = self._uncounted
+        self._uncounted = None
+        readings = []
+        for peer, kept in list(self._readings.items()):
+            offset = _least_delayed(kept, at)
+            if offset is None:
+                del self._readings[peer]
+            else:
+                readings.append(offset)
         if len(readings) < LEAST_VOTERS:
             return
-        own = self._wall() - at
         difference = median([*readings, own]) - own
         self._correction = difference if abs(difference) > TOLERANCE_S else 0.0
 
