--- a/poplarrelay/entry/__main__.py
+++ b/poplarrelay/entry/__main__.py
@@ -21,7 +21,7 @@
     -----
     The words that operators' platforms call it with are taken as they are: loading
     the parser for them takes a seventh of the time that all other modules take
-    (0.11 s and 0.64 s on a busy core), and after power was lost everywhere callers wait.
+    (0.11 s and 0.64 s of a busy core); callers wait for it after power was lost.
     Whatever else is said goes to the parser, which tells what is wrong with it.
     """
     if len(sys.argv) == 3 and sys.argv[1] == "--settings":
