--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -394,8 +394,8 @@
     Safeguard(
         "late copies of an old speaker's summary",
         f"{ENTRY}/peers.py",
-        "        if summary.version <= self._versions.get(summary.incarnation, -1):\n",
-        "        if False:\n",
+        "        return version > self._versions.get(Incarnation(incarnation), -1)\n",
+        "        return True\n",
         "test_cells.py",
     ),
     Safeguard(
--- a/poplarrelay/entry/cells.py
+++ b/poplarrelay/entry/cells.py
@@ -14,6 +14,7 @@
 import hashlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any, NamedTuple
 
 from poplarrelay.entry.configuration import ConfigurationVersion, ServiceName
@@ -21,7 +22,16 @@
 from poplarrelay.entry.rows import NodeState, PeerRow
 from poplarrelay.identifiers import EndpointId, Incarnation, NodeId, TeamId
 
-__all__ = ["Cell", "CellSummary", "Member", "cell_bits", "cell_of", "summarise"]
+__all__ = [
+    "Cell",
+    "CellSummary",
+    "Member",
+    "cell_bits",
+    "cell_of",
+    "start_of",
+    "summarise",
+    "version_of",
+]
 
 #: Nodes of a cell on average, at the most. News of up to about 40 rows and summaries
 #: together reaches all within a second with three datagrams a round; with 26 that
@@ -49,6 +59,7 @@
     number: int
 
 
+@lru_cache(maxsize=4096)
 def cell_of(node: NodeId, bits: int) -> Cell:
     """Return the cell of a node; all nodes find the same one without asking.
 
@@ -176,6 +187,11 @@
         )
 
 
+def version_of(raw: list[Any]) -> tuple[str, int]:
+    """Return a summary's incarnation and version from its form for JSON."""
+    return str(raw[3]), int(raw[4])
+
+
 def _decode_member(raw: list[Any]) -> Member:
     node, host, state, configuration = raw
     version = ConfigurationVersion(int(configuration))
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from poplarrelay.entry.cells import Cell, CellSummary, cell_of
+from poplarrelay.entry.cells import Cell, CellSummary, cell_of, version_of
 from poplarrelay.entry.clock import ClusterClock
 from poplarrelay.entry.exchange import Answer, Hint, ListExchange, Question
 from poplarrelay.entry.freshness import NEVER_S
@@ -39,6 +39,9 @@
 
 _LOG = logging.getLogger("poplarrelay.entry.gossip")
 
+#: What decoding raises where a datagram is none of a node's.
+MALFORMED = (ValueError, LookupError, TypeError, AttributeError)
+
 
 def pick_targets(
     alive: Sequence[str], silent: Sequence[str], seeds: Sequence[str], rng: Random
@@ -126,7 +129,7 @@
         try:
             message = orjson.loads(zlib.decompress(data))
             self._take(message, addr[0])
-        except (zlib.error, ValueError, KeyError, TypeError) as error:
+        except (zlib.error, *MALFORMED) as error:
             _LOG.warning("unreadable news", extra={"from": addr[0], "why": str(error)})
 
     def _take(self, message: dict[str, Any], host: str) -> None:
@@ -144,9 +147,14 @@
             self._take_rows(message, host, now)
 
     def _take_rows(self, message: dict[str, Any], host: str, now: float) -> None:
-        rows = [decode_row(raw) for raw in message["rows"]]
+        told, table = message["rows"], self._table
+        rows = [decode_row(raw) for raw in told if table.wants_row(*raw[:3])]
         # Nodes that know of no cells tell no summaries.
-        summaries = [CellSummary.decode(raw) for raw in message.get("cells", ())]
+        summaries = [
+            CellSummary.decode(raw)
+            for raw in message.get("cells", ())
+            if table.wants_summary(*version_of(raw))
+        ]
         hint = Hint.decode(message["hint"])
         self._clock.hear(message["from"], message["wall"], now)
         if self._exchange is not None:
@@ -164,8 +172,8 @@
                 self._on_summary(summary)
         if "ask" in message:
             self._send(self._fitting([encode_row(self._table.me)], []), [host])
-        if rows and not self._table.in_cell(rows[0].node):
-            self._introduce(rows[0], now)
+        if told and not table.in_cell(told[0][0]):
+            self._introduce(decode_row(told[0]), now)
 
     def _introduce(self, row: PeerRow, now: float) -> None:
         """Tell a node of another cell whom it may ask, if it seems to know nobody.
--- a/poplarrelay/entry/peers.py
+++ b/poplarrelay/entry/peers.py
@@ -111,6 +111,26 @@
 
     # hearing
 
+    def wants_row(self, node: str, incarnation: str, version: int) -> bool:
+        """Return whether a row would be news, before it is decoded.
+
+        Notes
+        -----
+        Three of four rows that arrive, and four of five summaries, are known already;
+        decoding them took a node among 83 an eighth of its processor time.
+        """
+        if node == self.me.node or not self.in_cell(NodeId(node)):
+            return False
+        known = self.seen.get(NodeId(node))
+        if known is None:
+            return True
+        row = known.row
+        return (incarnation, version) > (row.incarnation, row.version)
+
+    def wants_summary(self, incarnation: str, version: int) -> bool:
+        """Return whether a summary would be news, before it is decoded."""
+        return version > self._versions.get(Incarnation(incarnation), -1)
+
     def hear(self, row: PeerRow, now: float) -> bool:
         """Take a row and return whether it is news; only of this node's cell."""
         if row.node == self.me.node or not self.in_cell(row.node):
@@ -136,7 +156,7 @@
         speaker is heard; without the versions kept here it would count as news again,
         and name nodes that are gone.
         """
-        if summary.version <= self._versions.get(summary.incarnation, -1):
+        if not self.wants_summary(summary.incarnation, summary.version):
             return False
         self._versions[summary.incarnation] = summary.version
         if summary.cell == self.cell:
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -558,12 +558,12 @@
         if configuration is None or summary.cell.bits != state.peers.bits:
             return
         now = monotonic()
-        cell = str(summary.cell)
+        cell, run, nodes = str(summary.cell), summary.run, summary.alive
         for name, spent in summary.spent.items():
             team = configuration.teams.get(name)
             bucket = None if team is None else state.bucket(team, now)
             if bucket is not None:
-                bucket.hear_cell(cell, summary.run, spent, summary.alive, now)
+                bucket.hear_cell(cell, run, spent, nodes, now)
 
     def _on_news(self, row: PeerRow) -> None:
         now = monotonic()
--- a/poplarrelay/entry/tests/test_cells.py
+++ b/poplarrelay/entry/tests/test_cells.py
@@ -162,6 +162,15 @@
         zlib.compress(b"[1]"),
         zlib.compress(orjson.dumps({"rows": [], "hint": [0, 0, []], "cells": [[1]]})),
         zlib.compress(orjson.dumps({"from": "n", "wall": 0, "rows": [["n"]]})),
+        zlib.compress(orjson.dumps({"rows": [[]], "hint": [0, 0, []]})),
+        zlib.compress(
+            orjson.dumps(
+                {
+                    "rows": [["n", "1-1", 1, "h", "d", "ready", 1, 3, 3, 3, 3]],
+                    "hint": [0, 0, []],
+                }
+            )
+        ),
     ],
 )
 def test_unreadable_datagram_takes_nothing_away(datagram, caplog):
