Spend the news of departures on datagrams to several peers; drop nothing that does not fit

Answers to a single peer that asks for a row, introductions and news to other cells each used one up, so that beside late nodes most peers would hear of it by asking alone. Both have a test that failed before (the first by construction of the double, the second for want of a second datagram).

--- a/poplarrelay/entry/exchange.py
+++ b/poplarrelay/entry/exchange.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any, Protocol
 
@@ -236,9 +236,12 @@
             self.wake()
 
     def hint(self, now: float) -> Hint:
-        """Return what to tell peers with the next datagram."""
-        age_s = self.freshness.told_age_s(now)
-        return Hint(self.freshness.as_of, age_s, self._hot_changes())
+        """Return what to tell peers with the next datagram to several of them."""
+        return replace(self.plain_hint(now), changes=self._hot_changes())
+
+    def plain_hint(self, now: float) -> Hint:
+        """Return how far the list goes, without the departures that are still told."""
+        return Hint(self.freshness.as_of, self.freshness.told_age_s(now))
 
     def _hot_changes(self) -> tuple[EndpointChange, ...]:
         changes = []
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -32,7 +32,7 @@
 MOST_ASKED = 4
 #: Rounds for which a row is passed on after it was heard.
 HOT_ROUNDS = 2
-#: Largest datagram; rows that do not fit wait for the next round.
+#: Largest datagram; what does not fit goes into another one.
 MAX_DATAGRAM_BYTES = 8_000
 #: Rows in one datagram at most, which bounds the time to encode them.
 MAX_ROWS = 40
@@ -171,7 +171,7 @@
                 self._hot_cells[summary.cell] = HOT_ROUNDS
                 self._on_summary(summary)
         if "ask" in message:
-            self._send(self._fitting([encode_row(self._table.me)], []), [host])
+            self._send(self._encode([encode_row(table.me)], self._hint(), []), [host])
         if told and not table.in_cell(told[0][0]):
             self._introduce(decode_row(told[0]), now)
 
@@ -192,7 +192,8 @@
         mine = cell_of(row.node, self._table.bits)
         summaries.sort(key=lambda summary: summary.cell != mine)
         encoded = [summary.encode() for summary in summaries]
-        self._send(self._fitting([encode_row(self._table.me)], encoded), [row.host])
+        for data in self._packets([encode_row(self._table.me)], encoded, self._hint()):
+            self._send(data, [row.host])
 
     def error_received(self, exc: Exception) -> None:
         """Ignore refusals: a port without a listener is a node that is down."""
@@ -221,7 +222,8 @@
         if table.speaks(now):
             self._send_elsewhere([table.own_summary(now).encode()], FANOUT, now)
         hot = self._hot_summaries()
-        self._send(self._message(hot), targets)
+        for data in self._message(hot):
+            self._send(data, targets)
         if hot and not to_all:
             self._send_elsewhere(hot, FANOUT_ELSEWHERE, now)
         overdue = table.overdue(now)
@@ -233,15 +235,18 @@
     def tell_use(self) -> None:
         """Tell every node of this cell this node's row and nothing else."""
         alive = [row.host for row in self._table.alive_rows(self._monotonic())]
-        self._send(self._fitting([encode_row(self._table.me)], []), alive)
+        hint = self._hint(departures=True)
+        self._send(self._encode([encode_row(self._table.me)], hint, []), alive)
 
     def _send_elsewhere(
         self, summaries: list[list[Any]], most: int, now: float
     ) -> None:
         hosts = [member.host for member in self._table.alive_elsewhere(now)]
         targets = self._rng.sample(hosts, min(most, len(hosts)))
-        if targets:
-            self._send(self._fitting([], summaries), targets)
+        if not targets:
+            return
+        for data in self._packets([], summaries, self._hint()):
+            self._send(data, targets)
 
     def send_hint(self, hosts: Sequence[str], hint: Hint) -> None:
         """Tell some nodes of this node's list out of turn."""
@@ -263,7 +268,7 @@
             self.sent_bytes += len(data)
             self.sent_datagrams += 1
 
-    def _message(self, summaries: list[list[Any]]) -> bytes:
+    def _message(self, summaries: list[list[Any]]) -> list[bytes]:
         rows = [encode_row(self._table.me)]
         hot = list(self._hot)
         self._rng.shuffle(hot)
@@ -274,7 +279,7 @@
             self._hot[node] -= 1
             if self._hot[node] <= 0:
                 del self._hot[node]
-        return self._fitting(rows, summaries)
+        return self._packets(rows, summaries, self._hint(departures=True))
 
     def _hot_summaries(self) -> list[list[Any]]:
         """Return the summaries that are still passed on, each a few times."""
@@ -293,20 +298,37 @@
                 del self._hot_cells[cell]
         return found
 
-    def _fitting(self, rows: list[list[Any]], summaries: list[list[Any]]) -> bytes:
-        """Return a datagram with as many of the rows and summaries as fit."""
-        hint = self._hint()
-        while True:
-            data = self._encode(rows, hint, summaries)
-            if len(data) <= MAX_DATAGRAM_BYTES or len(rows) + len(summaries) <= 1:
-                return data
-            rows = rows[: max(1, len(rows) // 2)]
-            summaries = summaries[: len(summaries) // 2]
-
-    def _hint(self) -> Hint:
+    def _packets(
+        self, rows: list[list[Any]], summaries: list[list[Any]], hint: Hint
+    ) -> list[bytes]:
+        """Return rows and summaries in as few datagrams as they fit in."""
+        data = self._encode(rows, hint, summaries)
+        if len(data) <= MAX_DATAGRAM_BYTES or len(rows) + len(summaries) <= 1:
+            return [data]
+        if rows and summaries:
+            parts = [(rows, []), ([], summaries)]
+        else:
+            half = (len(rows) + len(summaries)) // 2
+            parts = [
+                (rows[:half], summaries[:half]),
+                (rows[half:], summaries[half:]),
+            ]
+        return [data for part in parts for data in self._packets(*part, hint)]
+
+    def _hint(self, departures: bool = False) -> Hint:
+        """Return what to tell of the list of endpoints.
+
+        Notes
+        -----
+        A departure is told in a few datagrams and no more. Those to a single node must
+        not use them up, or most others learn of it later than the bound allows.
+        """
         if self._exchange is None:
             return Hint(Offset(0), NEVER_S)
-        return self._exchange.hint(self._monotonic())
+        now = self._monotonic()
+        if departures:
+            return self._exchange.hint(now)
+        return self._exchange.plain_hint(now)
 
     def _encode(
         self,
--- a/poplarrelay/entry/tests/test_cells.py
+++ b/poplarrelay/entry/tests/test_cells.py
@@ -2,6 +2,8 @@
 
 import zlib
 from random import Random
+from typing import Any
+from unittest.mock import Mock
 
 import orjson
 import pytest
@@ -11,6 +13,9 @@
 
 from poplarrelay.entry.cells import Cell, CellSummary, cell_bits, cell_of, summarise
 from poplarrelay.entry.configuration import Quota
+from poplarrelay.entry.exchange import Hint
+from poplarrelay.entry.freshness import NEVER_S
+from poplarrelay.entry.gossip import MAX_DATAGRAM_BYTES
 from poplarrelay.entry.peers import (
     CELL_SILENCE_S,
     SPEAKER_SILENCE_S,
@@ -18,8 +23,8 @@
     choose_addresses,
 )
 from poplarrelay.entry.quotas import Bucket
-from poplarrelay.entry.rows import NodeState
-from poplarrelay.identifiers import NodeId, TeamId
+from poplarrelay.entry.rows import NodeState, encode_row
+from poplarrelay.identifiers import NodeId, Offset, TeamId
 from poplarrelay.testing.rows import make_network, make_row, make_summary
 
 TEAM = TeamId("t")
@@ -199,6 +204,41 @@
     assert "10.9.9.8" in named
 
 
+def test_questions_between_peers_do_not_use_up_the_news_of_a_departure():
+    # An endpoint leaves while nodes are late and ask each other for their rows. Each
+    # departure is told in four datagrams; spent on answers to single nodes, most peers
+    # learned of it only by asking, and sent it requests meanwhile.
+    network = make_network(3, settle_s=2.0)
+    node = network.nodes[network.alive[0]]
+    plain = Hint(Offset(0), NEVER_S)
+    exchange: Any = Mock()
+    exchange.hint.return_value = exchange.plain_hint.return_value = plain
+    node.carry(exchange)
+    message = {"from": "n", "wall": 0.0, "hint": plain.encode(), "rows": [], "ask": 1}
+    node.datagram_received(zlib.compress(orjson.dumps(message)), ("10.1.0.1", 1))
+    assert exchange.hint.call_count == 0
+    node.run_round(())
+    assert exchange.hint.call_count == 1
+
+
+def test_all_rows_and_summaries_arrive_where_one_datagram_is_too_small():
+    # 120 nodes of one cell would not fit; what was left out of a datagram was not told
+    # again, and nodes that live counted as dead.
+    rng = Random(1)
+    rows = [encode_row(make_row(f"{rng.getrandbits(400):x}")) for _ in range(120)]
+    network = make_network(3)
+    node = network.nodes[network.alive[0]]
+    packets = node._packets(rows, [], Hint(Offset(0), NEVER_S))
+    assert len(packets) > 1
+    assert all(len(data) <= MAX_DATAGRAM_BYTES for data in packets)
+    told = [
+        row[0]
+        for data in packets
+        for row in orjson.loads(zlib.decompress(data))["rows"]
+    ]
+    assert sorted(told) == sorted(row[0] for row in rows)
+
+
 def test_summary_survives_its_encoding():
     summary = make_summary(Cell(2, 3), "s", 7, hosts=["h1", "h2"])
     assert CellSummary.decode(orjson.loads(orjson.dumps(summary.encode()))) == summary
