Log what a request found at its endpoint, its size and its target

Cause: the logs of a late first event did not tell the prompt's length, the work that its node knew to be before it, or the time to the event, so late ones could not be divided by cause. No behaviour changes.

--- a/poplarrelay/entry/answering.py
+++ b/poplarrelay/entry/answering.py
@@ -118,6 +118,8 @@
             "status": int(status),
             "outcome": outcome,
             "attempts": len(case.tried),
+            "tokens": case.request.tokens,
+            "target_ms": round(1000 * case.route.target_s),
             "took_ms": round(1000 * took_s, 1),
             "configuration": case.version,
             "configuration_age_s": round(now - self._state.configuration_at, 1),
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -249,12 +249,15 @@
         )
 
         unread = case.request.prompt_tokens or 0
+        ahead_tokens, ahead_requests = row.prefill_tokens, row.load - 1
         row.prefill_tokens += unread
+        first_event_s: float | None = None
 
         def begun(took_s: float) -> None:
-            nonlocal unread
+            nonlocal unread, first_event_s
             row.prefill_tokens -= unread
             unread = 0
+            first_event_s = took_s
             note_success_time(row, took_s)
             if case.streams:
                 note_first_event(row, took_s, case.route.target_s)
@@ -282,12 +285,17 @@
                 "endpoint": row.endpoint,
                 "service": case.service,
                 "reason": choice.reason,
+                "prompt_tokens": case.request.prompt_tokens,
+                "shared_tokens": case.request.shared_tokens,
+                "ahead_tokens": ahead_tokens,
+                "ahead_requests": ahead_requests,
+                "first_event_ms": _milliseconds(first_event_s),
                 "load": row.load,
                 "limit": round(min(row.own_limit, row.slots), 1),
                 "avoided": row.health.avoided_until > sent_at,
                 "result": type(result).__name__,
                 "why": result.why,
-                "took_ms": round(1000 * (monotonic() - sent_at), 1),
+                "took_ms": _milliseconds(monotonic() - sent_at),
                 "list_age_s": list_age_s,
                 "list_as_of": list_as_of,
             },
@@ -336,3 +344,7 @@
                     "for_s": round(row.health.avoided_until - now, 2),
                 },
             )
+
+
+def _milliseconds(seconds: float | None) -> float | None:
+    return None if seconds is None else round(1000 * seconds, 1)
