Ask what is in line at an engine before a prompt is sent there

Cause: an engine reads one prompt after the other, and a node knew only its own. Change: rendezvous hashing names one node an engine that counts its prompts (placed, begun, gone), the shared parts placed there, and its reading speed (median of work over time of its last 15 first events). A node asks the keepers of the few engines that it has drawn, for 20 ms at most, and sends the prompt where the first event is due first. The number of messages a request does not grow with the nodes: questions to up to five, two to the chosen one's keeper. Ruled out: telling all nodes of a cell (blind to the other cells at 83 nodes); reports of the engines (as of 100 ms before, each priced as a probe).

--- a/poplarrelay/entry/choosing.py
+++ b/poplarrelay/entry/choosing.py
@@ -3,21 +3,32 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from heapq import nlargest
 from random import Random
+from statistics import median
 
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.http.pool import Address
 from poplarrelay.identifiers import DomainId, EndpointId
 
-__all__ = ["Choice", "Wish", "choose_endpoint", "vouched_rows"]
-
-#: Prompt tokens that count like one request already at an engine. An engine reads
-#: about 90 tokens in a millisecond, and each request in its batch makes every step
-#: longer by about a tenth of a millisecond over some fifty steps.
+__all__ = [
+    "Choice",
+    "Wish",
+    "choose_candidate",
+    "choose_endpoint",
+    "draw_candidates",
+    "usual_speed",
+    "vouched_rows",
+]
+
+#: Prompt tokens that count like one request already at an engine: each request in its
+#: batch makes every step of a prompt's reading a little longer.
 TOKENS_PER_REQUEST = 500
+#: Prompt tokens a second that an engine is taken to read while no first event of any
+#: of its service's engines has shown it. Engines of 50,000 to 100,000 are usual.
+FIRST_SPEED = 60_000.0
 #: Endpoints that rendezvous hashing names for a prompt's shared part. Only the first
 #: is sure to hold it; the second is where all nodes look when that one is busy, so
 #: the part is read again at one endpoint instead of anywhere.
@@ -29,9 +40,8 @@
 #: Smallest time assumed for a first answer, in seconds, so that an endpoint without
 #: a measurement is not taken for infinitely fast.
 LEAST_ANSWER_S = 0.005
-#: How many times its service's usual time to the first answer an endpoint may take
-#: before its load counts more.
-SLOW_FACTOR = 1.5
+#: Part of its reading that fetching a shared part from another engine takes.
+FETCH_SHARE = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +53,7 @@
     affinity_key : str or None
         Id of the longest shared part of its prompt.
     prompt_tokens, shared_tokens : int
-        Length of its prompt, and of the parts that others share.
+        Length of its prompt, and of the parts that others may share.
     tried : collection of EndpointId
         Endpoints that it has been at.
     """
@@ -54,6 +64,11 @@
     tried: Collection[EndpointId]
     near: DomainId
 
+    @property
+    def is_prompt(self) -> bool:
+        """Return whether an engine has a prompt to read for it."""
+        return self.prompt_tokens > 0 or self.affinity_key is not None
+
 
 @dataclass(frozen=True, slots=True)
 class Choice:
@@ -62,12 +77,19 @@
     Attributes
     ----------
     fetch_from : tuple of str and int, or None
-        Address of the home of the prompt's shared part, where that is another one.
+        Address of an engine that keeps more of the prompt's shared parts.
+    unread_tokens : int
+        What of its prompt the engine has to read.
+    line_s, reading_s : float
+        Seconds for which the engine reads other prompts first, and then this one.
     """
 
     endpoint: Endpoint
     reason: str
     fetch_from: Address | None = None
+    unread_tokens: int = 0
+    line_s: float = 0.0
+    reading_s: float = 0.0
 
 
 def _score(key: str, endpoint: EndpointId) -> int:
@@ -85,52 +107,86 @@
     return (row.load + 1) / max(1, row.slots) * pace, row.load, row.domain != near
 
 
-def _work_before_first_event(row: Endpoint, unread: int, usual_s: float) -> float:
-    """Return the tokens' worth of work before a prompt's first event.
-
-    Prompts in line there, the part of this prompt that it has to read, and the
-    batch that slows both. An endpoint that has been slower than its service's
-    usual weighs more.
-    """
-    work = row.prefill_tokens + unread + TOKENS_PER_REQUEST * row.load
-    pace = row.health.first_answer_s / usual_s if usual_s > 0 else 1.0
-    return work * max(1.0, pace / SLOW_FACTOR)
-
-
-def _usual_first_answer(rows: Sequence[Endpoint]) -> float:
-    """Return the median time to the first answer, 0 before any is known."""
-    known = [r.health.first_answer_s for r in rows if r.health.first_answer_s > 0]
-    return sorted(known)[len(known) // 2] if known else 0.0
+def usual_speed(rows: Sequence[Endpoint]) -> float:
+    """Return the prompt tokens a second that engines of a service read."""
+    known = [row.reading_speed for row in rows if row.reading_speed > 0]
+    return median(known) if known else FIRST_SPEED
 
 
-def _choose_for_prompt(rows: Sequence[Endpoint], wish: Wish, rng: Random) -> Choice:
-    """Choose the endpoint at which a prompt's first event is due first.
+def draw_candidates(
+    rows: Sequence[Endpoint], wish: Wish, now: float, rng: Random
+) -> list[Endpoint]:
+    """Return the few engines among which a prompt's is chosen, its homes first.
 
     Notes
     -----
     Rendezvous hashing names the homes of a prompt's shared part: all nodes find the
     same ones without asking each other, and a home that is lost moves only its own
-    prompts. A home holds the shared part already; a hot prompt outgrows that saving
-    by the load that it brings, and goes to the best of a few drawn at random, which
-    fetches the shared part from the home if that keeps it. The choice takes no account
-    of the fetch: with a third of the length counted where it is fetched, less than
-    half of the prompts came to their homes, and as much was read again as without.
+    prompts.
     """
+    pool, _ = _usable(rows, wish, now)
     key = wish.affinity_key or ""
-    homes = nlargest(HOMES, rows, key=lambda row: _score(key, row.endpoint))
-    others = [row for row in rows if row not in homes]
-    drawn = rng.sample(others, min(DRAWN, len(others)))
-    usual_s = _usual_first_answer(rows)
+    homes = nlargest(HOMES, pool, key=lambda row: _score(key, row.endpoint))
+    others = [row for row in pool if row not in homes]
+    return [*homes, *rng.sample(others, min(DRAWN, len(others)))]
+
+
+def choose_candidate(
+    candidates: Sequence[Endpoint],
+    wish: Wish,
+    kept: Mapping[EndpointId, int],
+    now: float,
+) -> Choice:
+    """Choose the engine at which a prompt's first event is due first.
 
-    def work(row: Endpoint) -> float:
-        shared = wish.shared_tokens if row is homes[0] else 0
-        return _work_before_first_event(row, wish.prompt_tokens - shared, usual_s)
+    Parameters
+    ----------
+    candidates : sequence of Endpoint
+        Those that were drawn, the first home first.
+    wish : Wish
+        What matters of the request.
+    kept : mapping of EndpointId to int
+        Tokens of its shared parts that engines are known to keep.
+    now : float
+        Monotonic time.
 
-    best = min([*homes, *drawn], key=work)
-    if best is homes[0]:
-        return Choice(best, "prefix home")
-    fetch_from = homes[0].address if wish.shared_tokens else None
-    return Choice(best, "less work than at its home", fetch_from)
+    Notes
+    -----
+    It answers long prompts beside short ones: an engine reads them one after the
+    other, and a prompt that goes where there is the least to read first is late by
+    its own length at most. Where nobody is known to keep the shared part, its first
+    home is taken for keeping it, so that it is read there and found again.
+
+    A hot prompt outgrows what its home saves by the load that it brings, and goes to
+    another engine, which fetches the shared part. The choice takes no account of
+    the fetch, or all prompts would move away from what they share.
+    """
+    usual = usual_speed(candidates)
+    home = candidates[0]
+    believed = dict(kept) if any(kept.values()) else {home.endpoint: wish.shared_tokens}
+
+    def speed(row: Endpoint) -> float:
+        return row.reading_speed or usual
+
+    def due_s(row: Endpoint) -> float:
+        unread = wish.prompt_tokens - believed.get(row.endpoint, 0)
+        work = row.backlog(now, speed(row)) + unread + TOKENS_PER_REQUEST * row.load
+        return work / speed(row)
+
+    best = min(candidates, key=due_s)
+    source = max(candidates, key=lambda row: believed.get(row.endpoint, 0))
+    missing = believed.get(source.endpoint, 0) - believed.get(best.endpoint, 0)
+    unread = wish.prompt_tokens - kept.get(best.endpoint, 0)
+    if missing > 0 and kept.get(source.endpoint, 0):
+        unread -= round((1 - FETCH_SHARE) * missing)
+    return Choice(
+        best,
+        "prefix home" if best is home else "first event due first",
+        source.address if missing > 0 else None,
+        unread,
+        best.backlog(now, speed(best)) / speed(best),
+        unread / speed(best),
+    )
 
 
 def vouched_rows(rows: Sequence[Endpoint], since: float) -> list[Endpoint]:
@@ -173,15 +229,23 @@
     wrong about a healthy one costs some load elsewhere, being wrong about a broken
     one costs the request.
     """
-    fresh = [row for row in rows if row.endpoint not in wish.tried and row.free]
-    if not fresh:
+    if wish.is_prompt:
+        candidates = draw_candidates(rows, wish, now, rng)
+        return choose_candidate(candidates, wish, {}, now) if candidates else None
+    pool, sound = _usable(rows, wish, now)
+    if not pool:
         return None
-    sound = [row for row in fresh if row.health.avoided_until <= now]
-    pool = sound or fresh
-    if wish.prompt_tokens or wish.affinity_key is not None:
-        return _choose_for_prompt(pool, wish, rng)
     # The better of two drawn at random: all nodes read the same late news, and the
     # least loaded endpoint would be everyone's choice until the next news.
     pair = rng.sample(pool, 2) if len(pool) > 2 else pool
     best = min(pair, key=lambda row: _cost(row, wish.near))
     return Choice(best, "least load" if sound else "least load, avoided")
+
+
+def _usable(
+    rows: Sequence[Endpoint], wish: Wish, now: float
+) -> tuple[list[Endpoint], bool]:
+    """Return the endpoints with room, and whether any of those is sound."""
+    fresh = [row for row in rows if row.endpoint not in wish.tried and row.free]
+    sound = [row for row in fresh if row.health.avoided_until <= now]
+    return sound or fresh, bool(sound)
--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -58,7 +58,13 @@
     elsewhere : int
         Requests of the other nodes at it, as last heard.
     prefill_tokens : int
-        Prompt tokens of this node's requests at it that have had no event yet.
+        Tokens that it has to read of this node's prompts that have had no event yet.
+    prefill_elsewhere : int
+        The same of other nodes' prompts, as last told by the node that keeps count.
+    prefill_told_at : float
+        Monotonic time at which that was told.
+    reading_speed : float
+        Prompt tokens that it reads in a second, 0 if that is not known.
     suspended_until : float
         Monotonic time until which a record that went missing while the store was
         away is given the chance to come back.
@@ -83,6 +89,9 @@
     running: int = 0
     elsewhere: int = 0
     prefill_tokens: int = 0
+    prefill_elsewhere: int = 0
+    prefill_told_at: float = 0.0
+    reading_speed: float = 0.0
     suspended_until: float | None = None
     started_ms: StartTime | None = None
     vouched_at: float = float("-inf")
@@ -98,6 +107,26 @@
         """Return the requests at it, of all nodes."""
         return self.running + self.elsewhere
 
+    def hear_backlog(self, elsewhere: int, speed: float, now: float) -> None:
+        """Take what the node that keeps count of its prompts tells."""
+        self.prefill_elsewhere = elsewhere
+        self.prefill_told_at = now
+        if speed > 0:
+            self.reading_speed = speed
+
+    def backlog(self, now: float, speed: float) -> float:
+        """Return the prompt tokens in line at it, of all nodes.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time.
+        speed : float
+            Tokens a second that it has read since it was last told of.
+        """
+        read = speed * (now - self.prefill_told_at)
+        return self.prefill_tokens + max(0.0, self.prefill_elsewhere - read)
+
     @property
     def free(self) -> int:
         """Return how many more requests it takes at once."""
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -17,6 +17,7 @@
 from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.peers import PeerTable
 from poplarrelay.entry.rows import PeerRow, decode_row, encode_row
+from poplarrelay.entry.surveying import BacklogSurvey
 from poplarrelay.identifiers import NodeId, Offset
 
 __all__ = ["FANOUT", "Gossip", "pick_targets"]
@@ -91,6 +92,7 @@
         self._table = table
         self._clock = clock
         self._exchange: ListExchange | None = None
+        self._survey: BacklogSurvey | None = None
         self._on_news = on_news
         self._on_summary = on_summary
         self._monotonic = monotonic
@@ -105,9 +107,20 @@
         #: Whether other cells should hear of this one before the next round is due.
         self.urgent = False
 
-    def carry(self, exchange: ListExchange) -> None:
-        """Carry what nodes tell each other of their lists of endpoints as well."""
+    def carry(
+        self, exchange: ListExchange, survey: BacklogSurvey | None = None
+    ) -> None:
+        """Carry what nodes tell each other of endpoints as well.
+
+        Parameters
+        ----------
+        exchange : ListExchange
+            Of the list of endpoints.
+        survey : BacklogSurvey or None
+            Of prompts in line at them.
+        """
         self._exchange = exchange
+        self._survey = survey
 
     async def start(self, host: str, port: int) -> None:
         """Bind the node's datagram port."""
@@ -124,7 +137,7 @@
             self._transport.close()
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Take a datagram: rows and a hint, or a question, or an answer."""
+        """Take a datagram: rows and a hint, or one message of another kind."""
         self.received_bytes += len(data)
         try:
             message = orjson.loads(zlib.decompress(data))
@@ -143,6 +156,9 @@
             answer = Answer.decode(message["answer"])
             if exchange is not None:
                 exchange.hear_answer(host, answer, now)
+        elif "backlog" in message:
+            if self._survey is not None:
+                self._survey.hear(host, message["backlog"])
         else:
             self._take_rows(message, host, now)
 
@@ -260,6 +276,10 @@
         """Answer a node's question."""
         self._send(_pack({"answer": answer.encode()}), [host])
 
+    def send_backlog(self, host: str, message: list[Any]) -> None:
+        """Send a node a message of the survey of prompts in line."""
+        self._send(_pack({"backlog": message}), [host])
+
     def _send(self, data: bytes, hosts: Sequence[str]) -> None:
         if self._transport is None:
             return
--- a/poplarrelay/entry/places.py
+++ b/poplarrelay/entry/places.py
@@ -6,11 +6,19 @@
 from time import monotonic
 
 from poplarrelay.entry.case import Case
-from poplarrelay.entry.choosing import Choice, Wish, choose_endpoint, vouched_rows
+from poplarrelay.entry.choosing import (
+    Choice,
+    Wish,
+    choose_candidate,
+    choose_endpoint,
+    draw_candidates,
+    vouched_rows,
+)
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.outcomes import Refusal, RefusalReason
 from poplarrelay.entry.state import EntryState
+from poplarrelay.entry.surveying import BacklogSurvey
 from poplarrelay.entry.waiting import WaitingRoom, longest_wait, retry_after
 from poplarrelay.identifiers import EndpointId
 
@@ -28,10 +36,13 @@
     ----------
     state : EntryState
         The node's tables.
+    survey : BacklogSurvey
+        Asks what prompts are in line at engines.
     """
 
-    def __init__(self, state: EntryState) -> None:
+    def __init__(self, state: EntryState, survey: BacklogSurvey) -> None:
         self._state = state
+        self._survey = survey
         self._waiting = WaitingRoom()
 
     def retry_after(self, case: Case) -> float:
@@ -54,6 +65,32 @@
             choice.endpoint.running += 1
         return choice
 
+    async def _choose_asking(self, case: Case, wish: Wish) -> Choice | None:
+        """Choose an engine with room by what is in line there, and take a place."""
+        now = monotonic()
+        rows = self._state.endpoints.accepting(case.service)
+        rng = self._state.rng
+        drawn = draw_candidates(self._trusted(rows, now), wish, now, rng)
+        drawn = drawn or draw_candidates(rows, wish, now, rng)
+        prefix = case.request.prefix
+        views = await self._survey.ask(
+            [row.endpoint for row in drawn], [part.part for part in prefix[:-1]]
+        )
+        now = monotonic()
+        kept = {}
+        for row in drawn:
+            view = views.get(row.endpoint)
+            if view is not None:
+                row.hear_backlog(view.tokens, view.speed, now)
+                kept[row.endpoint] = view.kept_tokens(prefix)
+        # Some may have left, or filled up, while their keepers were asked.
+        open_rows = [row for row in drawn if row.accepts_work and row.free]
+        if not open_rows:
+            return None
+        choice = choose_candidate(open_rows, wish, kept, now)
+        choice.endpoint.running += 1
+        return choice
+
     def _trusted(self, rows: list[Endpoint], now: float) -> list[Endpoint]:
         """Return the endpoints that are known not to have left, as far as any is."""
         freshness = self._state.freshness
@@ -64,7 +101,10 @@
     async def take(self, case: Case) -> Choice | Refusal:
         """Take a place for a request, waiting for one if need be."""
         wish = self._wish(case, tuple(case.tried))
-        choice = self._choose(case.service, wish)
+        if wish.is_prompt:
+            choice = await self._choose_asking(case, wish)
+        else:
+            choice = self._choose(case.service, wish)
         if choice is not None:
             return choice
         if case.tried and not self._has_untried(case):
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -35,6 +35,7 @@
 from poplarrelay.entry.serving import NodeAnswers
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.entry.state import EntryState
+from poplarrelay.entry.surveying import BacklogSurvey
 from poplarrelay.entry.syncing import PeerSync
 from poplarrelay.exception import SettingsError
 from poplarrelay.identifiers import EndpointId, Incarnation
@@ -101,9 +102,6 @@
         self._store = Store(parse_address(settings.platform.store))
         self._metrics = EntryMetrics()
         self._pool = ConnectionPool(ENDPOINT_CONNECT_S)
-        self._relay = Relay(
-            self._state, self._pool, self._metrics.observe, self._announce
-        )
         self._endpoints_read = Dependency("store: endpoints")
         self._configuration_read = Dependency("store: configuration")
         self._gossip = Gossip(
@@ -114,6 +112,16 @@
             self._rng,
             self._on_summary,
         )
+        self._survey = BacklogSurvey(
+            self._state.me.host, self._state.keepers, self._gossip, monotonic
+        )
+        self._relay = Relay(
+            self._state,
+            self._pool,
+            self._metrics.observe,
+            self._announce,
+            self._survey,
+        )
         self._endpoints = EndpointList(
             self._state,
             self._endpoints_read.lost_s,
@@ -144,7 +152,7 @@
             self._wake_exchange,
             self._rng,
         )
-        self._gossip.carry(self._exchange)
+        self._gossip.carry(self._exchange, self._survey)
         self._state.freshness.on_confirm = self._exchange.note_confirmed
         self._vouched = True
         self._directory = HostDirectory(self._state, self._store)
@@ -512,6 +520,7 @@
         peers.forget(now)
         self._endpoints.forget(now)
         state.sum_loads(now)
+        self._survey.refresh(list(state.endpoints.rows))
         if peers.regroup(max(state.total_nodes, state.count_nodes(now)), now):
             _LOG.info("cells", extra={"bits": peers.bits, "cell": peers.cell.number})
         known = {reporter_of(seen.row) for seen in peers.seen.values()}
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -10,6 +10,7 @@
 
 from poplarrelay.entry.answering import Answers
 from poplarrelay.entry.attempts import Attempt, AttemptPlan, StreamProgress
+from poplarrelay.entry.backlogs import Placement
 from poplarrelay.entry.case import Case
 from poplarrelay.entry.charging import Charges
 from poplarrelay.entry.choosing import Choice
@@ -35,6 +36,7 @@
 from poplarrelay.entry.requests import CallerRequest
 from poplarrelay.entry.routing import Admitted, Denied, NoRoute, admit, choose_service
 from poplarrelay.entry.state import EntryState
+from poplarrelay.entry.surveying import BacklogSurvey
 from poplarrelay.platform.headers import decode_request
 
 __all__ = ["Relay"]
@@ -76,6 +78,8 @@
         Takes the outcome of each request, for the metrics.
     announce : callable
         Tells all peers this node's row soon, out of turn.
+    survey : BacklogSurvey
+        Keeps count of prompts in line at engines, with the other nodes.
     """
 
     def __init__(
@@ -84,12 +88,14 @@
         pool: ConnectionPool,
         observe: Callable[[str, str, float], None],
         announce: Callable[[], None],
+        survey: BacklogSurvey,
     ) -> None:
         self._state = state
         self._pool = pool
         self._answers = Answers(state, observe)
         self._charges = Charges(state, announce)
-        self.places = Places(state)
+        self._survey = survey
+        self.places = Places(state, survey)
 
     async def handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
         """Serve one request to its final answer."""
@@ -248,9 +254,10 @@
             pass_credentials=not case.knows_keys,
         )
 
-        unread = case.request.prompt_tokens or 0
-        ahead_tokens, ahead_requests = row.prefill_tokens, row.load - 1
+        unread = choice.unread_tokens
+        ahead_requests = row.load - 1
         row.prefill_tokens += unread
+        self._tell_placement(case, choice)
         first_event_s: float | None = None
 
         def begun(took_s: float) -> None:
@@ -258,6 +265,8 @@
             row.prefill_tokens -= unread
             unread = 0
             first_event_s = took_s
+            if case.request.prompt_tokens:
+                self._survey.take_out(row.endpoint, case.request.request, True)
             note_success_time(row, took_s)
             if case.streams:
                 note_first_event(row, took_s, case.route.target_s)
@@ -274,6 +283,8 @@
             result = await attempt.run()
         finally:
             row.prefill_tokens -= unread
+            if case.request.prompt_tokens and first_event_s is None:
+                self._survey.take_out(row.endpoint, case.request.request, False)
             self.places.leave(case.service, row)
         if isinstance(result, NotRun):
             case.may_have_run = ran_before
@@ -286,9 +297,10 @@
                 "service": case.service,
                 "reason": choice.reason,
                 "prompt_tokens": case.request.prompt_tokens,
-                "shared_tokens": case.request.shared_tokens,
-                "ahead_tokens": ahead_tokens,
+                "unread_tokens": choice.unread_tokens,
+                "ahead_ms": _milliseconds(choice.line_s),
                 "ahead_requests": ahead_requests,
+                "due_ms": _milliseconds(choice.line_s + choice.reading_s),
                 "first_event_ms": _milliseconds(first_event_s),
                 "load": row.load,
                 "limit": round(min(row.own_limit, row.slots), 1),
@@ -302,6 +314,22 @@
         )
         return result
 
+    def _tell_placement(self, case: Case, choice: Choice) -> None:
+        """Have the engine's keeper count a prompt that is about to be sent there."""
+        request = case.request
+        if not request.prompt_tokens:
+            return
+        parts = tuple(part.part for part in request.prefix[:-1])
+        self._survey.place(
+            Placement(
+                choice.endpoint.endpoint,
+                request.request,
+                choice.unread_tokens,
+                parts,
+                request.prompt_tokens,
+            )
+        )
+
     def _patience(self, case: Case) -> float:
         if case.streams:
             return max(STREAM_SILENCE_S, min(2.0, 2 * case.route.target_s))
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 from random import Random
+from time import monotonic
 
 from poplarrelay.entry.budgets import RetryBudget
 from poplarrelay.entry.clock import ClusterClock
@@ -179,6 +180,12 @@
         stopped = sum(state is NodeState.STOPPED for state in states.values())
         return 1 + max(len(states), len(self.listed or ())) - stopped
 
+    def keepers(self) -> dict[NodeId, str]:
+        """Return the hosts of the nodes that keep count of engines' prompts."""
+        rows = [self.me, *self.peers.alive(monotonic())]
+        ready = {r.node: r.host for r in rows if r.state is NodeState.READY}
+        return ready or {self.me.node: self.me.host}
+
     def total_demand(self, service: ServiceName, now: float) -> float:
         """Return the tokens a second that the callers of all nodes ask for."""
         told = [self.me, *self.peers.counted(now)]
