Size services by what engines must read, at their own speed; replace a domain at its notice

Change: what is needed is the tokens a second that engines have to read (what they keep of prompts is known when they are sent), over 0.75 of the speed that first events show. On-demand endpoints come for that, not for what piled up, and go when reclaimable ones serve. A domain that is taken is made up for in the others at the notice; only one where none is to be had counts as dry. The load counts as a part of the engines' slots only (long answers).

--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -373,22 +373,22 @@
     Safeguard(
         "not all nodes look at all endpoints",
         f"{ENTRY}/choosing.py",
-        "    drawn = rng.sample(others, min(DRAWN, len(others)))\n",
-        "    drawn = others\n",
+        "    return [*homes, *rng.sample(others, min(DRAWN, len(others)))]\n",
+        "    return [*homes, *others]\n",
         "test_decisions.py",
     ),
     Safeguard(
         "demand orders endpoints",
         f"{ENTRY}/sizing.py",
-        "    needed = max(ceil(load / LOAD_PER_ENDPOINT), count_for_demand(demand))\n",
-        "    needed = ceil(load / LOAD_PER_ENDPOINT)\n",
+        "    return tokens_per_s / (READING_SHARE * speed)\n",
+        "    return 0.0\n",
         "test_sizing.py",
     ),
     Safeguard(
         "no room for what cannot be had",
         f"{ENTRY}/sizing.py",
-        "    if given.scarce:\n        # What",
-        "    if False:\n        # What",
+        "serving[d] if d in given.dry else reclaimable[d] for d in domains}\n",
+        "reclaimable[d] for d in domains}\n",
         "test_sizing.py",
     ),
     Safeguard(
--- a/poplarrelay/entry/choosing.py
+++ b/poplarrelay/entry/choosing.py
@@ -27,8 +27,8 @@
 #: batch makes every step of a prompt's reading a little longer.
 TOKENS_PER_REQUEST = 500
 #: Prompt tokens a second that an engine is taken to read while no first event of any
-#: of its service's engines has shown it. Engines of 50,000 to 100,000 are usual.
-FIRST_SPEED = 60_000.0
+#: of its service's engines has shown it: the slower ones of today's large engines.
+FIRST_SPEED = 45_000.0
 #: Endpoints that rendezvous hashing names for a prompt's shared part. Only the first
 #: is sure to hold it; the second is where all nodes look when that one is busy, so
 #: the part is read again at one endpoint instead of anywhere.
--- a/poplarrelay/entry/dutying.py
+++ b/poplarrelay/entry/dutying.py
@@ -11,7 +11,7 @@
 
 from poplarrelay.entry.duties import DutyChange, DutyLease, is_candidate
 from poplarrelay.entry.metering import WindowNumber, merge_counts
-from poplarrelay.entry.ordering import EndpointOrders
+from poplarrelay.entry.ordering import ROUND_S, EndpointOrders
 from poplarrelay.entry.state import EntryState
 from poplarrelay.exception import AppendRefused, HistoryTrimmed, PlatformUnavailable
 from poplarrelay.identifiers import NodeId, Offset, TeamId
@@ -205,7 +205,7 @@
         """
         while True:
             await self._endpoint_orders.run_round()
-            await asyncio.sleep(ACT_S)
+            await asyncio.sleep(ROUND_S)
 
     @property
     def _stamp(self) -> DutyStamp:
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -157,7 +157,12 @@
         if refusal is None:
             now = monotonic()
             self._state.budget(case.service).note_request(now)
-            self._state.demand.note(case.service, request.tokens, now)
+            self._state.demand.note(
+                case.service,
+                request.prompt_tokens or 0,
+                request.most_output_tokens or 0,
+                now,
+            )
             try:
                 refusal = await self._work(case)
             except asyncio.CancelledError:
@@ -319,6 +324,9 @@
         request = case.request
         if not request.prompt_tokens:
             return
+        self._state.demand.note_unread(
+            case.service, request.prompt_tokens, choice.unread_tokens
+        )
         parts = tuple(part.part for part in request.prefix[:-1])
         self._survey.place(
             Placement(
--- a/poplarrelay/entry/sizing.py
+++ b/poplarrelay/entry/sizing.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass, field
 from math import ceil
 
 from poplarrelay.entry.configuration import ScalingLimits
@@ -14,29 +14,21 @@
     "DomainPlan",
     "Plan",
     "SizingInput",
-    "count_for_demand",
+    "count_for_load",
+    "count_needed",
     "domains_taken",
     "plan_endpoints",
 ]
 
-#: Requests at one engine, on average, that are aimed for with reclaimable endpoints.
-#: An engine slows down with the requests that it works on, and a domain's engines go
-#: at once; measured over four days of high load, 9 served 1.5 points more of all
-#: requests than 14, at the same cost. At 6 quiet days cost more than they gained.
-LOAD_PER_ENDPOINT = 8.0
-#: Requests at one engine that are borne before on-demand endpoints, which cost about
-#: five times as much, replace reclaimable ones that are not to be had.
-LOAD_PER_ON_DEMAND = 9.0
-#: Prompt and output tokens a second asked of one engine, on average. Engines read from
-#: 60,000 to 90,000 prompt tokens a second when they do nothing else, and nothing tells
-#: which kind they are; beyond about half of that the streams beside the prompts pause.
-#: Sized for the slower kind 0.80 of all worth was served where 50,000 left 0.77 (means
-#: of six days); with the faster kind both did the same (means of twelve days).
-TOKENS_PER_ENDPOINT = 33_500
-#: Endpoints beyond what the load needs, as a part of it and at least, so that a
+#: Part of what an engine reads when it does nothing else that is asked of it on
+#: average: prompts come in clumps, and streams pause while others are read beside them.
+READING_SHARE = 0.75
+#: Part of an engine's slots that requests take on average, where answers are long and
+#: prompts short: each request in a batch slows all of them.
+SLOTS_SHARE = 0.5
+#: Endpoints beyond what the demand needs, as a part of it and at least, so that a
 #: domain which is taken away leaves enough: a new one takes seconds to boot, and none
-#: may be had. With four domains 0.3 makes good the loss of one; over a wave at full
-#: load 0.15 left first events at 0.7 s in the median where 0.3 left them at 0.42 s.
+#: may be had.
 SPARE_SHARE = 0.3
 SPARE_ENDPOINTS = 1
 #: Endpoints that a service has at least, so that losing one is not losing all.
@@ -63,42 +55,57 @@
     ----------
     rows : sequence of Endpoint
         The service's endpoints as listed.
-    load : float
-        Requests at all of them, smoothed over some seconds.
+    needed : float
+        Endpoints that carry what callers ask for, none of them to spare.
     least : int
-        Endpoints that are wanted whatever the load.
-    scarce : bool
-        Whether no reclaimable endpoints are to be had at the moment.
-    demand : float
-        Tokens a second that callers ask of the service.
+        Endpoints that are wanted whatever callers ask for.
+    dry : collection of DomainId
+        Domains where no reclaimable endpoints are to be had at the moment.
+    overdue : collection of DomainId
+        Domains where reclaimable endpoints should serve by now that were ordered.
+    ordered, on_demand : mapping of DomainId to int
+        Endpoints of each kind that were ordered and serve, or may still boot.
     """
 
     limits: ScalingLimits
     rows: Sequence[Endpoint]
-    load: float
-    scarce: bool
+    needed: float
     least: int = LEAST_ENDPOINTS
-    demand: float = 0.0
+    dry: Collection[DomainId] = ()
+    overdue: Collection[DomainId] = ()
+    ordered: Mapping[DomainId, int] = field(default_factory=dict)
+    on_demand: Mapping[DomainId, int] = field(default_factory=dict)
 
 
-def count_for_demand(tokens_per_s: float) -> int:
-    """Return how many endpoints carry a demand, none of them to spare."""
-    return ceil(tokens_per_s / TOKENS_PER_ENDPOINT)
+def count_needed(tokens_per_s: float, speed: float) -> float:
+    """Return how many engines carry a demand, none of them to spare.
+
+    Parameters
+    ----------
+    tokens_per_s : float
+        Prompt and output tokens that callers ask for in a second.
+    speed : float
+        Prompt tokens that an engine reads in a second.
+    """
+    return tokens_per_s / (READING_SHARE * speed)
 
 
-def target_count(load: float, demand: float) -> int:
-    """Return how many reclaimable endpoints to have, some of them to spare.
+def count_for_load(load: float, slots: int) -> float:
+    """Return how many engines hold the requests that are under way."""
+    return load / (SLOTS_SHARE * max(1, slots))
+
+
+def target_count(needed: float) -> int:
+    """Return how many endpoints to have, some of them to spare.
 
     Examples
     --------
-    >>> [target_count(load, 0.0) for load in (0.0, 16.0, 17.0, 320.0)]
-    [2, 3, 4, 52]
-    >>> target_count(16.0, demand=1_400_000.0)
-    54
+    >>> [target_count(needed) for needed in (0.0, 1.8, 4.2, 40.0)]
+    [2, 3, 6, 52]
     """
-    needed = max(ceil(load / LOAD_PER_ENDPOINT), count_for_demand(demand))
-    spare = max(SPARE_ENDPOINTS, int(SPARE_SHARE * needed))
-    return max(LEAST_ENDPOINTS, needed + spare)
+    whole = ceil(needed)
+    spare = max(SPARE_ENDPOINTS, int(SPARE_SHARE * whole))
+    return max(LEAST_ENDPOINTS, whole + spare)
 
 
 def _serving(rows: Sequence[Endpoint], domain: DomainId, reclaimable: bool) -> int:
@@ -139,63 +146,91 @@
 
     Notes
     -----
-    Reclaimable endpoints cost a fraction of the others and go a domain at a time,
-    so they are spread: one in each domain first, then more in the cheapest.
+    Reclaimable endpoints cost a fraction of the others and go a domain at a time, so
+    they are spread evenly. Where a wave takes a domain's, those of the other domains
+    make up for them at the first notice, since they boot as fast as on-demand ones.
 
-    After a wave there may be none to be had anywhere, for longer than any caller
-    waits and while the next wave comes. On-demand endpoints then replace what is
-    missing at once, and go again when as many reclaimable ones serve. Outside of
-    such times no new ones come: reclaimable ones boot just as fast.
+    On-demand endpoints come where reclaimable ones are not to be had, for the demand
+    and not for the requests that have piled up: those are through before a new
+    endpoint serves. They go when reclaimable ones serve in their place, not before.
     """
     limits = given.limits
     domains = sorted(limits.domain_prices, key=lambda d: limits.domain_prices[d])
     serving = {domain: _serving(given.rows, domain, True) for domain in domains}
     present = {domain: _serving(given.rows, domain, False) for domain in domains}
-    if given.scarce:
-        # What cannot be had must not take the room of what can.
-        reclaimable = serving
-    else:
-        target = max(target_count(given.load, given.demand), given.least)
-        reclaimable = _spread(domains, target, present, limits)
-    bearable = max(LEAST_ENDPOINTS, ceil(given.load / LOAD_PER_ON_DEMAND))
-    missing = max(0, bearable - sum(serving.values()))
-    if not given.scarce:
-        missing = min(missing, sum(present.values()))
-    on_demand = _place_on_demand(domains, missing, present, reclaimable, limits)
+    target = max(target_count(given.needed), given.least)
+    reclaimable = _spread(domains, target, serving, present, given)
+    coming = {
+        d: serving[d]
+        if d in given.overdue
+        else max(serving[d], given.ordered.get(d, 0))
+        if d in given.dry
+        else reclaimable[d]
+        for d in domains
+    }
+    needed = max(LEAST_ENDPOINTS, ceil(given.needed))
+    on_demand = {d: max(present[d], given.on_demand.get(d, 0)) for d in domains}
+    most = max(0, needed - sum(serving.values()))
+    least = max(0, needed - sum(coming.values()))
+    count = min(max(sum(on_demand.values()), least), most)
+    # What cannot be had must not take the room of what can.
+    taken = {d: serving[d] if d in given.dry else reclaimable[d] for d in domains}
+    placed = _place_on_demand(domains, count, on_demand, taken, limits)
     return tuple(
-        DomainPlan(domain, reclaimable[domain], on_demand[domain]) for domain in domains
+        DomainPlan(d, min(reclaimable[d], limits.most - placed[d]), placed[d])
+        for d in domains
     )
 
 
 def _spread(
     domains: Sequence[DomainId],
     target: int,
-    on_demand: dict[DomainId, int],
-    limits: ScalingLimits,
+    serving: Mapping[DomainId, int],
+    on_demand: Mapping[DomainId, int],
+    given: SizingInput,
 ) -> dict[DomainId, int]:
-    """Return the reclaimable endpoints of each domain, beside the on-demand ones."""
-    room = {domain: max(0, limits.most - on_demand[domain]) for domain in domains}
-    counts = {domain: min(room[domain], max(1, limits.least)) for domain in domains}
+    """Return the reclaimable endpoints of each domain, beside the on-demand ones.
+
+    Notes
+    -----
+    What serves or boots stays until more serve than are wanted: an endpoint that is
+    given up in one domain for one that boots in another is missed for its boot.
+    """
+    limits = given.limits
+    room = {d: max(0, limits.most - on_demand[d]) for d in domains}
+    counts = {
+        d: min(room[d], max(serving[d], given.ordered.get(d, 0))) for d in domains
+    }
+    open_domains = [d for d in domains if d not in given.dry]
+    equal = max(1, limits.least, target // len(domains))
+    for domain in open_domains:
+        counts[domain] = max(counts[domain], min(room[domain], equal))
     while sum(counts.values()) < target:
-        open_domains = [domain for domain in domains if counts[domain] < room[domain]]
-        if not open_domains:
+        with_room = [d for d in open_domains if counts[d] < room[d]]
+        if not with_room:
+            break
+        counts[min(with_room, key=lambda d: counts[d])] += 1
+    surplus = sum(min(serving[d], counts[d]) for d in domains) - target
+    for _ in range(max(0, surplus)):
+        most = max(domains, key=lambda d: (counts[d], limits.domain_prices[d]))
+        if counts[most] <= equal:
             break
-        counts[min(open_domains, key=lambda d: counts[d])] += 1
+        counts[most] -= 1
     return counts
 
 
 def _place_on_demand(
     domains: Sequence[DomainId],
     missing: int,
-    present: dict[DomainId, int],
-    reclaimable: dict[DomainId, int],
+    ordered: Mapping[DomainId, int],
+    reclaimable: Mapping[DomainId, int],
     limits: ScalingLimits,
 ) -> dict[DomainId, int]:
     """Return the on-demand endpoints of each domain; those that run are kept first."""
     placed = dict.fromkeys(domains, 0)
     for domain in domains:
         room = max(0, limits.most - reclaimable[domain])
-        placed[domain] = min(present[domain], missing, room)
+        placed[domain] = min(ordered[domain], missing, room)
         missing -= placed[domain]
     for domain in domains:
         room = max(0, limits.most - reclaimable[domain]) - placed[domain]
