--- a/poplarrelay/entry/sizing.py
+++ b/poplarrelay/entry/sizing.py
@@ -23,6 +23,10 @@
 #: Part of what an engine reads when it does nothing else that is asked of it on
 #: average: prompts come in clumps, and streams pause while others are read beside them.
 READING_SHARE = 0.75
+#: Part of what is needed that on-demand endpoints need not make up for, if reclaimable
+#: ones cost nothing beside them: with fewer endpoints callers wait a little longer, and
+#: the last ones, at several times the price, shorten few waits.
+ON_DEMAND_SAVING = 0.25
 #: Part of an engine's slots that requests take on average, where answers are long and
 #: prompts short: each request in a batch slows all of them.
 SLOTS_SHARE = 0.5
@@ -95,6 +99,17 @@
     return load / (SLOTS_SHARE * max(1, slots))
 
 
+def bearable_share(limits: ScalingLimits) -> float:
+    """Return the part of what is needed that on-demand endpoints bring a service to.
+
+    Examples
+    --------
+    >>> [bearable_share(ScalingLimits(1, 6, 4.0, price, {})) for price in (0.2, 1.0)]
+    [0.8, 1.0]
+    """
+    return 1.0 - ON_DEMAND_SAVING * (1.0 - min(1.0, limits.reclaimable_price))
+
+
 def target_count(needed: float) -> int:
     """Return how many endpoints to have, some of them to spare.
 
@@ -168,7 +183,7 @@
         else reclaimable[d]
         for d in domains
     }
-    needed = max(LEAST_ENDPOINTS, ceil(given.needed))
+    needed = max(LEAST_ENDPOINTS, ceil(bearable_share(limits) * given.needed))
     on_demand = {d: max(present[d], given.on_demand.get(d, 0)) for d in domains}
     most = max(0, needed - sum(serving.values()))
     least = max(0, needed - sum(coming.values()))
