Leave an engine alone that a request has found gone

Change: a refusal as misdirected or a refused connection counts as certain; the engine's keeper is told and tells all that ask, for 1.5 s. A connection that takes too long tells nobody else: the path of one node may be at fault.

--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from time import monotonic
 
 from poplarrelay.entry.endpoints import Endpoint
@@ -107,6 +108,9 @@
         try:
             return await self._run()
         except ExchangeFailed as failure:
+            refused = isinstance(failure.__cause__, ConnectionRefusedError)
+            if refused and not failure.sent:
+                return NotRun(str(failure), arrived=False, gone=True)
             return self._failed(str(failure), failure.sent, silent=False)
         except TimeoutError:
             return self._failed("silent", sent=self._sent_at > 0, silent=True)
@@ -171,7 +175,11 @@
             body = await self._connection.body(MAX_ANSWER_BYTES)
         self._give_back(head.headers)
         if not_executed(head.status, head.headers):
-            return NotRun(f"refused with {head.status}", arrived=True)
+            return NotRun(
+                f"refused with {head.status}",
+                arrived=True,
+                gone=head.status == HTTPStatus.MISDIRECTED_REQUEST,
+            )
         self.on_begun(monotonic() - self._sent_at)
         return Answered(head.status, response_headers(head.headers), body)
 
--- a/poplarrelay/entry/backlogs.py
+++ b/poplarrelay/entry/backlogs.py
@@ -5,13 +5,21 @@
 from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from enum import Enum
 from statistics import median
 from typing import Any
 
 from poplarrelay.entry.requests import PromptPart
 from poplarrelay.identifiers import EndpointId, RequestId
 
-__all__ = ["Backlog", "BacklogTable", "BacklogView", "Placement", "ReadingSpeed"]
+__all__ = [
+    "Backlog",
+    "BacklogTable",
+    "BacklogView",
+    "Placement",
+    "PromptEnd",
+    "ReadingSpeed",
+]
 
 #: First events over which an engine's speed is taken, and those needed to know it. A
 #: freeze or a grey moment spoils some of them, which the median leaves out.
@@ -26,12 +34,24 @@
 #: Seconds after which a prompt whose node has said nothing more is taken out of line:
 #: callers of streams leave sooner than that.
 FORGET_S = 6.0
+#: Seconds for which nobody goes to an engine that one node has found gone, unless no
+#: other has room. Then one caller's request finds out; the list of endpoints mostly
+#: tells before.
+DOWN_S = 1.5
 #: Prompt tokens placed at an engine since a part's last use after which the part is
 #: taken for evicted. Engines' memories differ and none is told; taking a part for kept
 #: costs its reading, taking it for evicted costs a copy of it elsewhere.
 KEPT_TOKENS = 400_000
 
 
+class PromptEnd(Enum):
+    """Why a prompt is no longer in line."""
+
+    BEGAN = "began"
+    NOT_BEGUN = "not begun"
+    ENGINE_GONE = "engine gone"
+
+
 @dataclass(frozen=True, slots=True)
 class Placement:
     """A prompt that a node has sent to an engine.
@@ -82,26 +102,30 @@
         Prompt tokens that it reads in a second; 0 if that is not known.
     kept_parts : int
         How many of the prompt's shared parts, from the first on, it keeps.
+    down : bool
+        Whether a node has lately found it gone.
     """
 
     endpoint: EndpointId
     tokens: int
     speed: float
     kept_parts: int
+    down: bool = False
 
     def encode(self) -> list[Any]:
         """Return a form for JSON."""
-        return [self.endpoint, self.tokens, self.speed, self.kept_parts]
+        return [self.endpoint, self.tokens, self.speed, self.kept_parts, self.down]
 
     @classmethod
     def decode(cls, raw: Sequence[Any]) -> BacklogView:
         """Return the view that a form for JSON holds; raises `ValueError`."""
-        endpoint, tokens, speed, kept_parts = raw
+        endpoint, tokens, speed, kept_parts, down = raw
         return cls(
             EndpointId(str(endpoint)),
             max(0, int(tokens)),
             max(0.0, float(speed)),
             int(kept_parts),
+            bool(down),
         )
 
     def kept_tokens(self, prefix: Sequence[PromptPart]) -> int:
@@ -145,11 +169,12 @@
 
     Attributes
     ----------
-    first_since : float
-        Monotonic time since which the first of them is read.
+    down_until : float
+        Monotonic time until which the engine counts as gone.
     """
 
     speed: ReadingSpeed = field(default_factory=ReadingSpeed)
+    down_until: float = 0.0
     _waiting: dict[RequestId, _Waiting] = field(default_factory=dict)
     _first_since: float = 0.0
     _parts: dict[str, int] = field(default_factory=dict)
@@ -179,21 +204,24 @@
         for part in placed.parts:
             self._parts[part] = self._placed_tokens
 
-    def take_out(self, request: RequestId, began: bool, now: float) -> None:
-        """Take a prompt out of line, and learn from its first event if it began."""
+    def take_out(self, request: RequestId, end: PromptEnd, now: float) -> None:
+        """Take a prompt out of line, and learn from what became of it."""
+        if end is PromptEnd.ENGINE_GONE:
+            self.down_until = now + DOWN_S
         first = next(iter(self._waiting), None)
         prompt = self._waiting.pop(request, None)
         if prompt is None:
             return
         if request == first:
             self._first_since = now
-        if began:
+        if end is PromptEnd.BEGAN:
+            self.down_until = 0.0
             self.speed.note(prompt.work, now - prompt.placed_at)
 
     def _drop_stale(self, now: float) -> None:
         for request, prompt in list(self._waiting.items()):
             if now - prompt.placed_at > FORGET_S:
-                self.take_out(request, False, now)
+                self.take_out(request, PromptEnd.NOT_BEGUN, now)
 
     def count_kept(self, parts: Iterable[str]) -> int:
         """Return how many of a prompt's shared parts are kept, from the first on."""
@@ -226,12 +254,12 @@
         self.backlogs.setdefault(placed.endpoint, Backlog()).place(node, placed, now)
 
     def take_out(
-        self, endpoint: EndpointId, request: RequestId, began: bool, now: float
+        self, endpoint: EndpointId, request: RequestId, end: PromptEnd, now: float
     ) -> None:
         """Take a prompt out of an engine's line."""
         backlog = self.backlogs.get(endpoint)
         if backlog is not None:
-            backlog.take_out(request, began, now)
+            backlog.take_out(request, end, now)
 
     def view(
         self, node: str, endpoint: EndpointId, parts: Sequence[str], now: float
@@ -245,6 +273,7 @@
             round(backlog.tokens(now, but_node=node)),
             round(backlog.speed.tokens_per_s),
             backlog.count_kept(parts),
+            now < backlog.down_until,
         )
 
     def forget(self, known: Iterable[EndpointId], now: float) -> None:
--- a/poplarrelay/entry/outcomes.py
+++ b/poplarrelay/entry/outcomes.py
@@ -53,10 +53,15 @@
     ----------
     arrived : bool
         Whether it reached an endpoint, which then said so.
+    gone : bool
+        Whether it shows that this run of the endpoint has ended: nothing listens at
+        its address, or another run does. A connection that takes too long does not;
+        the path may be at fault.
     """
 
     why: str
     arrived: bool
+    gone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/entry/places.py
+++ b/poplarrelay/entry/places.py
@@ -77,6 +77,7 @@
             [row.endpoint for row in drawn], [part.part for part in prefix[:-1]]
         )
         now = monotonic()
+        down = {endpoint for endpoint, view in views.items() if view.down}
         kept = {}
         for row in drawn:
             view = views.get(row.endpoint)
@@ -85,6 +86,7 @@
                 kept[row.endpoint] = view.kept_tokens(prefix)
         # Some may have left, or filled up, while their keepers were asked.
         open_rows = [row for row in drawn if row.accepts_work and row.free]
+        open_rows = [row for row in open_rows if row.endpoint not in down] or open_rows
         if not open_rows:
             return None
         choice = choose_candidate(open_rows, wish, kept, now)
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -10,7 +10,7 @@
 
 from poplarrelay.entry.answering import Answers
 from poplarrelay.entry.attempts import Attempt, AttemptPlan, StreamProgress
-from poplarrelay.entry.backlogs import Placement
+from poplarrelay.entry.backlogs import Placement, PromptEnd
 from poplarrelay.entry.case import Case
 from poplarrelay.entry.charging import Charges
 from poplarrelay.entry.choosing import Choice
@@ -271,7 +271,9 @@
             unread = 0
             first_event_s = took_s
             if case.request.prompt_tokens:
-                self._survey.take_out(row.endpoint, case.request.request, True)
+                self._survey.take_out(
+                    row.endpoint, case.request.request, PromptEnd.BEGAN
+                )
             note_success_time(row, took_s)
             if case.streams:
                 note_first_event(row, took_s, case.route.target_s)
@@ -284,12 +286,15 @@
         # True until the endpoint says otherwise: the wait may end at the deadline,
         # in the middle of the attempt.
         case.may_have_run = True
+        end = PromptEnd.NOT_BEGUN
         try:
             result = await attempt.run()
+            if isinstance(result, NotRun) and result.gone:
+                end = PromptEnd.ENGINE_GONE
         finally:
             row.prefill_tokens -= unread
             if case.request.prompt_tokens and first_event_s is None:
-                self._survey.take_out(row.endpoint, case.request.request, False)
+                self._survey.take_out(row.endpoint, case.request.request, end)
             self.places.leave(case.service, row)
         if isinstance(result, NotRun):
             case.may_have_run = ran_before
@@ -363,8 +368,11 @@
         if isinstance(result, Answered) and result.status < 500:
             note_success(row)
             return
-        if isinstance(result, NotRun) and result.arrived:
+        if isinstance(result, NotRun) and result.arrived and not result.gone:
             return
+        # An endpoint that has crashed and started again refuses what is meant for its
+        # former run at once, and has nothing in line: it would seem the best choice
+        # for every request until the list shows the new run.
         certain = isinstance(result, NotRun)
         if certain:
             self._pool.forget(row.address)
--- a/poplarrelay/entry/surveying.py
+++ b/poplarrelay/entry/surveying.py
@@ -10,7 +10,12 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from poplarrelay.entry.backlogs import BacklogTable, BacklogView, Placement
+from poplarrelay.entry.backlogs import (
+    BacklogTable,
+    BacklogView,
+    Placement,
+    PromptEnd,
+)
 from poplarrelay.identifiers import EndpointId, NodeId, RequestId
 
 __all__ = ["BacklogSurvey", "Carrier", "choose_keeper"]
@@ -168,13 +173,16 @@
         else:
             self.carrier.send_backlog(host, [PLACED, *placed.encode()])
 
-    def take_out(self, endpoint: EndpointId, request: RequestId, began: bool) -> None:
+    def take_out(
+        self, endpoint: EndpointId, request: RequestId, end: PromptEnd
+    ) -> None:
         """Tell that a prompt of this node has begun, or will not."""
         host = self._keeper(endpoint)
         if host == self.own_host:
-            self.table.take_out(endpoint, request, began, self.monotonic())
+            self.table.take_out(endpoint, request, end, self.monotonic())
         else:
-            self.carrier.send_backlog(host, [TAKEN_OUT, endpoint, request, began])
+            message = [TAKEN_OUT, endpoint, request, end.value]
+            self.carrier.send_backlog(host, message)
 
     # hearing
 
@@ -193,11 +201,11 @@
         elif kind == PLACED:
             self.table.place(host, Placement.decode(rest), self.monotonic())
         elif kind == TAKEN_OUT:
-            endpoint, request, began = rest
+            endpoint, request, end = rest
             self.table.take_out(
                 EndpointId(str(endpoint)),
                 RequestId(str(request)),
-                bool(began),
+                PromptEnd(end),
                 self.monotonic(),
             )
         else:
--- a/poplarrelay/entry/tests/test_backlogs.py
+++ b/poplarrelay/entry/tests/test_backlogs.py
@@ -8,11 +8,13 @@
 from hypothesis import strategies as st
 
 from poplarrelay.entry.backlogs import (
+    DOWN_S,
     FORGET_S,
     KEPT_TOKENS,
     BacklogTable,
     BacklogView,
     Placement,
+    PromptEnd,
     ReadingSpeed,
 )
 from poplarrelay.entry.requests import PromptPart
@@ -54,10 +56,10 @@
     table.place("b", placed(2, 3_000), 0.1)
     assert table.view("c", E, (), 0.1).tokens == 8_000
     assert table.view("a", E, (), 0.1).tokens == 3_000
-    table.take_out(E, RequestId("r1"), True, 0.2)
+    table.take_out(E, RequestId("r1"), PromptEnd.BEGAN, 0.2)
     assert table.view("c", E, (), 0.2).tokens == 3_000
-    table.take_out(E, RequestId("r2"), False, 0.2)
-    table.take_out(E, RequestId("r2"), True, 0.2)
+    table.take_out(E, RequestId("r2"), PromptEnd.NOT_BEGUN, 0.2)
+    table.take_out(E, RequestId("r2"), PromptEnd.BEGAN, 0.2)
     assert table.view("c", E, (), 0.2).tokens == 0
 
 
@@ -72,6 +74,20 @@
     assert table.view("c", E, (), FORGET_S + 0.1).tokens == 0
 
 
+def test_engine_that_one_node_finds_gone_is_left_alone_by_all():
+    # An engine crashes, and has nothing in line: it would be the best choice of every
+    # node until the list of endpoints shows it. One node's request finds it gone.
+    table = BacklogTable()
+    table.place("a", placed(1, 5_000), 0.0)
+    table.take_out(E, RequestId("r1"), PromptEnd.ENGINE_GONE, 0.1)
+    assert table.view("b", E, (), 0.2).down
+    # After a while one is let try, and tells that it is back.
+    assert not table.view("b", E, (), 0.1 + DOWN_S).down
+    table.place("b", placed(2, 5_000), 2.0)
+    table.take_out(E, RequestId("r2"), PromptEnd.BEGAN, 2.1)
+    assert not table.view("c", E, (), 2.1).down
+
+
 def test_speed_is_learned_from_work_and_time():
     # An engine reads 61,800 tokens a second. Prompts come while others are in line;
     # the time to a first event is that of all before it.
@@ -80,9 +96,11 @@
     for number in range(12):
         table.place("a", placed(2 * number, 6_000), now)
         table.place("b", placed(2 * number + 1, 12_000), now)
-        table.take_out(E, RequestId(f"r{2 * number}"), True, now + 6_000 / 61_800)
+        table.take_out(
+            E, RequestId(f"r{2 * number}"), PromptEnd.BEGAN, now + 6_000 / 61_800
+        )
         now += 18_000 / 61_800
-        table.take_out(E, RequestId(f"r{2 * number + 1}"), True, now)
+        table.take_out(E, RequestId(f"r{2 * number + 1}"), PromptEnd.BEGAN, now)
     speed = table.view("c", E, (), now).speed
     assert speed == pytest.approx(61_800, rel=0.1)
 
@@ -170,7 +188,7 @@
         assert [views[e].tokens for e in engines] == [9_000] * 6
         assert [views[e].kept_parts for e in engines] == [1] * 6
         for engine in engines:
-            first.take_out(engine, RequestId(f"r-{engine}"), True)
+            first.take_out(engine, RequestId(f"r-{engine}"), PromptEnd.BEGAN)
         await asyncio.sleep(0.01)
         views = await third.ask(engines, ("p",))
         assert [views[e].tokens for e in engines] == [0] * 6
@@ -208,9 +226,10 @@
         ["what", 1],
         ["ask", 1],
         ["told", "x", []],
-        ["told", 1, [["e", "y", 0, 0]]],
+        ["told", 1, [["e", "y", 0, 0, False]]],
         ["placed", "e", "r"],
         ["out", "e"],
+        ["out", "e", "r", "what"],
     ],
 )
 def test_message_that_is_none_is_told_as_such(message):
@@ -221,7 +240,7 @@
 
 
 def test_views_and_placements_survive_the_wire():
-    view = BacklogView(E, 12, 3.5, 1)
+    view = BacklogView(E, 12, 3.5, 1, down=True)
     assert BacklogView.decode(view.encode()) == view
     told = placed(1, 12, ("a", "b"), 40)
     assert Placement.decode(told.encode()) == told
--- a/poplarrelay/testing/reading.py
+++ b/poplarrelay/testing/reading.py
@@ -8,7 +8,7 @@
 from itertools import count
 from random import Random
 
-from poplarrelay.entry.backlogs import BacklogTable, Placement
+from poplarrelay.entry.backlogs import BacklogTable, Placement, PromptEnd
 from poplarrelay.entry.choosing import (
     Choice,
     Wish,
@@ -167,7 +167,7 @@
 
         def begin(at: float) -> None:
             row.prefill_tokens -= told
-            self._keeper.take_out(row.endpoint, request, True, at)
+            self._keeper.take_out(row.endpoint, request, PromptEnd.BEGAN, at)
             self.played.append(PlayedPrompt(now, whole, at - now))
 
         def end(at: float) -> None:
