Count from log lines what callers lost, and to what

On-call engineers see that answers are late; the command says behind what: the prompt's own length, the line that was forecast, a surprise at the engine, a failed attempt, a refusal.

--- a/poplarrelay/cli.py
+++ b/poplarrelay/cli.py
@@ -13,6 +13,7 @@
 from poplarrelay.commands.call import call_app
 from poplarrelay.commands.config import config_app, template_app
 from poplarrelay.commands.explain import explain
+from poplarrelay.commands.losses import losses
 from poplarrelay.commands.operators import Operator
 from poplarrelay.commands.output import ExitCode, fail, print_json, print_lines
 from poplarrelay.commands.replay import replay, trace_app
@@ -34,6 +35,7 @@
 app.command(trace_app)
 app.command(replay)
 app.command(explain)
+app.command(losses)
 app.command(soak_command, name="soak")
 
 Json = Annotated[bool, Parameter(name="--json", help="Print JSON.", negative="")]
