Order on-demand endpoints for the mean demand and not for its peaks

Change: on-demand endpoints come for the mean of 4 s, less a tenth where reclaimable ones cost nothing beside them (a quarter of the peak before).

--- a/poplarrelay/entry/ordering.py
+++ b/poplarrelay/entry/ordering.py
@@ -63,6 +63,9 @@
 #: Part by which what is needed falls in a second once less is asked for. It rises at
 #: once: late orders cost answers, early cancellations cost boots.
 FALLING = 0.06
+#: Seconds over which the mean is taken that dear endpoints come for: few long prompts
+#: make the demand of a small service swing by a third within seconds.
+STEADY_S = 4.0
 
 
 @dataclass(slots=True)
@@ -116,6 +119,7 @@
         self._found: dict[ServiceName, int] = {}
         self._first_load_at: dict[ServiceName, float] = {}
         self._needed: dict[ServiceName, float] = {}
+        self._steady: dict[ServiceName, float] = {}
         self._smoothed_at = monotonic()
 
     async def run_round(self) -> None:
@@ -130,7 +134,8 @@
 
     def _smooth_needs(self, now: float) -> None:
         configuration = self._state.configuration
-        falling = min(1.0, FALLING * (now - self._smoothed_at))
+        passed_s = now - self._smoothed_at
+        falling = min(1.0, FALLING * passed_s)
         self._smoothed_at = now
         if configuration is None:
             return
@@ -139,6 +144,9 @@
             # The demand is an average over seconds already: a rise counts at once.
             before = max(needed, self._needed.get(name, needed))
             self._needed[name] = before + falling * (needed - before)
+            steady = self._steady.get(name, needed)
+            weight = min(1.0, passed_s / STEADY_S)
+            self._steady[name] = steady + weight * (needed - steady)
 
     def _count_needed(self, service: ServiceName, now: float) -> float:
         """Return how many endpoints carry what all callers ask for."""
@@ -180,6 +188,7 @@
             limits,
             rows,
             self._needed.get(service.name, 0.0),
+            self._steady.get(service.name, 0.0),
             self._least_at_start(service.name, rows, now),
             dry,
             [d for d in domains if self._overdue(service.name, d, limits, now)],
--- a/poplarrelay/entry/sizing.py
+++ b/poplarrelay/entry/sizing.py
@@ -24,9 +24,8 @@
 #: average: prompts come in clumps, and streams pause while others are read beside them.
 READING_SHARE = 0.75
 #: Part of what is needed that on-demand endpoints need not make up for, if reclaimable
-#: ones cost nothing beside them: with fewer endpoints callers wait a little longer, and
-#: the last ones, at several times the price, shorten few waits.
-ON_DEMAND_SAVING = 0.25
+#: ones cost nothing beside them: the last ones shorten few waits for their price.
+ON_DEMAND_SAVING = 0.1
 #: Part of an engine's slots that requests take on average, where answers are long and
 #: prompts short: each request in a batch slows all of them.
 SLOTS_SHARE = 0.5
@@ -59,8 +58,9 @@
     ----------
     rows : sequence of Endpoint
         The service's endpoints as listed.
-    needed : float
-        Endpoints that carry what callers ask for, none of them to spare.
+    needed, steady : float
+        Endpoints that carry what callers ask for, none of them to spare: at its last
+        peak, and in the mean of some seconds.
     least : int
         Endpoints that are wanted whatever callers ask for.
     dry : collection of DomainId
@@ -74,6 +74,7 @@
     limits: ScalingLimits
     rows: Sequence[Endpoint]
     needed: float
+    steady: float
     least: int = LEAST_ENDPOINTS
     dry: Collection[DomainId] = ()
     overdue: Collection[DomainId] = ()
@@ -104,8 +105,8 @@
 
     Examples
     --------
-    >>> [bearable_share(ScalingLimits(1, 6, 4.0, price, {})) for price in (0.2, 1.0)]
-    [0.8, 1.0]
+    >>> [bearable_share(ScalingLimits(1, 6, 4.0, price, {})) for price in (0.0, 1.0)]
+    [0.9, 1.0]
     """
     return 1.0 - ON_DEMAND_SAVING * (1.0 - min(1.0, limits.reclaimable_price))
 
@@ -167,7 +168,8 @@
 
     On-demand endpoints come where reclaimable ones are not to be had, for the demand
     and not for the requests that have piled up: those are through before a new
-    endpoint serves. They go when reclaimable ones serve in their place, not before.
+    endpoint serves. They come for the mean demand and not for its peaks, and go when
+    reclaimable ones serve in their place, not before.
     """
     limits = given.limits
     domains = sorted(limits.domain_prices, key=lambda d: limits.domain_prices[d])
@@ -183,7 +185,7 @@
         else reclaimable[d]
         for d in domains
     }
-    needed = max(LEAST_ENDPOINTS, ceil(bearable_share(limits) * given.needed))
+    needed = max(LEAST_ENDPOINTS, ceil(bearable_share(limits) * given.steady))
     on_demand = {d: max(present[d], given.on_demand.get(d, 0)) for d in domains}
     most = max(0, needed - sum(serving.values()))
     least = max(0, needed - sum(coming.values()))
