--- a/poplarrelay/entry/tests/test_sizing.py
+++ b/poplarrelay/entry/tests/test_sizing.py
@@ -1,5 +1,7 @@
 """How many endpoints are ordered, played over waves of reclaims."""
 
+from dataclasses import replace
+
 import pytest
 
 from poplarrelay.entry.configuration import Quota, ScalingLimits, ServiceName, Team
@@ -166,8 +168,12 @@
 def test_what_cannot_be_had_takes_no_room():
     # At high demand all domains are to be full of reclaimable endpoints, and none are
     # to be had. The places are free for on-demand ones; planned ones do not count.
-    plan = plan_endpoints(given(rows("a"), 12.0, dry=("a", "b", "c")))
+    dry = tuple(DOMAINS)
+    plan = plan_endpoints(given(rows("a"), 12.0, dry=dry))
     assert totals(plan) == (1, 8)
+    # Those that were ordered before the wave came are not to be had either.
+    lost = given(rows("a"), 12.0, dry=dry, ordered=dict.fromkeys(DOMAINS, 3))
+    assert totals(plan_endpoints(replace(lost, overdue=dry))) == (1, 8)
 
 
 def test_endpoints_that_were_given_up_are_no_wave():
