Merge what stood twice: the clamp of times to come back, the count of serving endpoints, the reader of log files

The reasons of refusals that losses goes by are the node's own enumeration and no longer typed out; what may be counted on in a domain is a function of its own. Behaviour is the same but for one case: a refused prompt whose caller has less than 0.15 s left is told 0.05 s, as other refused callers are, and no longer a third of what is left.

--- a/poplarrelay/commands/explain.py
+++ b/poplarrelay/commands/explain.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -12,7 +12,7 @@
 
 from poplarrelay.commands.output import ExitCode, fail, print_lines
 
-__all__ = ["Explanation", "explain", "explain_request", "read_lines"]
+__all__ = ["Explanation", "explain", "explain_request", "read_lines", "read_logs"]
 
 #: Messages that tell what a node believed, and by what they matter to a request:
 #: those of its endpoints, or those of the whole node.
@@ -88,6 +88,18 @@
             yield value
 
 
+def read_logs(logs: Sequence[Path]) -> Iterator[dict[str, Any]]:
+    """Return the log lines in files, or on standard input if there are none.
+
+    A file that cannot be read ends the command with an exit code.
+    """
+    try:
+        content = [line for log in logs for line in log.read_bytes().splitlines()]
+    except OSError as error:
+        fail(ExitCode.USAGE, f"{error.filename}: {error.strerror}")
+    return read_lines(content if logs else sys.stdin.buffer)
+
+
 def explain_request(request: str, lines: Iterable[dict[str, Any]]) -> Explanation:
     """Return what log lines tell of a request.
 
@@ -135,12 +147,7 @@
     logs
         Files with the nodes' log lines; standard input if there are none.
     """
-    try:
-        content = [line for log in logs for line in log.read_bytes().splitlines()]
-    except OSError as error:
-        fail(ExitCode.USAGE, f"{error.filename}: {error.strerror}")
-    lines = read_lines(content if logs else sys.stdin.buffer)
-    explanation = explain_request(request, lines)
+    explanation = explain_request(request, read_logs(logs))
     print_lines(explanation.text())
     if not explanation.lines:
         raise SystemExit(int(ExitCode.FAILED))
--- a/poplarrelay/commands/losses.py
+++ b/poplarrelay/commands/losses.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -10,8 +9,9 @@
 from pathlib import Path
 from typing import Any
 
-from poplarrelay.commands.explain import read_lines
-from poplarrelay.commands.output import ExitCode, fail, print_lines
+from poplarrelay.commands.explain import read_logs
+from poplarrelay.commands.output import ExitCode, print_lines
+from poplarrelay.entry.outcomes import RefusalReason
 
 __all__ = ["Cause", "Losses", "count_losses", "losses"]
 
@@ -43,12 +43,12 @@
 _DENIED = (401, 404)
 #: What the line of a request says of its outcome, by status where that tells enough.
 _BY_OUTCOME = {
-    "all endpoints are full": Cause.FULL,
-    "the prompts in line would make it late": Cause.FULL,
-    "no endpoint of the service is known": Cause.NO_ENDPOINT,
-    "no endpoint took the request": Cause.NOT_RUN,
-    "this node is stopping": Cause.STOPPING,
-    "no configuration is known yet": Cause.STOPPING,
+    RefusalReason.FULL.value: Cause.FULL,
+    RefusalReason.BEHIND.value: Cause.FULL,
+    RefusalReason.NO_ENDPOINT.value: Cause.NO_ENDPOINT,
+    RefusalReason.NOT_RUN.value: Cause.NOT_RUN,
+    RefusalReason.STOPPING.value: Cause.STOPPING,
+    RefusalReason.NO_CONFIGURATION.value: Cause.STOPPING,
     "caller left": Cause.CALLER_LEFT,
     "answered": Cause.ENDPOINT_ERROR,
 }
@@ -146,11 +146,7 @@
     logs
         Files with the nodes' log lines; standard input if there are none.
     """
-    try:
-        content = [line for log in logs for line in log.read_bytes().splitlines()]
-    except OSError as error:
-        fail(ExitCode.USAGE, f"{error.filename}: {error.strerror}")
-    found = count_losses(read_lines(content if logs else sys.stdin.buffer))
+    found = count_losses(read_logs(logs))
     print_lines(found.text())
     if not found.total:
         raise SystemExit(int(ExitCode.FAILED))
--- a/poplarrelay/entry/ordering.py
+++ b/poplarrelay/entry/ordering.py
@@ -23,6 +23,7 @@
     SizingInput,
     count_for_load,
     count_needed,
+    count_serving,
     domains_taken,
     plan_endpoints,
 )
@@ -307,12 +308,8 @@
 
     def _present(self, order: EndpointOrder) -> int:
         """Return how many endpoints as ordered take work."""
-        return sum(
-            row.domain == order.domain
-            and row.reclaimable is order.reclaimable
-            and row.accepts_work
-            for row in self._state.endpoints.of(order.service)
-        )
+        rows = self._state.endpoints.of(order.service)
+        return count_serving(rows, order.domain, order.reclaimable)
 
     def _affirm_after(self, order: EndpointOrder, limits: ScalingLimits) -> float:
         """Return after how long an order is given again.
--- a/poplarrelay/entry/places.py
+++ b/poplarrelay/entry/places.py
@@ -21,9 +21,8 @@
 from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.surveying import BacklogSurvey
 from poplarrelay.entry.waiting import (
-    LEAST_RETRY_S,
-    PATIENCE_SHARE,
     WaitingRoom,
+    bounded_retry,
     longest_wait,
     retry_after,
 )
@@ -61,11 +60,6 @@
             case.remaining_s,
         )
 
-    @staticmethod
-    def _bounded(wait_s: float, case: Case) -> float:
-        """Return a time to come back after that its caller keeps to."""
-        return min(max(wait_s, LEAST_RETRY_S), PATIENCE_SHARE * case.remaining_s)
-
     def _choose(self, service: ServiceName, wish: Wish) -> Choice | None:
         """Choose an endpoint with room and take a place at it."""
         now = monotonic()
@@ -110,7 +104,7 @@
             choice = choose_candidate(open_rows, wish, kept, now, favour_home=False)
             prospect = self._prospect(case, choice, now)
             if not may_begin(prospect):
-                wait_s = self._bounded(retry_after_line(prospect), case)
+                wait_s = bounded_retry(retry_after_line(prospect), case.remaining_s)
                 detail = f"{prospect.line_s:.2f} s in line"
                 return Refusal(503, RefusalReason.BEHIND, wait_s, detail)
         choice.endpoint.running += 1
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -321,7 +321,7 @@
         return result
 
     def _tell_placement(self, case: Case, choice: Choice) -> None:
-        """Have the engine's keeper count a prompt that is about to be sent there."""
+        """Have the engine's keeper and the demand count a prompt to be read."""
         request = case.request
         if not request.prompt_tokens:
             return
--- a/poplarrelay/entry/sizing.py
+++ b/poplarrelay/entry/sizing.py
@@ -16,6 +16,7 @@
     "SizingInput",
     "count_for_load",
     "count_needed",
+    "count_serving",
     "domains_taken",
     "plan_endpoints",
 ]
@@ -124,7 +125,8 @@
     return max(LEAST_ENDPOINTS, whole + spare)
 
 
-def _serving(rows: Sequence[Endpoint], domain: DomainId, reclaimable: bool) -> int:
+def count_serving(rows: Sequence[Endpoint], domain: DomainId, reclaimable: bool) -> int:
+    """Return how many endpoints of a kind take work in a domain."""
     return sum(
         1
         for row in rows
@@ -173,18 +175,11 @@
     """
     limits = given.limits
     domains = sorted(limits.domain_prices, key=lambda d: limits.domain_prices[d])
-    serving = {domain: _serving(given.rows, domain, True) for domain in domains}
-    present = {domain: _serving(given.rows, domain, False) for domain in domains}
+    serving = {domain: count_serving(given.rows, domain, True) for domain in domains}
+    present = {domain: count_serving(given.rows, domain, False) for domain in domains}
     target = max(target_count(given.needed), given.least)
     reclaimable = _spread(domains, target, serving, present, given)
-    coming = {
-        d: serving[d]
-        if d in given.overdue
-        else max(serving[d], given.ordered.get(d, 0))
-        if d in given.dry
-        else reclaimable[d]
-        for d in domains
-    }
+    coming = {d: _coming(d, serving[d], reclaimable[d], given) for d in domains}
     needed = max(LEAST_ENDPOINTS, ceil(bearable_share(limits) * given.steady))
     on_demand = {d: max(present[d], given.on_demand.get(d, 0)) for d in domains}
     most = max(0, needed - sum(serving.values()))
@@ -199,6 +194,15 @@
     )
 
 
+def _coming(domain: DomainId, serving: int, planned: int, given: SizingInput) -> int:
+    """Return how many reclaimable endpoints of a domain may be counted on."""
+    if domain in given.overdue:
+        return serving
+    if domain in given.dry:
+        return max(serving, given.ordered.get(domain, 0))
+    return planned
+
+
 def _spread(
     domains: Sequence[DomainId],
     target: int,
--- a/poplarrelay/entry/waiting.py
+++ b/poplarrelay/entry/waiting.py
@@ -10,7 +10,7 @@
 from poplarrelay.entry.choosing import Choice, Wish
 from poplarrelay.entry.configuration import Route, ServiceName
 
-__all__ = ["Waiter", "WaitingRoom", "longest_wait", "retry_after"]
+__all__ = ["Waiter", "WaitingRoom", "bounded_retry", "longest_wait", "retry_after"]
 
 #: Part of the route's target for which a request may wait for a place. Beyond it the
 #: answer would be late anyway; told early, the caller can come back in time.
@@ -36,6 +36,11 @@
     return max(0.0, min(WAIT_SHARE * route.target_s, 0.5 * remaining_s))
 
 
+def bounded_retry(wait_s: float, remaining_s: float) -> float:
+    """Return a time to come back after that a caller keeps to, in seconds."""
+    return max(LEAST_RETRY_S, min(wait_s, PATIENCE_SHARE * remaining_s))
+
+
 def retry_after(waiting: int, rate: float, remaining_s: float) -> float:
     """Return when a refused caller shall come back, in seconds.
 
@@ -55,7 +60,7 @@
     for longer than it would stay away.
     """
     until_free = (waiting + 1) / max(rate, 1.0)
-    return max(LEAST_RETRY_S, min(until_free, PATIENCE_SHARE * remaining_s))
+    return bounded_retry(until_free, remaining_s)
 
 
 @dataclass(order=True, slots=True)
