Take what has arrived before a wait for a place expires

Cause: after a standstill the event loop runs due timers before the callbacks that follow from what lies in its sockets. asyncio.timeout gave up the wait; the answers that freed the places were read just after. Callers got a 503 while there was room.

--- a/poplarrelay/entry/places.py
+++ b/poplarrelay/entry/places.py
@@ -20,6 +20,7 @@
 from poplarrelay.entry.outcomes import Refusal, RefusalReason
 from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.surveying import BacklogSurvey
+from poplarrelay.entry.timeouts import within
 from poplarrelay.entry.waiting import (
     WaitingRoom,
     bounded_retry,
@@ -163,11 +164,8 @@
         place: asyncio.Future[Choice] = asyncio.get_running_loop().create_future()
         self._waiting.join(case.service, case.priority, wish, place)
         try:
-            async with asyncio.timeout(longest_wait(case.route, case.remaining_s)):
-                return await place
+            return await within(longest_wait(case.route, case.remaining_s), place)
         except TimeoutError:
-            if place.done() and not place.cancelled():
-                return place.result()
             if case.may_have_run:
                 return Refusal(502, RefusalReason.UNKNOWN, detail="others are full")
             return Refusal(503, RefusalReason.FULL, self.retry_after(case))
--- a/poplarrelay/entry/tests/test_calls.py
+++ b/poplarrelay/entry/tests/test_calls.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
 from poplarrelay.entry import relaying
 from poplarrelay.entry.http.connection import header_value
+from poplarrelay.entry.waiting import WAIT_SHARE
 from poplarrelay.identifiers import EndpointId
 from poplarrelay.standins.users.runner import Fault
 from poplarrelay.testing.users import (
@@ -18,6 +20,8 @@
     users_configuration,
 )
 
+TARGET_S = 0.5
+
 
 def retry_after(answer):
     value = header_value(answer.headers, b"retry-after")
@@ -331,6 +335,30 @@
     play(scenario)
 
 
+def test_places_that_came_free_in_a_standstill_are_given():
+    # Guards against refusals of waiting calls while the endpoint has room again.
+    patient = {"timeoutMs": 5000, "targetLatencyMs": 1000 * TARGET_S}
+    routes = [{**route, **patient} for route in users_configuration()["routes"]]
+
+    async def scenario():
+        async with run_users_site() as site:
+            site.configure(2, routes=routes)
+            runner = await site.add_runner("r1", CALLS, pause_s=0.05)
+            site.list_runner("r1", CALLS, slots=2)
+            await site.ready(endpoints=1)
+            state = site.nodes["a"].state
+            await until(lambda: state.me.configuration == 2)
+            rows = state.endpoints.rows
+            await until(lambda: rows[EndpointId("r1")].slots == 2)
+            calls = asyncio.gather(*(site.call("/look/x") for _ in range(6)))
+            await until(lambda: len(runner.ran) == 2)
+            time.sleep(WAIT_SHARE * TARGET_S)
+            answers = await calls
+            assert [answer.status for answer in answers].count(200) >= 4
+
+    play(scenario)
+
+
 def test_flood_beyond_a_quota_is_told_when_to_come_back():
     # A team may send three calls at once and one a second. Its flood gets that and no
     # more: refusals take nothing from the quota, and give nothing back to it.
--- /dev/null
+++ b/poplarrelay/entry/timeouts.py
@@ -0,0 +1,47 @@
+"""Timeouts that do not expire by the process's own standstill."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
+
+__all__ = ["within"]
+
+#: Seconds in which what had arrived by the end of a timeout is read.
+CATCH_UP_S = 0.01
+
+ResultT = TypeVar("ResultT")
+
+
+async def within(timeout_s: float, awaitable: Awaitable[ResultT]) -> ResultT:
+    """Return what an awaitable comes to, or cancel it after a time.
+
+    Parameters
+    ----------
+    timeout_s : float
+        Seconds to wait.
+    awaitable : awaitable
+        What to wait for.
+
+    Raises
+    ------
+    TimeoutError
+        If it takes longer.
+
+    Notes
+    -----
+    After a standstill the event loop runs due timers before the callbacks that follow
+    from what lies in its sockets, so `asyncio.timeout` gives up answers that are there
+    already. So what has arrived is read before a timeout expires.
+    """
+    future = asyncio.ensure_future(awaitable)
+    try:
+        await asyncio.wait([future], timeout=timeout_s)
+        if not future.done():
+            await asyncio.wait([future], timeout=CATCH_UP_S)
+        if future.done():
+            return future.result()
+        raise TimeoutError(f"no result within {timeout_s} s")
+    finally:
+        future.cancel()
