--- a/poplarrelay/platform/store.py
+++ b/poplarrelay/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 import logging
 import struct
@@ -15,6 +14,7 @@
 
 from poplarrelay.entry.http.connection import WholeResponse
 from poplarrelay.entry.http.pool import Address, JsonClient
+from poplarrelay.entry.timeouts import within
 from poplarrelay.exception import (
     AppendRefused,
     ExchangeFailed,
@@ -160,8 +160,8 @@
     ) -> WholeResponse:
         self._calls[f"{name} {topic}".strip()] += 1
         try:
-            async with asyncio.timeout(timeout_s):
-                response = await self._client.call(method, target, [], body)
+            call = self._client.call(method, target, [], body)
+            response = await within(timeout_s, call)
         except (ExchangeFailed, TimeoutError) as error:
             raise PlatformUnavailable(name, None, str(error)) from error
         if response.status in (429, 500, 502, 503, 504, 507):
