--- a/poplarrelay/messages/convert.py
+++ b/poplarrelay/messages/convert.py
@@ -125,6 +125,7 @@
         first_token_s=request.first_token_s,
         deferred=request.deferred,
         outcome=None if outcome is None else store_outcome(outcome),
+        copies=request.copies,
     )
 
 
@@ -158,6 +159,7 @@
         first_token_s=stored.first_token_s,
         key=None if stored.key is None else IdempotencyKey(stored.key),
         deferred=stored.deferred,
+        copies=stored.copies,
     )
     if stored.outcome is not None:
         request.outcome = load_outcome(stored.outcome)
--- a/poplarrelay/messages/effects.py
+++ b/poplarrelay/messages/effects.py
@@ -16,6 +16,7 @@
     TeamId,
 )
 from poplarrelay.messages.gossip import (
+    CopyInquiry,
     CopyMessage,
     HandoverMessage,
     KeyQuestion,
@@ -30,6 +31,7 @@
 __all__ = [
     "AcceptDeferred",
     "AppendRecord",
+    "AskCopies",
     "AskKey",
     "AskPeers",
     "Conclude",
@@ -90,10 +92,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Conclude:
-    """Give the waiting thread the request's final outcome."""
+    """Give the waiting thread the request's final outcome.
+
+    Attributes
+    ----------
+    deferred : bool
+        The caller waits to hear that the request is accepted, and fetches the
+        outcome later; only a thread that runs the request hears of it now.
+    """
 
     request: RequestId
     outcome: Outcome
+    deferred: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,6 +279,15 @@
     message: CopyMessage
 
 
+@dataclass(frozen=True, slots=True)
+class AskCopies:
+    """Ask a peer what it has of requests whose home is gone."""
+
+    node: NodeId
+    peer: str
+    inquiry: CopyInquiry
+
+
 @dataclass(frozen=True, slots=True)
 class HandOver:
     """Hand over to a successor."""
@@ -377,6 +396,7 @@
     | AskPeers
     | Forward
     | KeepCopy
+    | AskCopies
     | HandOver
     | StopProcess
     | Decided
--- a/poplarrelay/messages/gossip.py
+++ b/poplarrelay/messages/gossip.py
@@ -7,7 +7,11 @@
 from poplarrelay.settings import StrictModel
 
 __all__ = [
+    "CopyInquiry",
     "CopyMessage",
+    "CopyReply",
+    "CopyStanding",
+    "CopyStandings",
     "HandoverMessage",
     "HandoverReply",
     "KeyQuestion",
@@ -156,6 +160,9 @@
         when it took the request, so that one that got stuck on its way is known.
     outcome : StoredAnswer or None
         Set if it has ended and its answer is kept for the caller.
+    copies : int
+        Copies that have been sent of a deferred request; a later one replaces an
+        earlier one, whichever arrives first.
     """
 
     id: str
@@ -180,6 +187,7 @@
     first_token_s: float
     deferred: bool
     outcome: StoredAnswer | None = None
+    copies: int = 0
 
 
 class HandoverMessage(StrictModel):
@@ -203,16 +211,62 @@
 
     Attributes
     ----------
-    node, incarnation : str
+    node, incarnation, generation : str, str, int
         The request's home.
     """
 
     node: str
     incarnation: str
+    generation: int
     request: StoredRequest
 
 
+class CopyReply(StrictModel):
+    """Whether a peer keeps a copy.
+
+    Attributes
+    ----------
+    moved : bool
+        Whether the peer has taken the request over and is its home now.
+    outcome : StoredAnswer or None
+        What the request came to there.
+    """
+
+    taken: bool
+    moved: bool = False
+    outcome: StoredAnswer | None = None
+
+
+class CopyInquiry(StrictModel):
+    """Ask a peer what it has of requests whose home is gone."""
+
+    requests: tuple[str, ...]
+
+
+class CopyStanding(StrictModel):
+    """What a node has of a deferred request.
+
+    Attributes
+    ----------
+    state : str
+        ``home`` if the request has come to this node to stay, ``held`` if a copy has.
+    copies : int
+        Number of that copy.
+    """
+
+    request: str
+    state: Literal["absent", "held", "home"]
+    copies: int = 0
+    outcome: StoredAnswer | None = None
+
+
+class CopyStandings(StrictModel):
+    """Answer to a `CopyInquiry`."""
+
+    standings: tuple[CopyStanding, ...]
+
+
 class HandoverReply(StrictModel):
-    """Whether a peer took a handover or a copy."""
+    """Whether a peer took a handover."""
 
     taken: bool
--- a/poplarrelay/messages/inbox.py
+++ b/poplarrelay/messages/inbox.py
@@ -15,6 +15,8 @@
 from poplarrelay.messages.peers import (
     ConfigurationAsked,
     ConfigurationReceived,
+    CopiesAnswered,
+    CopiesAsked,
     CopyAnswered,
     CopyReceived,
     ForwardAnswered,
@@ -78,6 +80,8 @@
     | ConfigurationAsked
     | ConfigurationReceived
     | CopyReceived
+    | CopiesAnswered
+    | CopiesAsked
     | CopyAnswered
     | HandoverReceived
     | HandoverAnswered
--- a/poplarrelay/messages/peers.py
+++ b/poplarrelay/messages/peers.py
@@ -6,7 +6,10 @@
 
 from poplarrelay.identifiers import NodeId, RequestId
 from poplarrelay.messages.gossip import (
+    CopyInquiry,
     CopyMessage,
+    CopyReply,
+    CopyStandings,
     HandoverMessage,
     HandoverReply,
     KeyQuestion,
@@ -17,10 +20,12 @@
 from poplarrelay.messages.records import SnapshotRecord
 
 __all__ = [
-    "CopyAnswered",
-    "CopyReceived",
     "ConfigurationAsked",
     "ConfigurationReceived",
+    "CopiesAnswered",
+    "CopiesAsked",
+    "CopyAnswered",
+    "CopyReceived",
     "ForwardAnswered",
     "HandoverAnswered",
     "HandoverReceived",
@@ -127,10 +132,27 @@
 
 @dataclass(frozen=True, slots=True)
 class CopyAnswered:
-    """A peer answered whether it keeps a copy."""
+    """A peer answered whether it keeps a copy; None if it gave no answer."""
 
     request: RequestId
-    taken: bool
+    reply: CopyReply | None
+
+
+@dataclass(frozen=True, slots=True)
+class CopiesAsked:
+    """A peer asks what this node has of requests whose home is gone."""
+
+    call: CallId
+    inquiry: CopyInquiry
+
+
+@dataclass(frozen=True, slots=True)
+class CopiesAnswered:
+    """A peer answered an inquiry; None if it gave no answer."""
+
+    node: NodeId
+    requests: tuple[RequestId, ...]
+    reply: CopyStandings | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/node/callers.py
+++ b/poplarrelay/node/callers.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections.abc import Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 from urllib.parse import quote
 
 import cherrypy
@@ -33,7 +34,12 @@
 from poplarrelay.node.sessions import Accepted, CallerEvent, Ended, Rejected
 from poplarrelay.outcomes import Answered, Outcome
 from poplarrelay.providers.http import CallFailed, JsonCaller
-from poplarrelay.systems.reporting import LookupElsewhere, LookupResult
+from poplarrelay.systems.lookups import (
+    LookupElsewhere,
+    LookupResult,
+    SearchResult,
+    judge_search,
+)
 from poplarrelay.tables.requests import RequestClass, Work
 from poplarrelay.web.exchange import (
     answer_json,
@@ -54,6 +60,8 @@
 MAX_TIMEOUT_S = 86_400.0
 #: Seconds that each node may take to tell of a deferred request.
 LOOKUP_TIMEOUT_S = 0.7
+#: Field of a peer's answer that says that it knows the request from a copy only.
+COPY_FIELD = "copy"
 _BEARER = "Bearer "
 
 
@@ -304,9 +312,7 @@
         events = self._gateway.serve(arrival)
         event = _first(events)
         events.close()
-        if not isinstance(event, Accepted):
-            # The same key had its answer already; it is kept under the new id.
-            assert isinstance(event, Ended)
+        assert isinstance(event, Accepted)
         location = f"/v1/requests/{request}"
         cherrypy.response.headers["Location"] = location
         return answer_json({"id": request, "status": "accepted"}, status=202)
@@ -326,16 +332,22 @@
 
     def _look_elsewhere(self, request: RequestId, found: LookupElsewhere) -> bytes:
         path = f"/peer/requests/{quote(request)}?team={quote(found.team)}"
-        answered = True
+        copies, silent = False, set()
         for peer in found.peers:
             try:
                 reply = self._caller.call("GET", peer, path, timeout_s=LOOKUP_TIMEOUT_S)
             except CallFailed:
-                answered = False
+                silent.add(peer)
                 continue
-            if reply.ok:
+            if reply.ok and not reply.value.get(COPY_FIELD, False):
                 return answer_json(reply.value)
-        if answered:
+            copies = copies or reply.ok
+            if not reply.ok and reply.status != HTTPStatus.NOT_FOUND:
+                silent.add(peer)
+        result = judge_search(found, copies, silent)
+        if result is SearchResult.RUNNING:
+            return answer_json(lookup_document(request, LookupResult(None)))
+        if result is SearchResult.ABSENT:
             raise reject(RequestNotFound("the team has no such request"))
         raise ProblemResponse(
             Problem(
--- a/poplarrelay/node/outbox.py
+++ b/poplarrelay/node/outbox.py
@@ -14,6 +14,7 @@
 from poplarrelay.messages.effects import (
     AcceptDeferred,
     AppendRecord,
+    AskCopies,
     AskKey,
     AskPeers,
     Conclude,
@@ -42,6 +43,7 @@
 from poplarrelay.messages.inbox import Message
 from poplarrelay.messages.peers import (
     ConfigurationReceived,
+    CopiesAnswered,
     CopyAnswered,
     ForwardAnswered,
     HandoverAnswered,
@@ -188,6 +190,8 @@
                 self._peer_pool.submit(self._guard, self._fetch, effect)
             case KeepCopy():
                 self._forward_pool.submit(self._guard, self._keep_copy, effect)
+            case AskCopies():
+                self._forward_pool.submit(self._guard, self._ask_copies, effect)
             case HandOver():
                 self._peer_pool.submit(self._guard, self._hand_over, effect)
 
@@ -211,7 +215,8 @@
         accepted, so the two have mailboxes of their own.
         """
         mailbox = self._mailboxes.find(request)
-        if mailbox is not None:
+        to_run_alone = isinstance(effect, Conclude) and effect.deferred
+        if mailbox is not None and not to_run_alone:
             mailbox.put(effect)
         run = self._runs.get(request)
         if run is not None:
@@ -303,8 +308,12 @@
 
     def _keep_copy(self, effect: KeepCopy) -> None:
         reply = self._peers.keep_copy(effect.peer, effect.message)
-        taken = reply is not None and reply.taken
-        self._submit(CopyAnswered(effect.request, taken))
+        self._submit(CopyAnswered(effect.request, reply))
+
+    def _ask_copies(self, effect: AskCopies) -> None:
+        reply = self._peers.ask_copies(effect.peer, effect.inquiry)
+        requests = tuple(RequestId(request) for request in effect.inquiry.requests)
+        self._submit(CopiesAnswered(effect.node, requests, reply))
 
     def _hand_over(self, effect: HandOver) -> None:
         reply = self._peers.hand_over(effect.peer, effect.message)
--- a/poplarrelay/node/peering.py
+++ b/poplarrelay/node/peering.py
@@ -9,7 +9,10 @@
 from pydantic import BaseModel, ValidationError
 
 from poplarrelay.messages.gossip import (
+    CopyInquiry,
     CopyMessage,
+    CopyReply,
+    CopyStandings,
     HandoverMessage,
     HandoverReply,
     KeyQuestion,
@@ -136,9 +139,13 @@
             TRANSFER_TIMEOUT_S,
         )
 
-    def keep_copy(self, peer: str, message: CopyMessage) -> HandoverReply | None:
+    def keep_copy(self, peer: str, message: CopyMessage) -> CopyReply | None:
         """Give a peer a copy of a deferred request."""
-        return self._post(peer, "/peer/copy", message, HandoverReply, COPY_TIMEOUT_S)
+        return self._post(peer, "/peer/copy", message, CopyReply, COPY_TIMEOUT_S)
+
+    def ask_copies(self, peer: str, inquiry: CopyInquiry) -> CopyStandings | None:
+        """Ask what a peer has of requests whose home is gone."""
+        return self._post(peer, "/peer/copies", inquiry, CopyStandings, COPY_TIMEOUT_S)
 
     def hand_over(self, peer: str, message: HandoverMessage) -> HandoverReply | None:
         """Hand over to a peer."""
--- a/poplarrelay/node/peers.py
+++ b/poplarrelay/node/peers.py
@@ -21,6 +21,7 @@
 from poplarrelay.messages.calls import RequestArrived
 from poplarrelay.messages.convert import load_work, store_outcome
 from poplarrelay.messages.gossip import (
+    CopyInquiry,
     CopyMessage,
     HandoverMessage,
     KeyQuestion,
@@ -30,6 +31,7 @@
 )
 from poplarrelay.messages.peers import (
     ConfigurationAsked,
+    CopiesAsked,
     CopyReceived,
     HandoverReceived,
     KeyAsked,
@@ -42,14 +44,15 @@
     ShutdownAsked,
     StatusAsked,
 )
-from poplarrelay.node.callers import lookup_document, read_token
+from poplarrelay.node.callers import COPY_FIELD, lookup_document, read_token
 from poplarrelay.node.gateway import Gateway
 from poplarrelay.node.mailboxes import CallTimedOut
 from poplarrelay.node.peering import PeerClient, ThroughMessage
 from poplarrelay.node.sessions import Ended, Rejected
 from poplarrelay.outcomes import Unknown, UnknownReason
 from poplarrelay.systems.configuring import PUBLISH_TIMEOUT_S
-from poplarrelay.systems.reporting import LookupResult, NodeStatus
+from poplarrelay.systems.lookups import LookupResult
+from poplarrelay.systems.reporting import NodeStatus
 from poplarrelay.tables.configuration import Verdict
 from poplarrelay.tables.requests import RequestClass
 from poplarrelay.web.exchange import answer_json, read_json, reject, require_method
@@ -147,6 +150,12 @@
         message = read_json(CopyMessage, MAX_PEER_BYTES)
         return _dump(self._ask(lambda call: CopyReceived(call, message)))
 
+    @cherrypy.expose
+    def copies(self) -> bytes:
+        """Tell what this node has of requests whose home is gone."""
+        inquiry = read_json(CopyInquiry, MAX_PEER_BYTES)
+        return _dump(self._ask(lambda call: CopiesAsked(call, inquiry)))
+
     @cherrypy.expose
     def requests(self, request: str, team: str) -> bytes:
         """Tell what became of a deferred request."""
@@ -158,7 +167,10 @@
         if isinstance(found, CallerError):
             raise reject(found)
         assert isinstance(found, LookupResult)
-        return answer_json(lookup_document(RequestId(request), found))
+        document = lookup_document(RequestId(request), found)
+        if found.copy:
+            document[COPY_FIELD] = True
+        return answer_json(document)
 
     @cherrypy.expose
     def forward(self) -> bytes:
--- a/poplarrelay/systems/concluding.py
+++ b/poplarrelay/systems/concluding.py
@@ -18,7 +18,14 @@
 from poplarrelay.tables.requests import Request, RequestState
 from poplarrelay.tables.world import World
 
-__all__ = ["conclude", "leave_queue", "outcome_tag", "release_endpoint", "requeue"]
+__all__ = [
+    "conclude",
+    "leave_queue",
+    "let_go",
+    "outcome_tag",
+    "release_endpoint",
+    "requeue",
+]
 
 
 def outcome_tag(outcome: Outcome) -> str:
@@ -61,6 +68,19 @@
         world.team_use(request.team).queued -= 1
 
 
+def let_go(world: World, request: Request, now: float) -> None:
+    """Take a request that goes on at another node off this node's tables."""
+    leave_queue(world, request)
+    release_endpoint(world, request, now)
+    key = world.keyed(request)
+    use = None if key is None else world.uses.get(key)
+    if key is not None and use is not None and use.request == request.id:
+        settled = use.state in (KeyState.FINISHED, KeyState.BROKEN)
+        if not settled:
+            del world.uses[key]
+    del world.requests[request.id]
+
+
 def _settle_key(use: KeyUse, outcome: Outcome, now: float) -> None:
     """Note what became of a key.
 
@@ -128,7 +148,8 @@
     request.outcome = outcome
     request.ended_at = now
     yield from _record(request, outcome, now)
-    yield Conclude(request.id, outcome)
+    fetched = _is_fetched(world, request, outcome)
+    yield Conclude(request.id, outcome, deferred=fetched)
     key = world.keyed(request)
     use = None if key is None or was_joined else world.uses.get(key)
     if use is not None and use.request == request.id:
@@ -137,5 +158,18 @@
         follower = world.requests.get(waiting)
         if follower is not None:
             yield from conclude(world, follower, outcome, now)
-    if not request.deferred:
+    if not fetched:
         world.requests.pop(request.id, None)
+
+
+def _is_fetched(world: World, request: Request, outcome: Outcome) -> bool:
+    """Return whether the caller gets the outcome by the request's id.
+
+    Notes
+    -----
+    A deferred request that is given up before any peer has heard of it is refused at
+    once. Afterwards a peer could run what its caller was told had not run.
+    """
+    if not request.deferred:
+        return False
+    return isinstance(outcome, Answered) or request.id in world.sent_copies
--- a/poplarrelay/systems/copying.py
+++ b/poplarrelay/systems/copying.py
@@ -3,63 +3,87 @@
 Notes
 -----
 A deferred request outlives its caller's connection, so its caller cannot notice that
-its home has crashed. It is accepted once a peer holds a copy; the answer is copied as
-well. If the home is declared dead or comes back as a new incarnation, the peer runs
-the request. A home that was only frozen may run it too: work that must not be repeated,
-or has a key, is therefore not run again but ends as unknown.
+its home has crashed. What callers are told must survive that crash: a request is
+accepted once a peer holds a copy, and its outcome is told once that copy has it. Only
+where no peer takes a copy is a request accepted, and its outcome told, all the same.
+
+A peer that is busy may take a copy long after the home has turned to another one.
+Copies are numbered, so that an old one neither replaces a newer one nor is run in
+its place; see `poplarrelay.systems.takeover`.
+
+References
+----------
+D. G. Thaler, C. V. Ravishankar, "Using name-based mappings to increase hit rates",
+IEEE/ACM Transactions on Networking 6(1), 1998: the ranking of peers.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import hashlib
+from collections.abc import Iterable, Iterator
 
 from poplarrelay.identifiers import NodeId, RequestId
-from poplarrelay.messages.convert import load_outcome, load_request, store_request
+from poplarrelay.messages.convert import load_outcome, store_request
 from poplarrelay.messages.effects import (
     AcceptDeferred,
+    Conclude,
     Decided,
     Decision,
     Effect,
     KeepCopy,
-    Reply,
 )
-from poplarrelay.messages.gossip import CopyMessage, HandoverReply
+from poplarrelay.messages.gossip import CopyMessage, CopyReply
 from poplarrelay.messages.inbox import Inbox
-from poplarrelay.messages.peers import CopyAnswered, CopyReceived
-from poplarrelay.outcomes import Unknown, UnknownReason
-from poplarrelay.systems.concluding import requeue
+from poplarrelay.messages.peers import CopyAnswered
+from poplarrelay.outcomes import Outcome, Unknown, UnknownReason
+from poplarrelay.systems.concluding import conclude, let_go
 from poplarrelay.tables.copies import HeldCopy, SentCopy
 from poplarrelay.tables.members import Member, MemberStatus
 from poplarrelay.tables.requests import Request, RequestState
 from poplarrelay.tables.world import NodePhase, World
 
-__all__ = ["hold_copies", "send_copies", "take_over_copies"]
+__all__ = ["leave_to", "rank_peers", "send_copies", "settled_copy", "told_outcome"]
 
-#: Tries to copy a request before it is accepted without a copy.
-MAX_TRIES = 2
-#: Seconds between two tries to replace a copy.
+#: Peers that are asked in a row to take a copy before a request goes on without one.
+MAX_TRIES = 3
+#: Seconds until peers are asked again after that.
 RETRY_S = 1.0
+_PHASES = (NodePhase.SERVING, NodePhase.DRAINING)
 
 
-def _backup(world: World, avoid: NodeId | None) -> Member | None:
-    """Return the peer for a copy, best in another failure domain."""
-    ready = [
-        m
-        for m in world.members.values()
-        if m.status is MemberStatus.ALIVE and m.ready and m.node != avoid
-    ]
-    elsewhere = [m for m in ready if m.domain != world.me.domain]
-    pool = elsewhere or ready
-    return world.rng.choice(pool) if pool else None
+def rank_peers(request: RequestId, peers: Iterable[Member]) -> list[Member]:
+    """Return peers in the order in which they are asked to take a copy.
+
+    Notes
+    -----
+    Every node finds the same order without being told, so few have to be asked for
+    a copy whose home is gone, however many nodes there are.
+    """
+    return sorted(peers, key=lambda peer: _rank(request, peer.node))
+
+
+def _rank(request: RequestId, node: NodeId) -> bytes:
+    return hashlib.blake2b(f"{request} {node}".encode(), digest_size=8).digest()
+
+
+def settled_copy(request: Request) -> SentCopy:
+    """Return the row of a request that came from its former home."""
+    return SentCopy(accepted=True, told=request.outcome is not None)
+
+
+def told_outcome(world: World, request: Request) -> Outcome | None:
+    """Return what callers may be told of one of this node's deferred requests."""
+    copy = world.sent_copies.get(request.id)
+    return request.outcome if copy is not None and copy.told else None
 
 
 def send_copies(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
     """Copy new deferred requests and their answers, and replace lost copies."""
     for answered in inbox.of(CopyAnswered):
         yield from _take_answer(world, answered, now)
-    if world.phase is not NodePhase.SERVING:
+    if world.phase not in _PHASES:
         return
-    for request in world.requests.values():
+    for request in list(world.requests.values()):
         if request.deferred and _due(world, request, now):
             yield from _send(world, request, now)
     for request_id in list(world.sent_copies):
@@ -71,106 +95,126 @@
     copy = world.sent_copies.get(request.id)
     if copy is None:
         return True
-    if copy.waiting or now < copy.next_at:
+    if copy.waiting:
+        return False
+    ended = request.state is RequestState.ENDED
+    if now < copy.next_at and (copy.told or not ended):
         return False
     holder = world.members.get(copy.holder) if copy.holder else None
-    lost = holder is None or holder.status in (MemberStatus.DEAD, MemberStatus.LEFT)
-    stale = request.state is RequestState.ENDED and not copy.ended
-    return lost or stale
+    gone = (MemberStatus.LEAVING, MemberStatus.DEAD, MemberStatus.LEFT)
+    lost = holder is None or holder.status in gone
+    return lost or copy.doubtful or (ended and not copy.ended)
 
 
 def _send(world: World, request: Request, now: float) -> Iterator[Effect]:
     copy = world.sent_copies.setdefault(request.id, SentCopy())
-    holder = world.members.get(copy.holder) if copy.holder else None
-    if holder is None or holder.status is not MemberStatus.ALIVE:
-        holder = _backup(world, copy.holder)
+    holder = _next_holder(world, request, copy)
     if holder is None:
+        copy.holder = None
+        copy.failed.clear()
         copy.next_at = now + RETRY_S
         yield from _accept(request, copy, copied=False)
         return
-    copy.holder, copy.waiting, copy.tries = holder.node, True, copy.tries + 1
+    request.copies += 1
+    copy.holder, copy.waiting = holder.node, True
     copy.sending_ended = request.state is RequestState.ENDED
     message = CopyMessage(
         node=world.node,
         incarnation=world.incarnation,
+        generation=world.me.generation,
         request=store_request(request, now),
     )
     yield KeepCopy(request.id, holder.peers, message)
 
 
+def _next_holder(world: World, request: Request, copy: SentCopy) -> Member | None:
+    """Return the peer to ask, best the one that holds a copy already."""
+    if len(copy.failed) >= MAX_TRIES:
+        return None
+    ready = [
+        member
+        for member in world.members.values()
+        if member.status is MemberStatus.ALIVE
+        and member.ready
+        and member.node not in copy.failed
+    ]
+    for member in ready:
+        if member.node == copy.holder:
+            return member
+    elsewhere = [member for member in ready if member.domain != world.me.domain]
+    return next(iter(rank_peers(request.id, elsewhere or ready)), None)
+
+
 def _take_answer(world: World, answered: CopyAnswered, now: float) -> Iterator[Effect]:
     request = world.requests.get(answered.request)
     copy = world.sent_copies.get(answered.request)
     if request is None or copy is None:
         return
     copy.waiting = False
-    if answered.taken:
+    reply = answered.reply
+    if reply is not None and reply.moved:
+        yield from _follow(world, request, copy, reply, now)
+    elif reply is not None and reply.taken:
+        copy.failed.clear()
+        copy.doubtful = False
         copy.ended = copy.sending_ended
         yield from _accept(request, copy, copied=True)
-        return
-    copy.holder, copy.next_at = None, now
-    if copy.tries >= MAX_TRIES:
-        copy.next_at = now + RETRY_S
-        yield from _accept(request, copy, copied=False)
+    elif copy.holder is not None:
+        copy.failed.add(copy.holder)
+        copy.holder, copy.next_at = None, now
 
 
 def _accept(request: Request, copy: SentCopy, copied: bool) -> Iterator[Effect]:
-    if copy.accepted:
-        return
-    copy.accepted = True
-    fields = (("request", request.id), ("copied", copied), ("holder", copy.holder))
-    yield Decided(Decision.DEFER, fields)
-    yield AcceptDeferred(request.id)
-
-
-def hold_copies(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
-    """Hold copies for peers."""
-    for received in inbox.of(CopyReceived):
-        taken = world.phase is NodePhase.SERVING
-        if taken:
-            message = received.copy
-            request = RequestId(message.request.id)
-            world.held_copies[request] = HeldCopy(
-                NodeId(message.node), message.incarnation, message.request, now
-            )
-        yield Reply(received.call, HandoverReply(taken=taken))
-
-
-def take_over_copies(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
-    """Run the requests whose homes are gone, and keep their answers."""
-    for request_id, held in list(world.held_copies.items()):
-        if request_id in world.requests:
-            del world.held_copies[request_id]
-        elif _gone(world, held):
-            del world.held_copies[request_id]
-            yield from _take_over(world, held, now)
-        elif now - held.received_at > world.settings.limits.key_memory_s:
-            del world.held_copies[request_id]
-
-
-def _gone(world: World, held: HeldCopy) -> bool:
-    home = world.members.get(held.home)
-    if home is None or home.incarnation != held.incarnation:
-        return True
-    if home.status is MemberStatus.LEFT:
-        return home.successor is None
-    return home.status is MemberStatus.DEAD
-
-
-def _take_over(world: World, held: HeldCopy, now: float) -> Iterator[Effect]:
-    spent = now - held.received_at
-    request = load_request(held.request, now - spent)
-    world.requests[request.id] = request
-    yield Decided(
-        Decision.DEFER,
-        (("request", request.id), ("taken_over_from", held.home)),
-    )
-    if held.request.outcome is not None:
-        request.outcome = load_outcome(held.request.outcome)
-    elif request.key is not None or not request.work.repeatable:
-        request.outcome = Unknown(UnknownReason.HOME_UNREACHABLE)
-    if request.outcome is not None:
-        request.state = RequestState.ENDED
-        request.ended_at = now
-        return
-    requeue(world, request)
+    """Tell the caller what may be told now."""
+    ended = copy.ended if copied else request.state is RequestState.ENDED
+    news = not copy.accepted or (ended and not copy.told)
+    copy.told = copy.told or ended
+    if news:
+        yield Decided(
+            Decision.DEFER,
+            (
+                ("request", request.id),
+                ("copied", copied),
+                ("holder", copy.holder),
+                ("copies", request.copies),
+                ("ended", ended),
+            ),
+        )
+    if not copy.accepted:
+        copy.accepted = True
+        yield AcceptDeferred(request.id)
+
+
+def _follow(
+    world: World, request: Request, copy: SentCopy, reply: CopyReply, now: float
+) -> Iterator[Effect]:
+    """Leave a request to the peer that took it over while this node was away."""
+    home = world.members.get(copy.holder) if copy.holder else None
+    copy.doubtful = False
+    if reply.outcome is not None:
+        outcome = load_outcome(reply.outcome)
+        if request.state is not RequestState.ENDED:
+            yield from conclude(world, request, outcome, now)
+        elif not copy.told:
+            request.outcome = outcome
+        copy.ended = True
+        yield from _accept(request, copy, copied=True)
+    elif home is not None:
+        yield from _accept(request, copy, copied=True)
+        stored = store_request(request, now)
+        held = HeldCopy(
+            home.node, home.incarnation, home.generation, stored, received_at=now
+        )
+        yield from leave_to(world, request, held, now)
+
+
+def leave_to(
+    world: World, request: Request, held: HeldCopy, now: float
+) -> Iterator[Effect]:
+    """Leave a request to the peer that runs it too, and keep a copy for that one."""
+    yield Decided(Decision.DEFER, (("request", request.id), ("left_to", held.home)))
+    world.held_copies[request.id] = held
+    let_go(world, request, now)
+    # Ends the attempt that may still run here.
+    outcome = Unknown(UnknownReason.HOME_UNREACHABLE)
+    yield Conclude(request.id, outcome, deferred=True)
--- a/poplarrelay/systems/draining.py
+++ b/poplarrelay/systems/draining.py
@@ -40,12 +40,8 @@
 from poplarrelay.messages.peers import HandoverAnswered, HandoverReceived
 from poplarrelay.messages.questions import ShutdownAsked
 from poplarrelay.outcomes import Continued, Outcome, Unknown, UnknownReason
-from poplarrelay.systems.concluding import (
-    conclude,
-    leave_queue,
-    release_endpoint,
-    requeue,
-)
+from poplarrelay.systems.concluding import conclude, let_go, requeue
+from poplarrelay.systems.copying import settled_copy
 from poplarrelay.systems.gossiping import own_row, raise_version
 from poplarrelay.tables.claims import KeyState, KeyUse, TeamKey
 from poplarrelay.tables.members import Member, MemberStatus
@@ -144,7 +140,7 @@
     handed = [r for r in world.requests.values() if _goes_along(r)]
     stored = tuple(store_request(request, now) for request in handed)
     for request in handed:
-        _let_go(world, request, now)
+        let_go(world, request, now)
     yield from _end_the_rest(world, successor, now)
     message = HandoverMessage(
         id=f"h.{world.node}.{world.incarnation}",
@@ -177,19 +173,6 @@
     return ended or _waits(request) or request.work.repeatable
 
 
-def _let_go(world: World, request: Request, now: float) -> None:
-    """Take a request that goes to the successor off this node's tables."""
-    leave_queue(world, request)
-    release_endpoint(world, request, now)
-    key = world.keyed(request)
-    use = None if key is None else world.uses.get(key)
-    if key is not None and use is not None and use.request == request.id:
-        settled = use.state in (KeyState.FINISHED, KeyState.BROKEN)
-        if not settled:
-            del world.uses[key]
-    del world.requests[request.id]
-
-
 def _end_the_rest(
     world: World, successor: Member | None, now: float
 ) -> Iterator[Effect]:
@@ -293,6 +276,8 @@
         if request.id in world.requests:
             continue
         world.requests[request.id] = request
+        if request.deferred:
+            world.sent_copies[request.id] = settled_copy(request)
         if request.outcome is not None:
             request.state = RequestState.ENDED
             request.ended_at = now
--- a/poplarrelay/systems/gossiping.py
+++ b/poplarrelay/systems/gossiping.py
@@ -111,5 +111,8 @@
         return
     said = MemberStatus(row.status)
     doubted = said in (MemberStatus.SUSPECT, MemberStatus.DEAD)
+    if said is MemberStatus.DEAD:
+        for copy in world.sent_copies.values():
+            copy.doubtful = True
     if row.version >= me.version and (doubted or row.version > me.version):
         me.version = row.version + 1
--- a/poplarrelay/systems/reporting.py
+++ b/poplarrelay/systems/reporting.py
@@ -1,4 +1,4 @@
-"""Answer questions about requests and about the node itself."""
+"""Answer questions about the node itself."""
 
 from __future__ import annotations
 
@@ -6,53 +6,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from poplarrelay.exception import AuthenticationFailed, RequestNotFound
-from poplarrelay.identifiers import Incarnation, NodeId, RequestId, TeamId
-from poplarrelay.messages.convert import load_outcome
 from poplarrelay.messages.effects import Effect, Reply
 from poplarrelay.messages.inbox import Inbox
-from poplarrelay.messages.questions import HistoryAsked, RequestLookedUp, StatusAsked
-from poplarrelay.outcomes import Outcome
-from poplarrelay.systems.admitting import team_of
-from poplarrelay.systems.homes import home_of
-from poplarrelay.tables.members import Member, MemberStatus
+from poplarrelay.messages.questions import HistoryAsked, StatusAsked
 from poplarrelay.tables.requests import RequestState
 from poplarrelay.tables.world import CLAIMS, CONFIGURATION, World
 
-__all__ = [
-    "LookupElsewhere",
-    "LookupResult",
-    "NodeStatus",
-    "answer_lookups",
-    "answer_status",
-]
-
-
-#: Parts of a request id, with dots between them; see `Gateway.new_request_id`.
-REQUEST_ID_PARTS = 4
-#: Most peers that are asked for a request whose home does not answer.
-MAX_PEERS_ASKED = 16
-
-
-@dataclass(frozen=True, slots=True)
-class LookupResult:
-    """Where a deferred request stands; `outcome` is None while it runs."""
-
-    outcome: Outcome | None
-
-
-@dataclass(frozen=True, slots=True)
-class LookupElsewhere:
-    """Another node has the request.
-
-    Attributes
-    ----------
-    peers : tuple of str
-        Nodes to ask, the most likely one first.
-    """
-
-    peers: tuple[str, ...]
-    team: TeamId
+__all__ = ["NodeStatus", "answer_status"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,55 +51,6 @@
     duties: dict[str, dict[str, object]]
 
 
-def answer_lookups(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
-    """Answer callers who come for a deferred request."""
-    for asked in inbox.of(RequestLookedUp):
-        yield Reply(asked.call, _look_up(world, asked))
-
-
-def _look_up(
-    world: World, asked: RequestLookedUp
-) -> LookupResult | LookupElsewhere | RequestNotFound | AuthenticationFailed:
-    """Return a request's state; for another team's id, as if it did not exist."""
-    try:
-        team = asked.team or team_of(world, asked.token_sha256)
-    except AuthenticationFailed as error:
-        return error
-    request = world.requests.get(asked.id)
-    if request is not None and request.team == team and request.deferred:
-        return LookupResult(request.outcome)
-    held = world.held_copies.get(asked.id)
-    if held is not None and held.request.team == team:
-        outcome = held.request.outcome
-        return LookupResult(None if outcome is None else load_outcome(outcome))
-    if request is None and not asked.forwarded:
-        peers = _peers_to_ask(world, asked.id)
-        if peers:
-            return LookupElsewhere(peers, team)
-    return RequestNotFound("the team has no such request")
-
-
-def _peers_to_ask(world: World, request: RequestId) -> tuple[str, ...]:
-    """Return the request's home, and the peers that may hold its copy."""
-    parts = request.split(".")
-    if len(parts) != REQUEST_ID_PARTS:
-        return ()
-    home = _home(world, NodeId(parts[1]), Incarnation(parts[2]))
-    first = [] if home is None else [home.peers]
-    others = [
-        member.peers
-        for member in world.members.values()
-        if member.status in (MemberStatus.ALIVE, MemberStatus.LEAVING)
-    ]
-    return tuple(dict.fromkeys([*first, *others[:MAX_PEERS_ASKED]]))
-
-
-def _home(world: World, node: NodeId, incarnation: Incarnation) -> Member | None:
-    if incarnation == world.incarnation and world.handover is not None:
-        return world.members.get(world.handover.successor)
-    return home_of(world, node, incarnation)
-
-
 def answer_status(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
     """Answer operators who ask for the node's view."""
     for asked in inbox.of(StatusAsked):
--- a/poplarrelay/systems/schedule.py
+++ b/poplarrelay/systems/schedule.py
@@ -15,11 +15,7 @@
     publish_changes,
     share_configuration,
 )
-from poplarrelay.systems.copying import (
-    hold_copies,
-    send_copies,
-    take_over_copies,
-)
+from poplarrelay.systems.copying import send_copies
 from poplarrelay.systems.discovering import answer_addresses
 from poplarrelay.systems.dispatching import dispatch_queue
 from poplarrelay.systems.draining import drain, take_handovers
@@ -27,6 +23,7 @@
 from poplarrelay.systems.homes import answer_key_questions
 from poplarrelay.systems.leasing import keep_leases
 from poplarrelay.systems.leaving import leave_endpoints
+from poplarrelay.systems.lookups import answer_lookups
 from poplarrelay.systems.membership import (
     judge_self,
     probe_peers,
@@ -34,8 +31,13 @@
     watch_suspects,
 )
 from poplarrelay.systems.placing import give_orders
-from poplarrelay.systems.reporting import answer_lookups, answer_status
+from poplarrelay.systems.reporting import answer_status
 from poplarrelay.systems.snapshotting import write_snapshots
+from poplarrelay.systems.takeover import (
+    answer_inquiries,
+    hold_copies,
+    take_over_copies,
+)
 from poplarrelay.systems.ticketing import follow_forwards
 from poplarrelay.systems.watching import hear_notices, poll_endpoints, watch_hosts
 from poplarrelay.tables.world import World
@@ -66,6 +68,7 @@
     expire_requests,
     admit_requests,
     hold_copies,
+    answer_inquiries,
     take_over_copies,
     send_copies,
     leave_endpoints,
--- /dev/null
+++ b/poplarrelay/systems/takeover.py
@@ -0,0 +1,262 @@
+"""Hold copies of peers' deferred requests, and take requests over from homes that go.
+
+Notes
+-----
+If a home is declared dead or comes back as a new incarnation, a peer runs its requests.
+Several peers may have a copy: one that was too busy to confirm it in time took it all
+the same. So a peer first asks the others that may have one. Who has the outcome, or
+runs the request already, goes before the newest copy, and that before older ones; a
+peer that does not answer is waited for until it is declared dead itself.
+
+A home that was only frozen may run a request too. Work that must not be repeated, or
+has a key, is therefore not run again but ends as unknown.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Generator, Iterator
+
+from poplarrelay.identifiers import Incarnation, NodeId, RequestId
+from poplarrelay.messages.convert import load_outcome, load_request, store_outcome
+from poplarrelay.messages.effects import AskCopies, Decided, Decision, Effect, Reply
+from poplarrelay.messages.gossip import (
+    CopyInquiry,
+    CopyMessage,
+    CopyReply,
+    CopyStanding,
+    CopyStandings,
+    StoredRequest,
+)
+from poplarrelay.messages.inbox import Inbox
+from poplarrelay.messages.peers import CopiesAnswered, CopiesAsked, CopyReceived
+from poplarrelay.outcomes import Unknown, UnknownReason
+from poplarrelay.systems.concluding import conclude, requeue
+from poplarrelay.systems.copying import leave_to, rank_peers, settled_copy
+from poplarrelay.tables.copies import HeldCopy
+from poplarrelay.tables.members import Member, MemberStatus
+from poplarrelay.tables.requests import Request, RequestState
+from poplarrelay.tables.world import NodePhase, World
+
+__all__ = ["answer_inquiries", "hold_copies", "take_over_copies"]
+
+#: Peers that are asked before a request is taken over, the first ones by rank.
+MAX_ASKED = 4
+#: Seconds until a peer is asked again that has not answered, or holds a newer copy.
+ASK_AGAIN_S = 0.3
+_REACHABLE = (MemberStatus.ALIVE, MemberStatus.LEAVING, MemberStatus.SUSPECT)
+
+
+def hold_copies(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Hold copies for peers."""
+    for received in inbox.of(CopyReceived):
+        reply = yield from _hold(world, received.copy, now)
+        yield Reply(received.call, reply)
+
+
+def _hold(
+    world: World, message: CopyMessage, now: float
+) -> Generator[Effect, None, CopyReply]:
+    request_id = RequestId(message.request.id)
+    mine = world.requests.get(request_id)
+    if mine is not None and message.request.outcome is not None:
+        yield from conclude(world, mine, load_outcome(message.request.outcome), now)
+    if mine is not None and mine.outcome is not None:
+        return CopyReply(taken=True, moved=True, outcome=store_outcome(mine.outcome))
+    if mine is not None and not _yields(world, message):
+        return CopyReply(taken=True, moved=True)
+    if mine is not None:
+        yield from leave_to(world, mine, _held_copy(message, now), now)
+        return CopyReply(taken=True)
+    if world.phase is not NodePhase.SERVING:
+        return CopyReply(taken=False)
+    held = world.held_copies.get(request_id)
+    if held is not None and _replaces(held.request, message.request):
+        return CopyReply(taken=False)
+    world.held_copies[request_id] = _held_copy(message, now)
+    return CopyReply(taken=True)
+
+
+def _held_copy(message: CopyMessage, now: float) -> HeldCopy:
+    return HeldCopy(
+        NodeId(message.node),
+        Incarnation(message.incarnation),
+        message.generation,
+        message.request,
+        now,
+    )
+
+
+def _yields(world: World, message: CopyMessage) -> bool:
+    """Return whether this node leaves a request to a peer that runs it as well.
+
+    Notes
+    -----
+    A home that was taken for dead leaves it to whoever took it over. Both sides come
+    to the same result, or both could leave it to the other.
+    """
+    first = message.request.id.split(".")[2:3]
+    if first == [message.incarnation]:
+        return False
+    return first == [world.incarnation] or message.node < world.node
+
+
+def _replaces(one: StoredRequest, other: StoredRequest) -> bool:
+    """Return whether a copy holds where another one of the same request is known."""
+    if (one.outcome is None) is not (other.outcome is None):
+        return one.outcome is not None
+    return one.copies > other.copies
+
+
+def answer_inquiries(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Tell peers what this node has of requests whose home is gone."""
+    for asked in inbox.of(CopiesAsked):
+        standings = tuple(
+            _standing(world, RequestId(request)) for request in asked.inquiry.requests
+        )
+        yield Reply(asked.call, CopyStandings(standings=standings))
+
+
+def _standing(world: World, request_id: RequestId) -> CopyStanding:
+    request = world.requests.get(request_id)
+    if request is not None:
+        outcome = None if request.outcome is None else store_outcome(request.outcome)
+        return CopyStanding(
+            request=request_id, state="home", copies=request.copies, outcome=outcome
+        )
+    held = world.held_copies.get(request_id)
+    if held is None:
+        return CopyStanding(request=request_id, state="absent")
+    return CopyStanding(
+        request=request_id,
+        state="held",
+        copies=held.request.copies,
+        outcome=held.request.outcome,
+    )
+
+
+def take_over_copies(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
+    """Run the requests whose homes are gone, and keep their answers."""
+    for answered in inbox.of(CopiesAnswered):
+        _take_standings(world, answered, now)
+    if world.handover is not None:
+        return
+    questions: dict[NodeId, list[RequestId]] = {}
+    for request_id, held in list(world.held_copies.items()):
+        if request_id in world.requests:
+            del world.held_copies[request_id]
+        elif _gone(world, held, now):
+            others = [] if held.request.outcome else _unsure(world, request_id, held)
+            if not others:
+                del world.held_copies[request_id]
+                yield from _take_over(world, held, now)
+            elif now >= held.next_ask_at:
+                for peer in others:
+                    if peer.node not in held.asked:
+                        held.asked.add(peer.node)
+                        questions.setdefault(peer.node, []).append(request_id)
+        elif now - held.received_at > world.settings.limits.key_memory_s:
+            del world.held_copies[request_id]
+    for node, requests in questions.items():
+        inquiry = CopyInquiry(requests=tuple(requests))
+        yield AskCopies(node, world.members[node].peers, inquiry)
+
+
+def _gone(world: World, held: HeldCopy, now: float) -> bool:
+    """Return whether the home of a copy will not run its request any more.
+
+    Notes
+    -----
+    A copy may arrive before the news of the process that sent it. So a home that is
+    not known, or only as an older process, is not gone.
+    """
+    home = world.members.get(held.home)
+    if home is None:
+        return now - held.received_at > world.settings.timing.forget_dead_s
+    if home.incarnation != held.incarnation:
+        return home.generation > held.generation
+    if home.status is not MemberStatus.LEFT:
+        return home.status is MemberStatus.DEAD
+    successor = world.members.get(home.successor) if home.successor else None
+    if successor is not None:
+        _rehome(held, successor)
+    return home.successor is None
+
+
+def _rehome(held: HeldCopy, home: Member) -> None:
+    held.home, held.incarnation = home.node, home.incarnation
+    held.generation = home.generation
+    held.ruled_out.clear()
+
+
+def _unsure(world: World, request_id: RequestId, held: HeldCopy) -> list[Member]:
+    """Return the peers that may have more of a request than this node."""
+    peers = [
+        member
+        for member in world.members.values()
+        if member.status in _REACHABLE and member.node != held.home
+    ]
+    first = rank_peers(request_id, peers)[:MAX_ASKED]
+    return [peer for peer in first if peer.node not in held.ruled_out]
+
+
+def _take_standings(world: World, answered: CopiesAnswered, now: float) -> None:
+    standings = () if answered.reply is None else answered.reply.standings
+    by_request = {RequestId(standing.request): standing for standing in standings}
+    for request_id in answered.requests:
+        held = world.held_copies.get(request_id)
+        if held is None:
+            continue
+        held.asked.discard(answered.node)
+        held.next_ask_at = now + ASK_AGAIN_S
+        standing = by_request.get(request_id)
+        if standing is not None:
+            _compare(world, held, answered.node, standing)
+
+
+def _compare(
+    world: World, held: HeldCopy, node: NodeId, standing: CopyStanding
+) -> None:
+    if standing.outcome is not None:
+        found = {"outcome": standing.outcome, "copies": standing.copies}
+        held.request = held.request.model_copy(update=found)
+    elif standing.state == "home":
+        member = world.members.get(node)
+        if member is not None:
+            _rehome(held, member)
+    elif standing.state == "absent" or _goes_before(world, held, node, standing):
+        held.ruled_out.add(node)
+
+
+def _goes_before(
+    world: World, held: HeldCopy, node: NodeId, standing: CopyStanding
+) -> bool:
+    """Return whether this node's copy is the newer one; by name where both are."""
+    mine = (held.request.copies, world.node)
+    return mine > (standing.copies, node)
+
+
+def _take_over(world: World, held: HeldCopy, now: float) -> Iterator[Effect]:
+    spent = now - held.received_at
+    request = load_request(held.request, now - spent)
+    world.requests[request.id] = request
+    yield Decided(
+        Decision.DEFER,
+        (
+            ("request", request.id),
+            ("taken_over_from", held.home),
+            ("copies", request.copies),
+            ("asked", ",".join(sorted(held.ruled_out))),
+        ),
+    )
+    if request.outcome is None and not _repeatable(request):
+        request.outcome = Unknown(UnknownReason.HOME_UNREACHABLE)
+    world.sent_copies[request.id] = settled_copy(request)
+    if request.outcome is not None:
+        request.state = RequestState.ENDED
+        request.ended_at = now
+        return
+    requeue(world, request)
+
+
+def _repeatable(request: Request) -> bool:
+    return request.key is None and request.work.repeatable
--- a/poplarrelay/tables/requests.py
+++ b/poplarrelay/tables/requests.py
@@ -180,6 +180,8 @@
         When the last attempt was sent.
     started : bool
         Whether an attempt may have begun at an endpoint.
+    copies : int
+        Copies of a deferred request that have been sent to peers, by all its homes.
     """
 
     id: RequestId
@@ -192,6 +194,7 @@
     key: IdempotencyKey | None = None
     home_clock: float | None = None
     deferred: bool = False
+    copies: int = 0
     state: RequestState = RequestState.RECEIVED
     attempt: Attempt | None = None
     attempts: int = 0
--- a/poplarrelay/testing/fakes.py
+++ b/poplarrelay/testing/fakes.py
@@ -21,21 +21,33 @@
 from poplarrelay.messages.calls import AttemptEnded, AttemptResult, RequestArrived
 from poplarrelay.messages.convert import load_work, store_outcome
 from poplarrelay.messages.effects import (
+    AcceptDeferred,
     AppendRecord,
+    AskCopies,
     AskKey,
     AskPeers,
     Conclude,
     Effect,
     Forward,
     HandOver,
+    KeepCopy,
     Reject,
     Reply,
     RunAttempt,
     StopProcess,
 )
-from poplarrelay.messages.gossip import HandoverReply, KeyReply
+from poplarrelay.messages.gossip import (
+    CopyReply,
+    CopyStandings,
+    HandoverReply,
+    KeyReply,
+)
 from poplarrelay.messages.inbox import Inbox, Message
 from poplarrelay.messages.peers import (
+    CopiesAnswered,
+    CopiesAsked,
+    CopyAnswered,
+    CopyReceived,
     ForwardAnswered,
     HandoverAnswered,
     HandoverReceived,
@@ -44,18 +56,33 @@
     PeersAnswered,
 )
 from poplarrelay.messages.platform import LogFailed, RecordsRead
-from poplarrelay.messages.questions import CallId, ShutdownAsked
+from poplarrelay.messages.questions import CallId, RequestLookedUp, ShutdownAsked
 from poplarrelay.messages.records import Record, RecordValue
 from poplarrelay.outcomes import NotRun, Outcome, ServiceAnswer
+from poplarrelay.systems.concluding import outcome_tag
 from poplarrelay.systems.gossiping import merge_row, news_rows, own_row
 from poplarrelay.systems.keys import ticket_prefix
+from poplarrelay.systems.lookups import (
+    LookupElsewhere,
+    LookupResult,
+    SearchResult,
+    judge_search,
+)
 from poplarrelay.systems.schedule import run_tick
+from poplarrelay.tables.members import MemberStatus
 from poplarrelay.tables.requests import RequestClass, Work, WorkKind
 from poplarrelay.tables.world import CLAIMS, CONFIGURATION, World
 from poplarrelay.testing.site import hash_token, team_token
 from poplarrelay.testing.worlds import TEAM, make_world
 
-__all__ = ["Action", "FakeLog", "FakeNode", "FakeSystem", "Presentation"]
+__all__ = [
+    "Action",
+    "Deferral",
+    "FakeLog",
+    "FakeNode",
+    "FakeSystem",
+    "Presentation",
+]
 
 
 class FakeLog:
@@ -91,6 +118,29 @@
     outcomes: list[Outcome] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Deferral:
+    """A deferred request as its caller sees it.
+
+    Attributes
+    ----------
+    accepted : bool
+        Whether the caller has its id.
+    copied : bool
+        Whether a peer had confirmed a copy by then.
+    told : str or None
+        The outcome that the caller has fetched.
+    """
+
+    id: RequestId
+    home: str
+    repeatable: bool
+    accepted: bool = False
+    copied: bool = False
+    told: str | None = None
+    runs: int = 0
+
+
 @dataclass(slots=True)
 class Action:
     """An effect that has left a node and has not been carried out yet."""
@@ -144,6 +194,7 @@
         self.violations: list[str] = []
         self.presentations: dict[RequestId, Presentation] = {}
         self.answered = 0
+        self.deferrals: dict[RequestId, Deferral] = {}
         self._numbers = itertools.count(1)
         self._incarnations = itertools.count(1)
         self._calls = itertools.count(1)
@@ -181,6 +232,14 @@
         node.dead = True
         self.actions = [action for action in self.actions if action.node is not node]
 
+    def declare_dead(self, name: str) -> None:
+        """Let all other nodes take one for dead."""
+        for node in self.nodes.values():
+            member = node.world.members.get(self.nodes[name].world.node)
+            if member is not None and node.answers:
+                member.status = MemberStatus.DEAD
+                member.changed_at = self.now
+
     def freeze(self, name: str) -> None:
         """Stop a process; its sockets stay open."""
         node = self.nodes[name]
@@ -233,6 +292,72 @@
         )
         return presentation
 
+    def defer(
+        self, name: str, repeatable: bool = True, key: str | None = None
+    ) -> Deferral:
+        """Bring a request whose answer is fetched later."""
+        node = self.nodes[name]
+        number = next(self._numbers)
+        request = RequestId(f"r.{name}.{node.world.incarnation}.{number}")
+        self.deferrals[request] = Deferral(request, name, repeatable)
+        method = "GET" if repeatable else "POST"
+        work = Work(WorkKind.SERVICE, "booking", method, fingerprint=request)
+        arrived = RequestArrived(
+            id=request,
+            token_sha256=hash_token(team_token(TEAM)),
+            work=work,
+            request_class=RequestClass.PATIENT,
+            timeout_s=None,
+            received=self.now,
+            key=None if key is None else IdempotencyKey(key),
+            deferred=True,
+        )
+        self._bring(node, arrived)
+        return self.deferrals[request]
+
+    def look_up(self, name: str, deferral: Deferral) -> str:
+        """Ask a node what became of a deferred request, and return its word.
+
+        Returns
+        -------
+        word : str
+            An outcome's tag, or the value of a `SearchResult`.
+        """
+        found = self._ask(name, deferral.id, forwarded=False)
+        if isinstance(found, LookupElsewhere):
+            return self._search(deferral, found)
+        return self._word(found)
+
+    def _search(self, deferral: Deferral, found: LookupElsewhere) -> str:
+        copies, silent = False, set()
+        for peer in found.peers:
+            node = self._at(peer)
+            if node is None or not node.answers:
+                silent.add(peer)
+                continue
+            answer = self._ask(node.name, deferral.id, forwarded=True)
+            if isinstance(answer, LookupResult) and not answer.copy:
+                return self._word(answer)
+            copies = copies or isinstance(answer, LookupResult)
+        return judge_search(found, copies, silent).value
+
+    def _ask(self, name: str, request: RequestId, forwarded: bool) -> object:
+        node = self.nodes[name]
+        call = CallId(next(self._calls))
+        token = hash_token(team_token(TEAM))
+        team = TeamId(TEAM) if forwarded else None
+        node.inbox.append(RequestLookedUp(call, token, request, team, forwarded))
+        self.tick(name)
+        return self._replies.pop(call)
+
+    @staticmethod
+    def _word(found: object) -> str:
+        if not isinstance(found, LookupResult):
+            return SearchResult.ABSENT.value
+        if found.outcome is None:
+            return SearchResult.RUNNING.value
+        return outcome_tag(found.outcome)
+
     @staticmethod
     def _bring(node: FakeNode, arrived: RequestArrived) -> None:
         (node.unread if node.frozen else node.inbox).append(arrived)
@@ -284,6 +409,8 @@
                 self._replies[effect.call] = effect.value
             case Conclude():
                 self._conclude(node, effect)
+            case AcceptDeferred():
+                self._accept(node, effect)
             case Reject():
                 self._origins.pop(effect.request, None)
             case StopProcess():
@@ -295,6 +422,8 @@
                 | Forward()
                 | RunAttempt()
                 | HandOver()
+                | KeepCopy()
+                | AskCopies()
             ):
                 self.actions.append(Action(node, effect))
 
@@ -312,6 +441,12 @@
         if isinstance(effect.outcome, NotRun):
             self._told_not_run(presentation)
 
+    def _accept(self, node: FakeNode, effect: AcceptDeferred) -> None:
+        deferral = self.deferrals[effect.request]
+        deferral.accepted = True
+        copy = node.world.sent_copies[effect.request]
+        deferral.copied = copy.holder is not None
+
     def _told_not_run(self, presentation: Presentation) -> None:
         key = presentation.key
         if self.runs[key]:
@@ -346,6 +481,10 @@
                 self._run(action.node, effect, lost)
             case HandOver():
                 self._hand_over(action.node, effect, lost)
+            case KeepCopy():
+                self._keep_copy(action.node, effect, lost)
+            case AskCopies():
+                self._ask_copies(action.node, effect, lost)
 
     def _append(self, action: Action, effect: AppendRecord, lost: bool) -> None:
         if self.now >= effect.until:
@@ -427,8 +566,11 @@
             result = AttemptResult.NOT_STARTED
             node.inbox.append(AttemptEnded(attempt.request, attempt.id, result))
             return
-        presentation = self.presentations[attempt.request]
-        self._note_run(presentation)
+        deferral = self.deferrals.get(attempt.request)
+        if deferral is not None:
+            deferral.runs += 1
+        else:
+            self._note_run(self.presentations[attempt.request])
         result = AttemptResult.BROKEN if lost else AttemptResult.FINISHED
         answer = None if lost else ServiceAnswer(200, "text/plain", b"confirmed")
         node.inbox.append(
@@ -457,6 +599,19 @@
         answer = reply if isinstance(reply, HandoverReply) and not lost else None
         node.inbox.append(HandoverAnswered(effect.node, message.id, answer))
 
+    def _keep_copy(self, node: FakeNode, effect: KeepCopy, lost: bool) -> None:
+        message = effect.message
+        reply = self._call(effect.peer, lambda call: CopyReceived(call, message))
+        answer = reply if isinstance(reply, CopyReply) and not lost else None
+        node.inbox.append(CopyAnswered(effect.request, answer))
+
+    def _ask_copies(self, node: FakeNode, effect: AskCopies, lost: bool) -> None:
+        inquiry = effect.inquiry
+        reply = self._call(effect.peer, lambda call: CopiesAsked(call, inquiry))
+        answer = reply if isinstance(reply, CopyStandings) and not lost else None
+        requests = tuple(RequestId(request) for request in inquiry.requests)
+        node.inbox.append(CopiesAnswered(effect.node, requests, answer))
+
     # -- running on --------------------------------------------------------
 
     def settle(self, rounds: int = 40) -> None:
