--- a/poplarrelay/systems/tests/test_copying.py
+++ b/poplarrelay/systems/tests/test_copying.py
@@ -310,6 +310,8 @@
     _pass_on(system, KeepCopy)
     _pass_on(system, RunAttempt)
     _pass_on(system, KeepCopy)
+    for name in ("n2", "n3"):
+        system.nodes[name].world.held_copies.clear()
     system.leave("n1", 5.0)
     system.tick_all()
     system.now += 4.0
