--- a/poplarrelay/testing/tests/test_leaving_nodes.py
+++ b/poplarrelay/testing/tests/test_leaving_nodes.py
@@ -3,6 +3,8 @@
 import signal
 import time
 from datetime import datetime
+from functools import partial
+from http import HTTPStatus
 
 import pytest
 
@@ -20,6 +22,11 @@
 
 pytestmark = pytest.mark.processes
 
+#: Pause that is longer than one try to copy a deferred request.
+PAUSE_S = 1.1
+#: Time after a crash in which its peers take notice and take over.
+WATCHED_S = 4.0
+
 
 def test_terminated_node_cuts_off_no_stream(site):
     # The stream ends before the node has to.
@@ -143,6 +150,53 @@
     assert _answer(others, done) == "".join(whole("first report", 3))
 
 
+def test_answers_survive_a_peer_that_was_paused(site):
+    # Guards against an old copy at a peer that takes back what callers have fetched.
+    home, paused = site.nodes["node-1"], site.nodes["node-2"]
+    body = {"model": "small", "prompt": "first report", "max_tokens": 3}
+    deferred = {"url": "/v1/completions", "body": body}
+    paused.signal(signal.SIGSTOP)
+    try:
+        replies = [
+            _call(site, "POST", home, "/v1/requests", deferred) for _ in range(4)
+        ]
+        time.sleep(PAUSE_S)
+    finally:
+        paused.signal(signal.SIGCONT)
+    reports = [reply.value["id"] for reply in replies]
+    for report in reports:
+        wait_until(partial(_told_answered, site, home, report))
+    home.kill()
+    del site.nodes["node-1"]
+    until = time.monotonic() + WATCHED_S
+    while time.monotonic() < until:
+        for node in site.nodes.values():
+            words = {_word(site, node, report) for report in reports}
+            assert words <= {"answered", "not known"}, (node.name, words)
+    for report in reports:
+        for node in site.nodes.values():
+            wait_until(partial(_told_answered, site, node, report))
+
+
+def _call(site, method, node, path, body=None):
+    headers = {"Authorization": f"Bearer {team_token('alpha')}"}
+    return site.caller.call(
+        method, node.address, path, body, timeout_s=8.0, headers=headers
+    )
+
+
+def _word(site, node, request):
+    """Return what a node says of a request."""
+    reply = _call(site, "GET", node, f"/v1/requests/{request}")
+    if reply.status == HTTPStatus.BAD_GATEWAY:
+        return "not known"
+    return reply.value["status"] if reply.ok else reply.status
+
+
+def _told_answered(site, node, request):
+    return _word(site, node, request) == "answered"
+
+
 def _answer(client, request):
     try:
         found = client.fetch(request)
