Hand over the outcome of deferred work that a leaving node gives up

A deferred booking that runs when its home has to go ends as unknown, but its caller is told "running" by every node, for as long as copies are kept.

Cause: what goes along was collected before the rest was ended, so that outcome was in no message; peers' copies say "running", and their home has left to a successor that does not know the request.

Change: what has ended by then is collected as well. The test fails before ('running' in place of 'unknown') and passes now, with the 20 others of its module.

--- a/poplarrelay/systems/draining.py
+++ b/poplarrelay/systems/draining.py
@@ -35,6 +35,7 @@
     HandoverReply,
     ProbeMessage,
     StoredKey,
+    StoredRequest,
 )
 from poplarrelay.messages.inbox import Inbox
 from poplarrelay.messages.peers import HandoverAnswered, HandoverReceived
@@ -137,11 +138,10 @@
         if not _busy(world) and not _has_memory(world):
             yield from _stop(world, now)
         return
-    handed = [r for r in world.requests.values() if _goes_along(r)]
-    stored = tuple(store_request(request, now) for request in handed)
-    for request in handed:
-        let_go(world, request, now)
+    stored = _take_along(world, now)
     yield from _end_the_rest(world, successor, now)
+    # Deferred requests that have ended only now are fetched at the successor as well.
+    stored += _take_along(world, now)
     message = HandoverMessage(
         id=f"h.{world.node}.{world.incarnation}",
         node=world.node,
@@ -161,6 +161,14 @@
     yield from _send_handover(world, now)
 
 
+def _take_along(world: World, now: float) -> tuple[StoredRequest, ...]:
+    handed = [r for r in world.requests.values() if _goes_along(r)]
+    stored = tuple(store_request(request, now) for request in handed)
+    for request in handed:
+        let_go(world, request, now)
+    return stored
+
+
 def _has_memory(world: World) -> bool:
     return bool(world.uses) or any(r.deferred for r in world.requests.values())
 
--- a/poplarrelay/systems/tests/test_copying.py
+++ b/poplarrelay/systems/tests/test_copying.py
@@ -3,7 +3,7 @@
 import pytest
 
 from poplarrelay.identifiers import NodeId
-from poplarrelay.messages.effects import AskCopies, KeepCopy, RunAttempt
+from poplarrelay.messages.effects import AskCopies, HandOver, KeepCopy, RunAttempt
 from poplarrelay.systems.copying import MAX_TRIES
 from poplarrelay.systems.copying import RETRY_S as ALONE_RETRY_S
 from poplarrelay.tables.members import MemberStatus
@@ -255,6 +255,22 @@
         assert system.look_up(name, deferral) == "answered"
 
 
+def test_outcome_of_work_that_a_leaving_node_gives_up_is_handed_over(system):
+    # Guards against a request that looks as if it ran for ever after its home has left.
+    deferral = system.defer("n1", repeatable=False)
+    system.tick_all()
+    _pass_on(system, KeepCopy)
+    system.leave("n1", 5.0)
+    system.tick_all()
+    system.now += 4.0
+    system.tick_all()
+    _pass_on(system, HandOver)
+    system.meet()
+    system.tick_all()
+    for name in ("n2", "n3"):
+        assert system.look_up(name, deferral) == "unknown"
+
+
 @pytest.mark.parametrize("first", [0, 1])
 def test_two_homes_do_not_leave_a_request_to_each_other(system, first):
     # Guards against a request that nobody runs after a holder was taken for dead.
