Do not deny a deferred request at a node that has not heard of any peer yet

By reading, for the same fault elsewhere: a restarted node with the configuration and an empty member table said "no such request", a final word. The test fails before (absent) and passes now: not known, until a peer has been heard.

--- a/poplarrelay/systems/lookups.py
+++ b/poplarrelay/systems/lookups.py
@@ -182,17 +182,22 @@
     reachable = [member for member in likely if member.status in _ASKED]
     first = [] if home is None else [home]
     peers = tuple(dict.fromkeys(member.peers for member in (*first, *reachable)))
-    if not peers:
+    if not peers and not _awaits_peers(world):
         return None
     return LookupElsewhere(
         peers,
         team,
         home=None if home is None else home.peers,
         copy=copy,
-        complete=len(reachable) == len(likely),
+        complete=bool(peers) and len(reachable) == len(likely),
     )
 
 
+def _awaits_peers(world: World) -> bool:
+    """Return whether there are other nodes, none of which has been heard yet."""
+    return any(seed != world.me.peers for seed in world.settings.seeds)
+
+
 def _home(world: World, node: NodeId, incarnation: Incarnation) -> Member | None:
     if incarnation == world.incarnation and world.handover is not None:
         return world.members.get(world.handover.successor)
--- a/poplarrelay/systems/tests/test_copying.py
+++ b/poplarrelay/systems/tests/test_copying.py
@@ -169,6 +169,16 @@
         assert system.look_up(name, deferral) == "not_known"
 
 
+def test_restarted_node_without_peers_does_not_know(system):
+    # Guards against a final "no such request" from a node that knows nobody yet.
+    deferral = system.defer("n1")
+    system.tick_all()
+    _pass_on(system, KeepCopy)
+    system.crash("n3")
+    system.start("n3")
+    assert system.look_up("n3", deferral) == "not_known"
+
+
 def test_newest_copy_is_taken_over_once(system):
     # Guards against two peers that both run a request after its home's crash.
     deferral = system.defer("n1")
