--- a/poplarrelay/systems/tests/test_copying.py
+++ b/poplarrelay/systems/tests/test_copying.py
@@ -29,6 +29,15 @@
     }
 
 
+def _answer_with_copy(system):
+    """Defer a request at the first node, and have its outcome copied."""
+    deferral = system.defer("n1")
+    system.tick_all()
+    for kind in (KeepCopy, RunAttempt, KeepCopy):
+        _pass_on(system, kind)
+    return deferral
+
+
 def _run_twice_copied(system, deferral):
     """Let the first peer asked be too late, so that a second one holds the copy too."""
     system.tick_all()
@@ -314,11 +323,7 @@
 
 def test_unknown_while_a_holder_is_suspected(system):
     # Guards against a final "no such request" while a suspected peer has the answer.
-    deferral = system.defer("n1")
-    system.tick_all()
-    _pass_on(system, KeepCopy)
-    _pass_on(system, RunAttempt)
-    _pass_on(system, KeepCopy)
+    deferral = _answer_with_copy(system)
     (holder,) = _held_by(system, deferral)
     (other,) = set(system.nodes) - {"n1", holder}
     system.crash("n1")
@@ -331,11 +336,7 @@
 
 def test_request_is_found_while_it_is_handed_over(system):
     # Guards against a final "no such request" between two homes.
-    deferral = system.defer("n1")
-    system.tick_all()
-    _pass_on(system, KeepCopy)
-    _pass_on(system, RunAttempt)
-    _pass_on(system, KeepCopy)
+    deferral = _answer_with_copy(system)
     for name in ("n2", "n3"):
         system.nodes[name].world.held_copies.clear()
     system.leave("n1", 5.0)
