Ask the very peers that a home prefers before a takeover, and rank them once an answer

The rank takes the home's domain now, and is worked out when answers have come. test_copying, test_deferred_machine: 23 passed.

--- a/poplarrelay/systems/copying.py
+++ b/poplarrelay/systems/copying.py
@@ -22,7 +22,7 @@
 import hashlib
 from collections.abc import Iterable, Iterator
 
-from poplarrelay.identifiers import NodeId, RequestId
+from poplarrelay.identifiers import DomainId, NodeId, RequestId
 from poplarrelay.messages.convert import load_outcome, store_request
 from poplarrelay.messages.effects import (
     AcceptDeferred,
@@ -51,15 +51,28 @@
 _PHASES = (NodePhase.SERVING, NodePhase.DRAINING)
 
 
-def rank_peers(request: RequestId, peers: Iterable[Member]) -> list[Member]:
+def rank_peers(
+    request: RequestId, peers: Iterable[Member], home: DomainId | None = None
+) -> list[Member]:
     """Return peers in the order in which they are asked to take a copy.
 
+    Parameters
+    ----------
+    request : RequestId
+        The request.
+    peers : iterable of Member
+        The peers.
+    home : DomainId or None
+        The home's failure domain; its peers come last.
+
     Notes
     -----
     Every node finds the same order without being told, so few have to be asked for
     a copy whose home is gone, however many nodes there are.
     """
-    return sorted(peers, key=lambda peer: _rank(request, peer.node))
+    return sorted(
+        peers, key=lambda peer: (peer.domain == home, _rank(request, peer.node))
+    )
 
 
 def _rank(request: RequestId, node: NodeId) -> bytes:
@@ -141,8 +154,7 @@
     for member in ready:
         if member.node == copy.holder:
             return member
-    elsewhere = [member for member in ready if member.domain != world.me.domain]
-    return next(iter(rank_peers(request.id, elsewhere or ready)), None)
+    return next(iter(rank_peers(request.id, ready, world.me.domain)), None)
 
 
 def _take_answer(world: World, answered: CopyAnswered, now: float) -> Iterator[Effect]:
--- a/poplarrelay/systems/takeover.py
+++ b/poplarrelay/systems/takeover.py
@@ -145,15 +145,15 @@
         if request_id in world.requests:
             del world.held_copies[request_id]
         elif _gone(world, held, now):
+            if held.asked or now < held.next_ask_at:
+                continue
             others = [] if held.request.outcome else _unsure(world, request_id, held)
             if not others:
                 del world.held_copies[request_id]
                 yield from _take_over(world, held, now)
-            elif now >= held.next_ask_at:
-                for peer in others:
-                    if peer.node not in held.asked:
-                        held.asked.add(peer.node)
-                        questions.setdefault(peer.node, []).append(request_id)
+            for peer in others:
+                held.asked.add(peer.node)
+                questions.setdefault(peer.node, []).append(request_id)
         elif now - held.received_at > world.settings.limits.key_memory_s:
             del world.held_copies[request_id]
     for node, requests in questions.items():
@@ -195,7 +195,9 @@
         for member in world.members.values()
         if member.status in _REACHABLE and member.node != held.home
     ]
-    first = rank_peers(request_id, peers)[:MAX_ASKED]
+    home = world.members.get(held.home)
+    domain = None if home is None else home.domain
+    first = rank_peers(request_id, peers, domain)[:MAX_ASKED]
     return [peer for peer in first if peer.node not in held.ruled_out]
 
 
@@ -207,15 +209,13 @@
         if held is None:
             continue
         held.asked.discard(answered.node)
-        held.next_ask_at = now + ASK_AGAIN_S
         standing = by_request.get(request_id)
-        if standing is not None:
-            _compare(world, held, answered.node, standing)
+        if standing is None or not _settle(world, held, answered.node, standing):
+            held.next_ask_at = now + ASK_AGAIN_S
 
 
-def _compare(
-    world: World, held: HeldCopy, node: NodeId, standing: CopyStanding
-) -> None:
+def _settle(world: World, held: HeldCopy, node: NodeId, standing: CopyStanding) -> bool:
+    """Take a peer's standing, and return whether it need not be asked again."""
     if standing.outcome is not None:
         found = {"outcome": standing.outcome, "copies": standing.copies}
         held.request = held.request.model_copy(update=found)
@@ -225,6 +225,9 @@
             _rehome(held, member)
     elif standing.state == "absent" or _goes_before(world, held, node, standing):
         held.ruled_out.add(node)
+    else:
+        return False
+    return True
 
 
 def _goes_before(
