--- a/poplarrelay/entry/tests/test_freshness.py
+++ b/poplarrelay/entry/tests/test_freshness.py
@@ -140,6 +140,15 @@
     assert mine.due_in_s(5.1) < 0
 
 
+def test_wait_for_a_peer_ends_at_the_latest_time_to_read():
+    # Guards against a list that gets too old while one peer after the other reads.
+    mine = ListFreshness(Random(1), TIMES, nodes=8)
+    mine.note_read(5.0, Offset(3))
+    latest_at = 5.0 + TIMES.latest_read_s
+    mine.await_peer(latest_at - 0.01)
+    assert mine.due_in_s(latest_at) <= 0
+
+
 @given(st.integers(100, 60_000))
 def test_reads_end_before_the_bound_with_one_answer_missing(bound_ms):
     # A list that nobody has renewed, a read without an answer, the pause, the read
