--- a/poplarrelay/entry/timeouts.py
+++ b/poplarrelay/entry/timeouts.py
@@ -8,8 +8,8 @@
 
 __all__ = ["within"]
 
-#: Seconds at the end of a timeout, or after a standstill that lasts longer, in which what
-#: has arrived is read.
+#: Seconds at the end of a timeout, or after a standstill that lasts longer, in which
+#: what has arrived is read.
 CATCH_UP_S = 0.01
 
 ResultT = TypeVar("ResultT")
