--- a/poplarrelay/systems/takeover.py
+++ b/poplarrelay/systems/takeover.py
@@ -62,7 +62,7 @@
         yield from conclude(world, mine, load_outcome(message.request.outcome), now)
     if mine is not None and mine.outcome is not None:
         return CopyReply(taken=True, moved=True, outcome=store_outcome(mine.outcome))
-    if mine is not None and not _yields(world, message):
+    if mine is not None and not _leaves_to_sender(world, message):
         return CopyReply(taken=True, moved=True)
     if mine is not None:
         yield from leave_to(world, mine, _held_copy(message, now), now)
@@ -86,7 +86,7 @@
     )
 
 
-def _yields(world: World, message: CopyMessage) -> bool:
+def _leaves_to_sender(world: World, message: CopyMessage) -> bool:
     """Return whether this node leaves a request to a peer that runs it as well.
 
     Notes
@@ -142,16 +142,17 @@
         return
     questions: dict[NodeId, list[RequestId]] = {}
     for request_id, held in list(world.held_copies.items()):
+        _follow_successor(world, held)
         if request_id in world.requests:
             del world.held_copies[request_id]
         elif _gone(world, held, now):
             if held.asked or now < held.next_ask_at:
                 continue
-            others = [] if held.request.outcome else _unsure(world, request_id, held)
-            if not others:
+            unsure = _unsure(world, request_id, held)
+            if not unsure:
                 del world.held_copies[request_id]
                 yield from _take_over(world, held, now)
-            for peer in others:
+            for peer in unsure:
                 held.asked.add(peer.node)
                 questions.setdefault(peer.node, []).append(request_id)
         elif now - held.received_at > world.settings.limits.key_memory_s:
@@ -174,12 +175,20 @@
         return now - held.received_at > world.settings.timing.forget_dead_s
     if home.incarnation != held.incarnation:
         return home.generation > held.generation
-    if home.status is not MemberStatus.LEFT:
-        return home.status is MemberStatus.DEAD
-    successor = world.members.get(home.successor) if home.successor else None
-    if successor is not None:
-        _rehome(held, successor)
-    return home.successor is None
+    if home.status is MemberStatus.LEFT:
+        return home.successor is None
+    return home.status is MemberStatus.DEAD
+
+
+def _follow_successor(world: World, held: HeldCopy) -> None:
+    """Take the successor of a home that has left for the home of its copy."""
+    home = world.members.get(held.home)
+    if home is None or home.incarnation != held.incarnation:
+        return
+    if home.status is MemberStatus.LEFT and home.successor is not None:
+        successor = world.members.get(home.successor)
+        if successor is not None:
+            _rehome(held, successor)
 
 
 def _rehome(held: HeldCopy, home: Member) -> None:
@@ -190,6 +199,8 @@
 
 def _unsure(world: World, request_id: RequestId, held: HeldCopy) -> list[Member]:
     """Return the peers that may have more of a request than this node."""
+    if held.request.outcome is not None:
+        return []
     peers = [
         member
         for member in world.members.values()
@@ -202,6 +213,7 @@
 
 
 def _take_standings(world: World, answered: CopiesAnswered, now: float) -> None:
+    """Note what a peer has of each request that it was asked for."""
     standings = () if answered.reply is None else answered.reply.standings
     by_request = {RequestId(standing.request): standing for standing in standings}
     for request_id in answered.requests:
