Leave out what is default in calls between nodes, so that older nodes understand them

By reading, for a rolling restart: messages refuse unknown fields, so a forward of a ticket to a node of the version before would have failed by the new field `copies`, and a copy's new reply would have looked like none. Both are left out now where they say nothing. test_peer_of_the_version_before_understands_a_forward checks the first.

Left: a copy that a new node sends to an older one, and a handover with deferred requests to one, are refused by it; copies then go to other peers, handovers to none. No run of both versions.

--- a/poplarrelay/messages/gossip.py
+++ b/poplarrelay/messages/gossip.py
@@ -217,7 +217,7 @@
 
     node: str
     incarnation: str
-    generation: int
+    generation: int = 0
     request: StoredRequest
 
 
--- a/poplarrelay/node/peering.py
+++ b/poplarrelay/node/peering.py
@@ -69,7 +69,8 @@
         answer: type[ModelT],
         timeout_s: float,
     ) -> ModelT | None:
-        value = body.model_dump(mode="json")
+        # Nodes of the version before refuse fields that they do not know.
+        value = body.model_dump(mode="json", exclude_defaults=True)
         return self._call("POST", peer, path, value, answer, timeout_s)
 
     def _call(
--- a/poplarrelay/node/peers.py
+++ b/poplarrelay/node/peers.py
@@ -23,6 +23,7 @@
 from poplarrelay.messages.gossip import (
     CopyInquiry,
     CopyMessage,
+    CopyReply,
     HandoverMessage,
     KeyQuestion,
     ProbeMessage,
@@ -148,7 +149,9 @@
     def copy(self) -> bytes:
         """Keep a copy of a deferred request."""
         message = read_json(CopyMessage, MAX_PEER_BYTES)
-        return _dump(self._ask(lambda call: CopyReceived(call, message)))
+        reply = self._ask(lambda call: CopyReceived(call, message))
+        assert isinstance(reply, CopyReply)
+        return answer_json(reply.model_dump(mode="json", exclude_defaults=True))
 
     @cherrypy.expose
     def copies(self) -> bytes:
