--- a/poplarrelay/testing/tests/test_configuration.py
+++ b/poplarrelay/testing/tests/test_configuration.py
@@ -175,7 +175,7 @@
 
         def trimmed():
             read = running.get(log, "/streams/configuration/records?from=0")
-            return read["oldest"] > accepted["offset"]
+            return read is not None and read["oldest"] > accepted["offset"]
 
         wait_until(trimmed, 40.0, "records trimmed")
         running.nodes["node-2"].kill()
