Log a fingerprint of each request that is sent to an endpoint

The `attempt` log line now has the field `fingerprint`: a digest of caller, host, method, target and body, which stays the same when the caller sends the request again.

--- a/poplarrelay/entry/case.py
+++ b/poplarrelay/entry/case.py
@@ -10,7 +10,7 @@
 from poplarrelay.entry.http.listener import Exchange
 from poplarrelay.entry.outcomes import Answered
 from poplarrelay.entry.requests import CallerRequest
-from poplarrelay.identifiers import EndpointId
+from poplarrelay.identifiers import EndpointId, RequestFingerprint
 
 __all__ = ["Case"]
 
@@ -29,6 +29,8 @@
         The configuration that admitted it.
     knows_keys : bool
         Whether the configuration has teams with keys.
+    fingerprint : RequestFingerprint
+        Digest of the request, the same for all of the caller's retries.
     tried : list of EndpointId
         Where it has been sent, or was to be sent.
     may_have_run : bool
@@ -53,6 +55,7 @@
     version: int
     progress: StreamProgress
     knows_keys: bool
+    fingerprint: RequestFingerprint
     tried: list[EndpointId] = field(default_factory=list)
     may_have_run: bool = False
     begun: bool = False
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -136,7 +136,7 @@
         admitted: Admitted,
         configuration: Configuration,
     ) -> None:
-        route = admitted.route
+        route, team = admitted.route, admitted.team
         patience_s = route.timeout_s
         if request.patience_s is not None:
             patience_s = min(patience_s, request.patience_s)
@@ -144,13 +144,14 @@
             request=request,
             exchange=exchange,
             route=route,
-            team=admitted.team,
+            team=team,
             priority=admitted.priority,
             service=choose_service(route, self._state.rng),
             until=request.started_at + patience_s,
             version=configuration.version,
             progress=StreamProgress(request.last_event_id),
             knows_keys=bool(configuration.teams),
+            fingerprint=request.fingerprint(None if team is None else team.name),
         )
         refusal = self._charges.charge(case)
         if refusal is None:
@@ -300,6 +301,7 @@
             "attempt",
             extra={
                 "request": case.request.request,
+                "fingerprint": case.fingerprint,
                 "endpoint": row.endpoint,
                 "service": case.service,
                 "reason": choice.reason,
--- a/poplarrelay/entry/requests.py
+++ b/poplarrelay/entry/requests.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field
 
 from poplarrelay.entry.http.connection import Headers
-from poplarrelay.identifiers import RequestId
+from poplarrelay.identifiers import RequestFingerprint, RequestId, TeamId
 
 __all__ = ["CallerRequest", "PromptPart"]
 
+#: Digest size; the hexadecimal fingerprint has twice as many characters.
+FINGERPRINT_BYTES = 12
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -81,6 +85,22 @@
         """Return the tokens that it reads and may generate."""
         return (self.prompt_tokens or 0) + (self.most_output_tokens or 0)
 
+    def fingerprint(self, team: TeamId | None) -> RequestFingerprint:
+        """Return a digest of the caller, host, method, target and body.
+
+        Parameters
+        ----------
+        team : TeamId or None
+            The caller's team. If None, the credentials identify the caller.
+        """
+        caller = (self.credentials or b"") if team is None else team.encode()
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        host = self.host.encode()
+        for part in (caller, host, self.method, self.target, self.body):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+        return RequestFingerprint(digest.hexdigest())
+
     @property
     def shared_tokens(self) -> int:
         """Return the tokens of the parts that other requests may share."""
--- a/poplarrelay/identifiers.py
+++ b/poplarrelay/identifiers.py
@@ -13,6 +13,7 @@
     "NodeId",
     "Offset",
     "RecordId",
+    "RequestFingerprint",
     "RequestId",
     "StartTime",
     "StreamName",
@@ -34,6 +35,9 @@
 TeamId = NewType("TeamId", str)
 #: A request, unique over all incarnations of all nodes.
 RequestId = NewType("RequestId", str)
+#: Digest of a request's caller and content. Unlike the request id, it stays the same
+#: when the caller retries.
+RequestFingerprint = NewType("RequestFingerprint", str)
 #: One attempt to run a request at an endpoint.
 AttemptId = NewType("AttemptId", str)
 #: A record of the log, chosen by its writer.
