Reproduce requests that crash endpoint after endpoint, in failing tests

The stand-in of an endpoint ends when it begins to run a request with a given body, together with all else that it runs; the site starts it again at its address after some time, under a new id. Three nodes and eight such endpoints, that request four times a second: calls, unsafe calls and both kinds of streams arrive 13 to 25 times later than 3 s after the third crash, where 3 are allowed, and at a node that starts later too.

--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from time import monotonic
@@ -85,6 +86,10 @@
         Streams that are under way.
     cut : list of str
         Ids of requests whose caller closed before the end.
+    crash_body : bytes or None
+        Body of the requests that crash the endpoint when it begins to run them.
+    on_crash : callable or None
+        Is called after such a crash.
     """
 
     endpoint: str
@@ -97,6 +102,8 @@
     cut: list[str] = field(default_factory=list)
     connections: int = 0
     working: int = 0
+    crash_body: bytes | None = None
+    on_crash: Callable[[], None] | None = None
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -187,6 +194,9 @@
             return self._answer(http, writer, 421, attempt, b"", refused=True)
         if fault is Fault.SHED:
             return self._answer(http, writer, 503, attempt, b"", refused=True)
+        if self.crash_body is not None and body == self.crash_body:
+            self._crash(http, writer, attempt)
+            return False
         if fault is not None:
             return await self._misbehave(fault, http, reader, writer, attempt)
         if self.events:
@@ -234,6 +244,21 @@
             writer.write(http.send(event) or b"")
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
+    def _crash(
+        self, http: h11.Connection, writer: asyncio.StreamWriter, attempt: str
+    ) -> None:
+        """Begin to answer, and end with everything that is under way."""
+        if self.events:
+            more = ("Content-Type", "text/event-stream")
+            headers = self._head(attempt, more, ("Transfer-Encoding", "chunked"))
+            head = h11.Response(status_code=200, headers=headers)
+            writer.write(http.send(head) or b"")
+        for each in list(self._writers):
+            each.close()
+        self.stop()
+        if self.on_crash is not None:
+            self.on_crash()
+
     async def _misbehave(
         self,
         fault: Fault,
--- a/poplarrelay/testing/users.py
+++ b/poplarrelay/testing/users.py
@@ -211,6 +211,7 @@
     _settings: dict[str, EntrySettings] = field(default_factory=dict)
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _ports: dict[str, str] = field(default_factory=dict)
+    _recoveries: list[asyncio.Task[None]] = field(default_factory=list)
     _requests: count[int] = field(default_factory=lambda: count(1))
 
     def delay_news(self, name: str, delay_s: float) -> None:
@@ -315,13 +316,13 @@
         await self.nodes.pop(name).abandon()
 
     async def add_runner(
-        self, name: str, service: str, **options: Any
+        self, name: str, service: str, port: int = 0, **options: Any
     ) -> RunnerStandIn:
-        """Start an endpoint and list it."""
+        """Start an endpoint and list it; `port` is drawn if it is 0."""
         if service == STREAMS:
             options.setdefault("events", 5)
         runner = RunnerStandIn(name, "127.0.0.1", **options)
-        await runner.start()
+        await runner.start(port)
         self.runners[name] = runner
         self.list_runner(name, service)
         return runner
@@ -339,6 +340,37 @@
         self.list_runner(name, service, born=time.time_ns() // 1_000_000)
         return again
 
+    def crash_on(self, name: str, service: str, body: bytes, recovery_s: float) -> None:
+        """Let requests with a body crash an endpoint, which then starts again.
+
+        Each run listens at the same address under an id of its own.
+        """
+        runner = self.runners[name]
+        runner.crash_body = body
+        port = int(runner.address.rsplit(":", 1)[1])
+
+        async def recover() -> None:
+            await asyncio.sleep(recovery_s)
+            self.unlist_runner(name)
+            again = f"{name.partition('.')[0]}.{next(_NUMBERS)}"
+            await self.add_runner(
+                again,
+                service,
+                port=port,
+                events=runner.events,
+                pause_s=runner.pause_s,
+            )
+            self.crash_on(again, service, body, recovery_s)
+
+        def crashed() -> None:
+            self._recoveries.append(asyncio.create_task(recover()))
+
+        runner.on_crash = crashed
+
+    def unlist_runner(self, name: str) -> None:
+        """Remove an endpoint's record."""
+        self.store.put_raw("keyed.servers", bytes([len(name)]) + name.encode())
+
     def list_runner(
         self,
         name: str,
@@ -427,9 +459,10 @@
 
     async def stop(self) -> None:
         """End everything."""
-        for task in self._tasks.values():
+        tasks = [*self._tasks.values(), *self._recoveries]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for node in self.nodes.values():
             await node.abandon()
         for process in self.started:
