Log the limits that endpoints state in their answers

An endpoint that is short of capacity states in `Server-Limit` how many requests per second it accepts from all nodes.

The header is parsed in one place, the adapter. The lowest finite, non-negative value applies.

A 200 answer without the header clears the limit only if its request was sent after the limit was received.

Sends do not change.

--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -26,6 +26,7 @@
     StreamBroken,
     Streamed,
 )
+from poplarrelay.entry.rate_limits import StatedLimit
 from poplarrelay.entry.requests import CallerRequest
 from poplarrelay.exception import ExchangeFailed
 from poplarrelay.identifiers import TeamId
@@ -35,6 +36,7 @@
     echoed_request,
     not_executed,
     response_headers,
+    stated_limit,
 )
 
 __all__ = ["Attempt", "AttemptPlan", "StreamProgress"]
@@ -92,6 +94,9 @@
     ----------
     on_begun : callable
         Is told the time from sending to the first byte that shows that it runs.
+    on_limit : callable
+        Called with the limit stated in the answer and the monotonic time at which
+        the request was sent.
     """
 
     request: CallerRequest
@@ -99,6 +104,7 @@
     plan: AttemptPlan
     pool: ConnectionPool
     on_begun: Callable[[float], None]
+    on_limit: Callable[[StatedLimit, float], None]
     progress: StreamProgress = field(default_factory=lambda: StreamProgress(None))
     _connection: Connection | None = None
     _sent_at: float = 0.0
@@ -138,6 +144,10 @@
         if echoed is not None and echoed != self.request.request:
             # A late second answer to the request before on this connection.
             raise ExchangeFailed("answer to another request", sent=True)
+        stated = stated_limit(head.headers)
+        if head.status == 200 or stated.per_s is not None:
+            # Answers with another status may omit the header while a limit applies.
+            self.on_limit(stated, self._sent_at)
         if head.status == 200 and not _closes(head):
             # An endpoint that leaves closes its connections with every answer.
             self.plan.endpoint.vouched_at = self._sent_at
--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -68,6 +68,10 @@
         away is given the chance to come back.
     started_ms : StartTime or None
         When this run of the endpoint started, by its own clock; None if not known.
+    limit_per_s : float or None
+        Requests per second that it accepts from all nodes, None without a limit.
+    limit_as_of : float
+        Monotonic time at which the limit was last set, confirmed or cleared.
     vouched_at : float
         Monotonic time of the last request whose answer shows that the endpoint was
         not leaving then.
@@ -91,6 +95,8 @@
     reading_speed: float = 0.0
     suspended_until: float | None = None
     started_ms: StartTime | None = None
+    limit_per_s: float | None = None
+    limit_as_of: float = float("-inf")
     vouched_at: float = float("-inf")
     health: Health = field(default_factory=Health)
 
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -35,6 +35,7 @@
     Streamed,
 )
 from poplarrelay.entry.places import NO_ENDPOINT_RETRY_S, Places
+from poplarrelay.entry.rate_limits import StatedLimit, apply_stated_limit
 from poplarrelay.entry.requests import CallerRequest
 from poplarrelay.entry.routing import Admitted, Denied, NoRoute, admit, choose_service
 from poplarrelay.entry.state import EntryState
@@ -307,8 +308,17 @@
             note_success_time(row, took_s)
             self._count_usage(case)
 
+        def limit_stated(stated: StatedLimit, sent_at: float) -> None:
+            apply_stated_limit(row, stated, sent_at, monotonic())
+
         attempt = Attempt(
-            case.request, case.exchange, plan, self._pool, begun, case.progress
+            case.request,
+            case.exchange,
+            plan,
+            self._pool,
+            begun,
+            limit_stated,
+            case.progress,
         )
         ran_before = case.may_have_run
         # True until the endpoint says otherwise: the wait may end at the deadline,
@@ -343,6 +353,7 @@
                 "due_ms": _milliseconds(choice.line_s + choice.reading_s),
                 "first_event_ms": _milliseconds(first_event_s),
                 "load": row.load,
+                "limit_per_s": row.limit_per_s,
                 "avoided": row.health.avoided_until > sent_at,
                 "result": type(result).__name__,
                 "why": result.why,
--- a/poplarrelay/platform/headers.py
+++ b/poplarrelay/platform/headers.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import isfinite
 
 from poplarrelay.entry.http.connection import Headers, header_value
 from poplarrelay.entry.http.listener import IncomingRequest
 from poplarrelay.entry.http.pool import Address
+from poplarrelay.entry.rate_limits import StatedLimit
 from poplarrelay.entry.requests import CallerRequest, PromptPart
 from poplarrelay.identifiers import EndpointId, RequestId, TeamId
 
@@ -21,6 +23,7 @@
     "echoed_request",
     "not_executed",
     "response_headers",
+    "stated_limit",
 ]
 
 _ATTEMPT = b"X-Poplarrelay-Attempt-Id"
@@ -32,6 +35,8 @@
 _USAGE = b"x-poplarrelay-token-usage"
 _PREFIX = b"x-poplarrelay-prefix-hash"
 _LAST_EVENT = b"Last-Event-Id"
+#: Requests per second that an endpoint accepts from all nodes.
+_LIMIT = b"server-limit"
 #: Address of an endpoint from which the KV cache of the prompt is fetched first.
 _FETCH_FROM = b"Kv-Fetch"
 
@@ -249,3 +254,28 @@
     """Return the id of the request that a response answers, if it says so."""
     value = header_value(headers, _ATTEMPT.lower())
     return None if value is None else RequestId(value.decode("latin-1"))
+
+
+def stated_limit(headers: Headers) -> StatedLimit:
+    """Return the rate limit stated in a response.
+
+    Notes
+    -----
+    If the header is repeated, the lowest valid value applies.
+    """
+    values = [value for name, value in headers if name.lower() == _LIMIT]
+    if not values:
+        return StatedLimit()
+    rates = [rate for rate in map(_rate, values) if rate is not None]
+    if not rates:
+        return StatedLimit(readable=False)
+    return StatedLimit(min(rates))
+
+
+def _rate(value: bytes) -> float | None:
+    """Parse a finite, non-negative number; return None if the value is invalid."""
+    try:
+        rate = float(value.decode("ascii"))
+    except ValueError:
+        return None
+    return rate if isfinite(rate) and rate >= 0 else None
