--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -86,6 +86,8 @@
         Streams that are under way.
     cut : list of str
         Ids of requests whose caller closed before the end.
+    limit : str or None
+        The limit of requests a second that its answers state, as sent.
     crash_body : bytes or None
         Body of the requests that crash the endpoint when they start to run.
     on_crash : callable or None
@@ -102,6 +104,7 @@
     cut: list[str] = field(default_factory=list)
     connections: int = 0
     working: int = 0
+    limit: str | None = None
     crash_body: bytes | None = None
     on_crash: Callable[[], None] | None = None
     _server: asyncio.Server | None = None
@@ -220,6 +223,8 @@
             ("Keep-Alive", "timeout=5"),
             *more,
         ]
+        if self.limit is not None and not refused:
+            headers.append(("Server-Limit", self.limit))
         if refused:
             return [*headers, ("X-Poplarrelay-Not-Executed", "1")]
         return [*headers, ("X-Poplarrelay-Response-Signature", f"sig-{self.endpoint}")]
