Enforce endpoints' stated rate limits across all nodes

Requests were routed by load and free places, and a limited endpoint always has free places. Enforcing the limit on each node separately is not sufficient: three nodes would send three times the limit, and an equal share is far below one request per second with 61 or 195 nodes.

One node per endpoint, selected by rendezvous hashing, now issues permits at the stated rate. The other nodes request a permit from it before each send, including retries and resumed streams. A permit is valid for 0.5 s, and an issuer catches up on at most 0.5 s of idle time, so permits do not accumulate during a freeze. An issuer scales the limit by the fraction of all nodes that it hears; a node whose requests for a permit go unanswered three times uses its own share. A limit of 0 allows one probe every five seconds, because otherwise no node would learn that the limit has ended. If all endpoints of a service are limited, a request that cannot get a permit in time is refused at once, with the time at which one is expected. Endpoint ordering replaces limited endpoints. The messages are a separate field in datagrams that older nodes treat as news without rows.

--- a/poplarrelay/commands/losses.py
+++ b/poplarrelay/commands/losses.py
@@ -46,6 +46,7 @@
 _BY_OUTCOME = {
     RefusalReason.FULL.value: Cause.FULL,
     RefusalReason.BEHIND.value: Cause.FULL,
+    RefusalReason.LIMITED.value: Cause.FULL,
     RefusalReason.NO_ENDPOINT.value: Cause.NO_ENDPOINT,
     RefusalReason.NOT_RUN.value: Cause.NOT_RUN,
     RefusalReason.STOPPING.value: Cause.STOPPING,
--- a/poplarrelay/entry/demand.py
+++ b/poplarrelay/entry/demand.py
@@ -67,6 +67,11 @@
         share = min(1.0, unread / prompt)
         self.unread[service] = before + UNREAD_WEIGHT * (share - before)
 
+    def mean_tokens(self, service: ServiceName) -> float:
+        """Return the mean tokens per recent request for a service, 0 without any."""
+        times = self.arrivals.get(service)
+        return sum(tokens for _, tokens in times) / len(times) if times else 0.0
+
     def rates(self, now: float) -> dict[ServiceName, int]:
         """Return the tokens a second asked of each service that is in use."""
         found = {}
--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -72,6 +72,12 @@
         Requests per second that it accepts from all nodes, None without a limit.
     limit_as_of : float
         Monotonic time at which the limit was last set, confirmed or cleared.
+    permits : list of float
+        Monotonic times at which the permits held by this node expire.
+    next_permit_at : float
+        Monotonic time at which the next permit is due, by the last answer.
+    next_ask_at : float
+        Earliest monotonic time at which this node may ask for a permit.
     vouched_at : float
         Monotonic time of the last request whose answer shows that the endpoint was
         not leaving then.
@@ -97,6 +103,9 @@
     started_ms: StartTime | None = None
     limit_per_s: float | None = None
     limit_as_of: float = float("-inf")
+    permits: list[float] = field(default_factory=list)
+    next_permit_at: float = float("-inf")
+    next_ask_at: float = float("-inf")
     vouched_at: float = float("-inf")
     health: Health = field(default_factory=Health)
 
@@ -134,7 +143,18 @@
     def free(self) -> int:
         """Return how many more requests it takes at once."""
         own = min(self.own_share, self.slots) - self.running
-        return max(0, min(own, self.slots - self.load))
+        free = max(0, min(own, self.slots - self.load))
+        return free if self.limit_per_s is None else min(free, len(self.permits))
+
+    def take_place(self) -> None:
+        """Take a place for a request, and use up a permit if a limit applies."""
+        self.running += 1
+        if self.limit_per_s is not None and self.permits:
+            del self.permits[0]
+
+    def drop_expired_permits(self, now: float) -> None:
+        """Drop the permits that have expired."""
+        self.permits = [until for until in self.permits if until > now]
 
 
 @dataclass(slots=True)
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -17,6 +17,7 @@
 from poplarrelay.entry.exchange import Answer, Hint, ListExchange, Question
 from poplarrelay.entry.freshness import NEVER_S
 from poplarrelay.entry.peers import PeerTable
+from poplarrelay.entry.permits import PermitBroker
 from poplarrelay.entry.rows import PeerRow, decode_row, encode_row
 from poplarrelay.entry.surveying import BacklogSurvey
 from poplarrelay.identifiers import NodeId, Offset
@@ -99,6 +100,7 @@
         self._exchange: ListExchange | None = None
         self._survey: BacklogSurvey | None = None
         self._crashes: CrashTable | None = None
+        self._permits: PermitBroker | None = None
         self._on_news = on_news
         self._on_summary = on_summary
         self._monotonic = monotonic
@@ -132,6 +134,10 @@
         """Exchange records of crashes with other nodes."""
         self._crashes = crashes
 
+    def carry_permits(self, permits: PermitBroker) -> None:
+        """Exchange endpoint limits and permits with other nodes."""
+        self._permits = permits
+
     async def start(self, host: str, port: int) -> None:
         """Bind the node's datagram port."""
         loop = asyncio.get_running_loop()
@@ -191,6 +197,8 @@
                 self._exchange.hear_reading(now)
         if self._crashes is not None:
             self._crashes.hear(message.get("crashes", ()), host, now)
+        if self._permits is not None:
+            self._permits.hear(host, message.get("permits", ()))
         for row in rows:
             before = self._table.seen.get(row.node)
             if self._table.hear(row, now):
@@ -321,6 +329,16 @@
         """
         self._send(orjson.dumps({"backlog": message}), [host])
 
+    def send_permits(self, hosts: Sequence[str], messages: list[list[Any]]) -> None:
+        """Send messages about endpoint limits and permits to the given hosts.
+
+        They are a separate field of an uncompressed datagram without rows, which nodes
+        that do not know the field accept.
+        """
+        self._send(
+            orjson.dumps(self._news([], self._hint(), [], permits=messages)), hosts
+        )
+
     def _send(self, data: bytes, hosts: Sequence[str]) -> None:
         if self._transport is None:
             return
@@ -400,6 +418,18 @@
         reading: bool = False,
         crashes: Sequence[list[Any]] = (),
     ) -> bytes:
+        return _pack(self._news(rows, hint, summaries, ask, reading, crashes))
+
+    def _news(
+        self,
+        rows: list[list[Any]],
+        hint: Hint,
+        summaries: list[list[Any]],
+        ask: bool = False,
+        reading: bool = False,
+        crashes: Sequence[list[Any]] = (),
+        permits: Sequence[list[Any]] = (),
+    ) -> dict[str, Any]:
         message = {
             "from": self._table.me.node,
             "wall": self._clock.own,
@@ -413,7 +443,9 @@
             message["reading"] = True
         if crashes:
             message["crashes"] = crashes
-        return _pack(message)
+        if permits:
+            message["permits"] = permits
+        return message
 
 
 def _pack(value: dict[str, Any]) -> bytes:
--- a/poplarrelay/entry/ordering.py
+++ b/poplarrelay/entry/ordering.py
@@ -19,9 +19,11 @@
 from poplarrelay.entry.duties import DutyLease
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.sizing import (
+    READING_SHARE,
     Plan,
     SizingInput,
     count_for_load,
+    count_lost_to_limits,
     count_needed,
     count_serving,
     domains_taken,
@@ -155,7 +157,11 @@
         demand = self._state.total_demand(service, now)
         load = float(sum(row.load for row in rows))
         slots = min((row.slots for row in rows), default=1)
-        return max(count_needed(demand, usual_speed(rows)), count_for_load(load, slots))
+        speed = usual_speed(rows)
+        needed = max(count_needed(demand, speed), count_for_load(load, slots))
+        tokens = self._state.demand.mean_tokens(service)
+        requests_per_s = READING_SHARE * speed / max(1.0, tokens)
+        return needed + count_lost_to_limits(rows, requests_per_s)
 
     async def _order_endpoints(self, service: Service) -> None:
         limits = service.scaling
--- a/poplarrelay/entry/outcomes.py
+++ b/poplarrelay/entry/outcomes.py
@@ -116,6 +116,7 @@
     OVER_QUOTA = "the team's quota is used up"
     NO_ENDPOINT = "no endpoint of the service is known"
     FULL = "all endpoints are full"
+    LIMITED = "all endpoints are at the limits that they state"
     BEHIND = "the prompts in line would make it late"
     NOT_RUN = "no endpoint took the request"
     UNKNOWN = "the endpoint broke off; the request may have run"
--- /dev/null
+++ b/poplarrelay/entry/permits.py
@@ -0,0 +1,280 @@
+"""Distributed rate limiting for endpoints that state a request limit.
+
+Notes
+-----
+A limit applies to the requests of all nodes together. One node per endpoint issues
+permits at the stated rate, and the others request a permit before they send. Dividing
+the limit equally would leave each node of a large system far below one request per
+second, and allowing each node one request per second would far exceed the limit.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from math import inf
+from typing import Any, Protocol
+
+from poplarrelay.entry.configuration import ServiceName
+from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.rate_limits import StatedLimit, apply_stated_limit, set_limit
+from poplarrelay.entry.surveying import choose_keeper
+from poplarrelay.identifiers import EndpointId, NodeId, StartTime
+
+__all__ = ["PROBE_PER_S", "Permit", "PermitBroker", "PermitIssuer", "PermitSender"]
+
+#: Seconds for which a permit is valid.
+PERMIT_VALID_S = 0.5
+#: Minimum rate in requests per second. Only the answer to a request shows that a limit
+#: has been raised or cleared.
+PROBE_PER_S = 0.2
+#: Maximum idle time in seconds for which an issuer may catch up.
+CATCH_UP_S = 0.5
+#: Seconds to wait for an answer before asking again.
+ANSWER_TIMEOUT_S = 0.1
+#: Consecutive unanswered questions after which a node issues its own share.
+MAX_UNANSWERED = 3
+#: Minimum seconds between broadcasts of one endpoint's limit.
+BROADCAST_INTERVAL_S = 0.5
+
+#: Message kinds, sent as the first element of each message.
+LIMIT, QUESTION, ANSWER = "limit", "ask", "permit"
+
+
+class PermitSender(Protocol):
+    """Sends messages to peers; they may be lost, delayed or reordered."""
+
+    def send_permits(self, hosts: Sequence[str], messages: list[list[Any]]) -> None:
+        """Send messages to the given peers."""
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Answer to a request for a permit.
+
+    Attributes
+    ----------
+    wait_s : float
+        Seconds until the next permit is due, 0 if a permit is granted.
+    """
+
+    wait_s: float
+
+    @property
+    def granted(self) -> bool:
+        """Return whether a request may be sent."""
+        return self.wait_s <= 0
+
+
+@dataclass(slots=True)
+class PermitIssuer:
+    """Issues permits at the rate that each endpoint states."""
+
+    _next_at: dict[tuple[EndpointId, StartTime | None], float] = field(
+        default_factory=dict
+    )
+
+    def issue(
+        self,
+        endpoint: EndpointId,
+        run: StartTime | None,
+        per_s: float,
+        share: float,
+        now: float,
+    ) -> Permit:
+        """Issue a permit, or return the time until the next one is due.
+
+        Parameters
+        ----------
+        endpoint, run : EndpointId, StartTime or None
+            Endpoint and the run that the permit is for.
+        per_s : float
+            Limit in requests per second.
+        share : float
+            Fraction of the limit for which this node may issue permits.
+        now : float
+            Current monotonic time.
+        """
+        interval_s = 1 / (max(per_s, PROBE_PER_S) * share)
+        next_at = self._next_at.get((endpoint, run))
+        if next_at is None:
+            # The previous issuer may have issued a permit just before the takeover.
+            next_at = now + interval_s
+            self._next_at[endpoint, run] = next_at
+        if next_at > now:
+            return Permit(min(next_at - now, interval_s))
+        earliest = now - min(interval_s, CATCH_UP_S)
+        self._next_at[endpoint, run] = max(next_at, earliest) + interval_s
+        return Permit(0.0)
+
+    def forget(self, known: Mapping[EndpointId, Endpoint]) -> None:
+        """Drop runs of endpoints that are no longer known."""
+        for endpoint, run in list(self._next_at):
+            if endpoint not in known or known[endpoint].started_ms != run:
+                del self._next_at[endpoint, run]
+
+
+@dataclass(slots=True)
+class PermitBroker:
+    """Obtains permits for this node and issues permits to its peers.
+
+    Attributes
+    ----------
+    own_host : str
+        Host of this node.
+    rows : mapping of EndpointId to Endpoint
+        Known endpoints.
+    nodes : callable
+        Returns the hosts of all live nodes by id, including this node.
+    shares : callable
+        Returns the fraction of all nodes that this node hears, including itself, and
+        the fraction that a single node represents.
+    sender : PermitSender
+        Sends messages to peers.
+    monotonic : callable
+        Returns the current monotonic time.
+    on_permit : callable
+        Called with the service when a peer grants a permit for one of its endpoints.
+    on_denial : callable
+        Called with the service when a peer denies a permit.
+    issuer : PermitIssuer
+        Issues this node's permits.
+    """
+
+    own_host: str
+    rows: Mapping[EndpointId, Endpoint]
+    nodes: Callable[[], Mapping[NodeId, str]]
+    shares: Callable[[], tuple[float, float]]
+    sender: PermitSender
+    monotonic: Callable[[], float]
+    on_permit: Callable[[ServiceName], None] = lambda service: None
+    on_denial: Callable[[ServiceName], None] = lambda service: None
+    issuer: PermitIssuer = field(default_factory=PermitIssuer)
+    _unanswered: dict[EndpointId, tuple[str, int]] = field(default_factory=dict)
+    _broadcast_at: dict[EndpointId, float] = field(default_factory=dict)
+
+    def refresh(self) -> None:
+        """Drop the state of endpoints that are no longer known."""
+        self.issuer.forget(self.rows)
+        for known in (self._unanswered, self._broadcast_at):
+            for endpoint in [each for each in known if each not in self.rows]:
+                del known[endpoint]
+
+    def note_stated_limit(
+        self, row: Endpoint, stated: StatedLimit, sent_at: float
+    ) -> None:
+        """Apply the limit stated in an answer, and broadcast changes to the peers."""
+        now = self.monotonic()
+        if not apply_stated_limit(row, stated, sent_at, now):
+            return
+        if now - self._broadcast_at.get(row.endpoint, -inf) < BROADCAST_INTERVAL_S:
+            return
+        self._broadcast_at[row.endpoint] = now
+        peers = [host for host in self.nodes().values() if host != self.own_host]
+        message = [LIMIT, row.endpoint, row.started_ms, row.limit_per_s, 0.0]
+        self.sender.send_permits(peers, [message])
+
+    def prepare(self, rows: Sequence[Endpoint], now: float) -> None:
+        """Request permits for the limited endpoints that have none.
+
+        Parameters
+        ----------
+        rows : sequence of Endpoint
+            Candidate endpoints for a request.
+        now : float
+            Current monotonic time.
+        """
+        for row in rows:
+            if row.limit_per_s is None:
+                continue
+            row.drop_expired_permits(now)
+            if not row.permits and now >= row.next_ask_at:
+                self._ask(row, row.limit_per_s, now)
+
+    def _ask(self, row: Endpoint, per_s: float, now: float) -> None:
+        nodes = self.nodes()
+        host = nodes[choose_keeper(row.endpoint, nodes)]
+        asked, unanswered = self._unanswered.get(row.endpoint, (host, 0))
+        if asked != host:
+            unanswered = 0
+        heard, own = self.shares()
+        if host == self.own_host or unanswered >= MAX_UNANSWERED:
+            share = heard if host == self.own_host else own
+            permit = self.issuer.issue(row.endpoint, row.started_ms, per_s, share, now)
+            self._apply_permit(row, permit, now)
+            # The next call retries the issuer once before using the own share again.
+            self._unanswered[row.endpoint] = host, MAX_UNANSWERED - 1
+            return
+        self._unanswered[row.endpoint] = host, unanswered + 1
+        row.next_ask_at = now + ANSWER_TIMEOUT_S
+        message = [QUESTION, row.endpoint, row.started_ms, per_s]
+        self.sender.send_permits([host], [message])
+
+    def _apply_permit(self, row: Endpoint, permit: Permit, now: float) -> None:
+        row.next_ask_at = row.next_permit_at = now + permit.wait_s
+        if permit.granted:
+            row.permits.append(now + PERMIT_VALID_S)
+
+    def hear(self, host: str, messages: Sequence[list[Any]]) -> None:
+        """Handle messages from a peer.
+
+        Raises
+        ------
+        ValueError or TypeError
+            If a message is malformed.
+        """
+        for kind, *rest in messages:
+            if kind == LIMIT:
+                self._hear_limit(host, *rest)
+            elif kind == QUESTION:
+                self._hear_question(host, *rest)
+            elif kind == ANSWER:
+                self._hear_answer(*rest)
+            else:
+                raise ValueError(f"unknown message kind: {kind!r}")
+
+    def _find_row(self, endpoint: str, run: int | None) -> Endpoint | None:
+        row = self.rows.get(EndpointId(str(endpoint)))
+        return row if row is not None and row.started_ms == run else None
+
+    def _hear_limit(
+        self, host: str, endpoint: str, run: int | None, per_s: Any, age_s: float
+    ) -> None:
+        as_of = self.monotonic() - max(0.0, float(age_s))
+        limit = None if per_s is None else max(0.0, float(per_s))
+        row = self._find_row(endpoint, run)
+        if row is not None and as_of > row.limit_as_of:
+            set_limit(row, limit, as_of, f"peer {host}")
+
+    def _hear_question(
+        self, host: str, endpoint: str, run: int | None, per_s: float
+    ) -> None:
+        now = self.monotonic()
+        row = self._find_row(endpoint, run)
+        known = None if row is None else row.limit_per_s
+        heard, _ = self.shares()
+        permit = self.issuer.issue(
+            EndpointId(str(endpoint)),
+            None if run is None else StartTime(int(run)),
+            float(per_s) if known is None else known,
+            heard,
+            now,
+        )
+        # A wait that rounds to zero would be read as a granted permit.
+        wait_s = 0.0 if permit.granted else max(0.001, round(permit.wait_s, 3))
+        answer = [ANSWER, endpoint, run, wait_s]
+        self.sender.send_permits([host], [answer])
+
+    def _hear_answer(self, endpoint: str, run: int | None, wait_s: float) -> None:
+        row = self._find_row(endpoint, run)
+        permit = Permit(max(0.0, float(wait_s)))
+        if row is None:
+            return
+        if not self._unanswered.pop(row.endpoint, None) and not permit.granted:
+            # A denial with no open question is a duplicate or late.
+            return
+        self._apply_permit(row, permit, self.monotonic())
+        if permit.granted:
+            self.on_permit(row.service)
+        else:
+            self.on_denial(row.service)
--- a/poplarrelay/entry/places.py
+++ b/poplarrelay/entry/places.py
@@ -18,10 +18,12 @@
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.outcomes import Refusal, RefusalReason
+from poplarrelay.entry.permits import PROBE_PER_S, PermitBroker
 from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.surveying import BacklogSurvey
 from poplarrelay.entry.timeouts import within
 from poplarrelay.entry.waiting import (
+    PermitDenied,
     WaitingRoom,
     bounded_retry,
     longest_wait,
@@ -45,11 +47,18 @@
         The node's tables.
     survey : BacklogSurvey
         Asks what prompts are in line at engines.
+    permits : PermitBroker
+        Obtains permits for endpoints that state a limit.
     """
 
-    def __init__(self, state: EntryState, survey: BacklogSurvey) -> None:
+    def __init__(
+        self, state: EntryState, survey: BacklogSurvey, permits: PermitBroker
+    ) -> None:
         self._state = state
         self._survey = survey
+        self._permits = permits
+        permits.on_permit = self.serve_waiting
+        permits.on_denial = self._refuse_late_waiters
         self._waiting = WaitingRoom()
 
     def retry_after(self, case: Case) -> float:
@@ -65,11 +74,12 @@
         """Choose an endpoint with room and take a place at it."""
         now = monotonic()
         rows = self._state.endpoints.accepting(service)
+        self._permits.prepare(rows, now)
         choice = choose_endpoint(self._trusted(rows, now), wish, now, self._state.rng)
         if choice is None:
             choice = choose_endpoint(rows, wish, now, self._state.rng)
         if choice is not None:
-            choice.endpoint.running += 1
+            choice.endpoint.take_place()
         return choice
 
     async def _choose_asking(self, case: Case, wish: Wish) -> Choice | Refusal | None:
@@ -79,6 +89,7 @@
         """
         now = monotonic()
         rows = self._state.endpoints.accepting(case.service)
+        self._permits.prepare(rows, now)
         rng = self._state.rng
         drawn = draw_candidates(self._trusted(rows, now), wish, now, rng)
         drawn = drawn or draw_candidates(rows, wish, now, rng)
@@ -108,7 +119,7 @@
                 wait_s = bounded_retry(retry_after_line(prospect), case.remaining_s)
                 detail = f"{prospect.line_s:.2f} s in line"
                 return Refusal(503, RefusalReason.BEHIND, wait_s, detail)
-        choice.endpoint.running += 1
+        choice.endpoint.take_place()
         return choice
 
     @staticmethod
@@ -161,21 +172,63 @@
         return any(row.endpoint not in case.tried for row in rows)
 
     async def _wait(self, case: Case, wish: Wish) -> Choice | Refusal:
-        place: asyncio.Future[Choice] = asyncio.get_running_loop().create_future()
-        self._waiting.join(case.service, case.priority, wish, place)
+        longest_s = longest_wait(case.route, case.remaining_s)
+        ahead = self._waiting.length(case.service)
+        permit_wait_s = self._permit_wait(case.service, ahead, monotonic())
+        if permit_wait_s is not None and permit_wait_s > longest_s:
+            return self._limit_refusal(case, permit_wait_s)
+        place: asyncio.Future[Choice | PermitDenied]
+        place = asyncio.get_running_loop().create_future()
+        until = monotonic() + longest_s
+        self._waiting.join(case.service, case.priority, wish, place, until)
         try:
-            return await within(longest_wait(case.route, case.remaining_s), place)
+            found = await within(longest_s, place)
+            if isinstance(found, PermitDenied):
+                return self._limit_refusal(case, found.wait_s)
+            return found
         except TimeoutError:
             if case.may_have_run:
                 return Refusal(502, RefusalReason.UNKNOWN, detail="others are full")
             return Refusal(503, RefusalReason.FULL, self.retry_after(case))
         except asyncio.CancelledError:
             if place.done() and not place.cancelled():
-                self.leave(case.service, place.result().endpoint)
+                found = place.result()
+                if not isinstance(found, PermitDenied):
+                    self.leave(case.service, found.endpoint)
             raise
         finally:
             place.cancel()
 
+    def _permit_wait(
+        self, service: ServiceName, ahead: int, now: float
+    ) -> float | None:
+        """Return the expected wait for a permit, in seconds.
+
+        Returns None unless all accepting endpoints are limited: a request may otherwise
+        get a place without a permit.
+        """
+        rows = self._state.endpoints.accepting(service)
+        limits = [row.limit_per_s for row in rows if row.limit_per_s is not None]
+        if not rows or len(limits) < len(rows):
+            return None
+        rate = sum(max(PROBE_PER_S, limit) for limit in limits)
+        first_s = max(0.0, min(row.next_permit_at for row in rows) - now)
+        return first_s + ahead * self._state.count_nodes(now) / rate
+
+    def _limit_refusal(self, case: Case, wait_s: float) -> Refusal:
+        if case.may_have_run:
+            return Refusal(502, RefusalReason.UNKNOWN, detail="others are limited")
+        wait_s = bounded_retry(wait_s, case.remaining_s)
+        return Refusal(503, RefusalReason.LIMITED, wait_s)
+
+    def _refuse_late_waiters(self, service: ServiceName) -> None:
+        """Refuse the waiting requests that no permit is expected to reach in time."""
+        now = monotonic()
+        for ahead, waiter in enumerate(self._waiting.pending(service)):
+            wait_s = self._permit_wait(service, ahead, now)
+            if wait_s is not None and now + wait_s > waiter.until:
+                waiter.place.set_result(PermitDenied(wait_s))
+
     def leave(self, service: ServiceName, row: Endpoint) -> None:
         """Free a place, and give it to a request that waits."""
         row.running -= 1
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -29,6 +29,7 @@
 from poplarrelay.entry.http.pool import ConnectionPool
 from poplarrelay.entry.listing import EndpointList
 from poplarrelay.entry.metrics import EntryMetrics
+from poplarrelay.entry.permits import PermitBroker
 from poplarrelay.entry.reading import EndpointReader
 from poplarrelay.entry.relaying import Relay
 from poplarrelay.entry.rows import NodeState, PeerRow, reporter_of
@@ -115,12 +116,21 @@
         self._survey = BacklogSurvey(
             self._state.me.host, self._state.keepers, self._gossip, monotonic
         )
+        self._permits = PermitBroker(
+            self._state.me.host,
+            self._state.endpoints.rows,
+            self._state.keepers,
+            self._state.heard_shares,
+            self._gossip,
+            monotonic,
+        )
         self._relay = Relay(
             self._state,
             self._pool,
             self._metrics.observe,
             self._announce,
             self._survey,
+            self._permits,
         )
         self._endpoints = EndpointList(
             self._state,
@@ -155,6 +165,7 @@
         )
         self._gossip.carry(self._exchange, self._survey)
         self._gossip.carry_crashes(self._state.crashes)
+        self._gossip.carry_permits(self._permits)
         self._state.freshness.on_confirm = self._exchange.note_confirmed
         self._vouched = True
         self._directory = HostDirectory(self._state, self._store)
@@ -529,6 +540,7 @@
         state.crashes.forget(now)
         state.sum_loads(now)
         self._survey.refresh(list(state.endpoints.rows))
+        self._permits.refresh()
         alive = state.count_nodes(now)
         state.freshness.nodes = alive
         if peers.regroup(max(state.total_nodes, alive), now):
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -34,8 +34,9 @@
     StreamBroken,
     Streamed,
 )
+from poplarrelay.entry.permits import PermitBroker
 from poplarrelay.entry.places import NO_ENDPOINT_RETRY_S, Places
-from poplarrelay.entry.rate_limits import StatedLimit, apply_stated_limit
+from poplarrelay.entry.rate_limits import StatedLimit
 from poplarrelay.entry.requests import CallerRequest
 from poplarrelay.entry.routing import Admitted, Denied, NoRoute, admit, choose_service
 from poplarrelay.entry.state import EntryState
@@ -83,6 +84,8 @@
         Tells all peers this node's row soon, out of turn.
     survey : BacklogSurvey
         Keeps count of prompts in line at engines, with the other nodes.
+    permits : PermitBroker
+        Obtains permits for endpoints that state a limit.
     """
 
     def __init__(
@@ -92,13 +95,15 @@
         observe: Callable[[str, str, float], None],
         announce: Callable[[], None],
         survey: BacklogSurvey,
+        permits: PermitBroker,
     ) -> None:
         self._state = state
         self._pool = pool
         self._answers = Answers(state, observe)
         self._charges = Charges(state, announce)
         self._survey = survey
-        self.places = Places(state, survey)
+        self._permits = permits
+        self.places = Places(state, survey, permits)
 
     async def handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
         """Serve one request to its final answer."""
@@ -308,8 +313,8 @@
             note_success_time(row, took_s)
             self._count_usage(case)
 
-        def limit_stated(stated: StatedLimit, sent_at: float) -> None:
-            apply_stated_limit(row, stated, sent_at, monotonic())
+        def on_limit(stated: StatedLimit, sent_at: float) -> None:
+            self._permits.note_stated_limit(row, stated, sent_at)
 
         attempt = Attempt(
             case.request,
@@ -317,7 +322,7 @@
             plan,
             self._pool,
             begun,
-            limit_stated,
+            on_limit,
             case.progress,
         )
         ran_before = case.may_have_run
--- a/poplarrelay/entry/serving.py
+++ b/poplarrelay/entry/serving.py
@@ -140,6 +140,7 @@
                     "domain": row.domain,
                     "leaving": row.leaving,
                     "running": row.running,
+                    "limit_per_s": row.limit_per_s,
                     "elsewhere": row.elsewhere,
                     "avoided": row.health.avoided_until > now,
                     "failure_rate": round(row.health.failure_rate, 3),
--- a/poplarrelay/entry/sizing.py
+++ b/poplarrelay/entry/sizing.py
@@ -11,10 +11,12 @@
 from poplarrelay.identifiers import DomainId
 
 __all__ = [
+    "READING_SHARE",
     "DomainPlan",
     "Plan",
     "SizingInput",
     "count_for_load",
+    "count_lost_to_limits",
     "count_needed",
     "count_serving",
     "domains_taken",
@@ -101,6 +103,26 @@
     return load / (SLOTS_SHARE * max(1, slots))
 
 
+def count_lost_to_limits(rows: Sequence[Endpoint], requests_per_s: float) -> float:
+    """Return the capacity lost to stated limits, as a number of endpoints.
+
+    Parameters
+    ----------
+    rows : sequence of Endpoint
+        Listed endpoints of the service.
+    requests_per_s : float
+        Requests per second that an endpoint without a limit handles.
+    """
+    limits = [
+        row.limit_per_s
+        for row in rows
+        if row.limit_per_s is not None and row.accepts_work
+    ]
+    if requests_per_s <= 0:
+        return 0.0
+    return sum(1.0 - min(1.0, limit / requests_per_s) for limit in limits)
+
+
 def bearable_share(limits: ScalingLimits) -> float:
     """Return the part of what is needed that on-demand endpoints bring a service to.
 
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -190,6 +190,18 @@
         ready = {r.node: r.host for r in rows if r.state is NodeState.READY}
         return ready or {self.me.node: self.me.host}
 
+    def heard_shares(self) -> tuple[float, float]:
+        """Return the fractions of all nodes that this node hears, and that one node is.
+
+        Notes
+        -----
+        The node counts itself as heard. Scaling a limit by the first fraction keeps
+        groups of nodes that are cut off from each other within the limit together.
+        """
+        alive = 1 + len(self.peers.alive(monotonic()))
+        total = max(alive, self.total_nodes)
+        return alive / total, 1 / total
+
     def total_demand(self, service: ServiceName, now: float) -> float:
         """Return the tokens a second that the callers of all nodes ask for."""
         told = [self.me, *self.peers.counted(now)]
--- a/poplarrelay/entry/tests/test_limited_endpoints.py
+++ b/poplarrelay/entry/tests/test_limited_endpoints.py
@@ -1,4 +1,4 @@
-"""Endpoints that state how many requests a second they take from all nodes."""
+"""Endpoints that state a request rate limit for all nodes together."""
 
 from __future__ import annotations
 
@@ -8,7 +8,9 @@
 
 import pytest
 
+from poplarrelay.entry.http.connection import WholeResponse, header_value
 from poplarrelay.exception import ExchangeFailed
+from poplarrelay.identifiers import EndpointId
 from poplarrelay.standins.users.runner import RunnerStandIn
 from poplarrelay.testing.users import (
     CALLS,
@@ -16,9 +18,10 @@
     UsersSite,
     play,
     run_users_site,
+    until,
 )
 
-#: Seconds after a limit was first stated from which all nodes must keep to it.
+#: Seconds after which all nodes must keep to a newly stated limit.
 KNOWN_S = 3.0
 #: Seconds over which the requests at an endpoint are counted.
 WINDOW_S = 4.0
@@ -40,7 +43,7 @@
 async def send_calls(
     site: UsersSite, path: str, per_s: float, for_s: float
 ) -> list[int | None]:
-    """Send calls at a rate to all nodes in turn; return statuses, None if cut off."""
+    """Send calls at a rate to all nodes in turn; return statuses, None if aborted."""
 
     async def one(node: str) -> int | None:
         try:
@@ -60,7 +63,7 @@
 async def add_endpoints(
     site: UsersSite, service: str, limits: Sequence[str | None]
 ) -> list[RunnerStandIn]:
-    """Start endpoints with the limits that they state."""
+    """Start one endpoint per stated limit and wait until all nodes list them."""
     runners = []
     for number, limit in enumerate(limits):
         runner = await site.add_runner(f"r{number}", service, limit=limit)
@@ -75,7 +78,7 @@
     ("path", "service"), [("/look/x", CALLS), ("/draft/x", STREAMS)]
 )
 def test_endpoint_gets_no_more_than_it_states_from_all_nodes(path, service, limit):
-    # Guards against nodes that send by load alone, or each up to the whole limit.
+    # Guards against nodes that ignore the limit, or that each use all of it.
     async def scenario():
         async with run_users_site(nodes=3) as site:
             runners = await add_endpoints(site, service, [str(limit), None, None, None])
@@ -83,8 +86,97 @@
             statuses = await send_calls(site, path, per_s=50, for_s=8.0)
             times = [request.at for request in runners[0].received]
             assert most_in_window(times, start + KNOWN_S) <= allowed(limit)
-            # What it takes is used, and the others serve the rest.
+            # The limit is used, and the other endpoints serve the remaining requests.
             assert len([at for at in times if at >= start + KNOWN_S]) >= 2 * limit
             assert statuses.count(200) == len(statuses)
 
     play(scenario)
+
+
+def test_calls_beyond_all_limits_are_refused_at_once_and_told_when_to_retry():
+    # Guards against calls that wait for limited endpoints until they time out.
+    async def scenario():
+        async with run_users_site(nodes=3) as site:
+            runners = await add_endpoints(site, CALLS, ["2", "2"])
+            await send_calls(site, "/look/x", per_s=10, for_s=1.0)
+            start = monotonic()
+            times: list[float] = []
+
+            async def one(node: str) -> WholeResponse:
+                began = monotonic()
+                answer = await site.call("/look/x", node)
+                times.append(monotonic() - began)
+                return answer
+
+            calls: list[asyncio.Task[WholeResponse]] = []
+            while monotonic() < start + 6.0:
+                calls.append(asyncio.create_task(one("abc"[len(calls) % 3])))
+                await asyncio.sleep(0.025)
+            answers = await asyncio.gather(*calls)
+            refused = [answer for answer in answers if answer.status != 200]
+            assert all(answer.status == 503 for answer in refused)
+            waits = [header_value(answer.headers, b"retry-after") for answer in refused]
+            assert all(wait and 0.04 < float(wait) < 3.0 for wait in waits)
+            assert max(times) < 0.4
+            assert len(answers) - len(refused) >= 0.6 * 4 * 6.0
+            for runner in runners:
+                at = [request.at for request in runner.received]
+                assert most_in_window(at, start + KNOWN_S) <= allowed(2.0)
+
+    play(scenario)
+
+
+def test_changed_or_cleared_limit_takes_effect():
+    # Guards against stale limits.
+    async def scenario():
+        async with run_users_site(nodes=3) as site:
+            runners = await add_endpoints(site, CALLS, ["1", None])
+            await send_calls(site, "/look/x", per_s=20, for_s=3.0)
+            runners[0].limit = "6"
+            await send_calls(site, "/look/x", per_s=30, for_s=2.0)
+            start = monotonic()
+            await send_calls(site, "/look/x", per_s=30, for_s=5.0)
+            late = [r.at for r in runners[0].received if r.at >= start]
+            assert most_in_window(late, start) <= allowed(6.0)
+            assert len(late) >= 0.5 * 6 * 5
+            runners[0].limit = None
+            await send_calls(site, "/look/x", per_s=30, for_s=3.0)
+            rows = [node.state.endpoints.rows for node in site.nodes.values()]
+            assert all(
+                row.limit_per_s is None for each in rows for row in each.values()
+            )
+
+    play(scenario)
+
+
+def test_next_run_of_an_endpoint_starts_without_a_limit():
+    async def scenario():
+        async with run_users_site() as site:
+            await add_endpoints(site, CALLS, ["1"])
+            site.list_runner("r0", CALLS, born=1000)
+            rows = site.nodes["a"].state.endpoints.rows
+            endpoint = EndpointId("r0")
+            await until(lambda: rows[endpoint].started_ms == 1000)
+            await send_calls(site, "/look/x", per_s=5, for_s=0.5)
+            assert rows[endpoint].limit_per_s == 1.0
+            await site.restart_runner("r0", CALLS)
+            await until(lambda: rows[endpoint].started_ms not in (None, 1000))
+            assert rows[endpoint].limit_per_s is None
+            assert set(await send_calls(site, "/look/x", 20, for_s=1.0)) == {200}
+
+    play(scenario)
+
+
+def test_resumed_streams_keep_to_the_limit():
+    # Guards against resumed streams that are sent without a permit.
+    async def scenario():
+        async with run_users_site(nodes=3) as site:
+            runners = await add_endpoints(site, STREAMS, ["1", None, None])
+            for runner in runners[1:]:
+                runner.break_after = 3
+            start = monotonic()
+            await send_calls(site, "/draft/x", per_s=30, for_s=8.0)
+            times = [request.at for request in runners[0].received]
+            assert most_in_window(times, start + KNOWN_S) <= allowed(1.0)
+
+    play(scenario)
--- /dev/null
+++ b/poplarrelay/entry/tests/test_permits.py
@@ -0,0 +1,166 @@
+"""Permits for endpoints that state a limit, issued across all nodes."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from poplarrelay.entry.configuration import ServiceName
+from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.permits import CATCH_UP_S, PROBE_PER_S, PermitIssuer
+from poplarrelay.entry.rate_limits import StatedLimit, apply_stated_limit
+from poplarrelay.identifiers import DomainId, EndpointId, StartTime
+from poplarrelay.testing.permits import ENDPOINT, PermitNetwork
+from poplarrelay.testing.rows import make_network
+
+RUN = StartTime(1)
+#: Seconds over which requests are counted.
+WINDOW_S = 4.0
+
+
+def make_endpoint() -> Endpoint:
+    """Return an endpoint without a limit."""
+    return Endpoint(EndpointId("e"), ServiceName("s"), ("h", 1), DomainId("d"), 8)
+
+
+def most_in_window(times: list[float]) -> int:
+    """Return the largest number of times within a window."""
+    return max(
+        (sum(0 <= at - first < WINDOW_S for at in times) for first in times), default=0
+    )
+
+
+def allowed(per_s: float) -> float:
+    """Return the requests that an endpoint may get in a window."""
+    return 1.5 * per_s * WINDOW_S + 5
+
+
+@given(
+    st.lists(st.floats(0, 3), max_size=60),
+    st.lists(st.sampled_from([0.0, 0.3, 1.0, 1.7, 5.0]), min_size=60, max_size=60),
+)
+def test_issuer_keeps_to_the_highest_limit_whatever_it_is_asked(pauses, limits):
+    issuer, now, issued = PermitIssuer(), 100.0, []
+    for pause, limit in zip(pauses, limits, strict=False):
+        now += pause
+        if issuer.issue(ENDPOINT, RUN, limit, 1.0, now).granted:
+            issued.append(now)
+    assert most_in_window(issued) <= 5.0 * WINDOW_S + 2
+
+
+def test_idle_issuer_does_not_accumulate_permits():
+    # Guards against a burst after a freeze.
+    issuer = PermitIssuer()
+    issuer.issue(ENDPOINT, RUN, 10.0, 1.0, 100.0)
+    granted = sum(
+        issuer.issue(ENDPOINT, RUN, 10.0, 1.0, 160.0).granted for _ in range(20)
+    )
+    assert granted <= 1 + 10.0 * CATCH_UP_S
+
+
+def test_limit_of_zero_allows_probes():
+    # Guards against a limit of zero that is never cleared for lack of answers.
+    issuer, now, issued = PermitIssuer(), 100.0, 0
+    while now < 130.0:
+        issued += issuer.issue(ENDPOINT, RUN, 0.0, 1.0, now).granted
+        now += 0.1
+    assert 1 <= issued <= 30.0 * PROBE_PER_S
+
+
+@pytest.mark.parametrize("nodes", [1, 3, 9, 61, 195])
+@pytest.mark.parametrize("limit", [1.0, 12.5])
+def test_all_nodes_together_keep_to_a_limit_and_use_it(nodes, limit):
+    # Guards against a burst of one request per node, and against unusable shares.
+    network = PermitNetwork.starting(nodes, loss=0.025)
+    network.state_limit("host-0", limit)
+    for _ in network.run(12.0):
+        pass
+    times = network.request_times()
+    assert most_in_window(times) <= allowed(limit)
+    assert len(times) >= 0.6 * limit * 12.0
+
+
+@pytest.mark.parametrize("nodes", [9, 61])
+def test_groups_that_are_cut_off_keep_to_the_limit_together(nodes):
+    network = PermitNetwork.starting(nodes)
+    network.state_limit("host-0", 5.0)
+    for _ in network.run(6.0):
+        pass
+    hosts = sorted(network.brokers)
+    network.cut_into(set(hosts[: nodes // 3]), set(hosts[nodes // 3 :]))
+    for _ in network.run(8.0):
+        pass
+    times = network.request_times()
+    assert most_in_window(times) <= allowed(5.0)
+    # After detection, the shares of both groups add up to the limit.
+    late = [at for at in times if at > network.now - WINDOW_S]
+    assert len(late) <= 5.0 * WINDOW_S + 2
+
+
+def test_another_node_takes_over_from_an_unreachable_issuer():
+    network = PermitNetwork.starting(9)
+    network.state_limit("host-0", 5.0)
+    for _ in network.run(4.0):
+        pass
+    issuers = {h for h, b in network.brokers.items() if b.issuer._next_at}
+    network.cut_into(set(network.brokers) - issuers)
+    for _ in network.run(8.0):
+        pass
+    times = network.request_times()
+    assert most_in_window(times) <= allowed(5.0)
+    assert len([at for at in times if at > network.now - WINDOW_S]) >= 10
+
+
+def test_answer_without_a_limit_clears_it_only_if_sent_later():
+    row = make_endpoint()
+    assert apply_stated_limit(row, StatedLimit(2.0), 99.0, 100.0)
+    assert not apply_stated_limit(row, StatedLimit(), 99.5, 100.5)
+    assert row.limit_per_s == 2.0
+    assert not apply_stated_limit(row, StatedLimit(readable=False), 101.0, 101.5)
+    assert row.limit_per_s == 2.0
+    assert apply_stated_limit(row, StatedLimit(), 101.0, 101.5)
+    assert row.limit_per_s is None
+
+
+def test_cleared_limit_is_broadcast_to_all_nodes():
+    network = PermitNetwork.starting(9)
+    network.state_limit("host-0", 5.0)
+    for _ in network.run(1.0):
+        pass
+    assert all(row.limit_per_s == 5.0 for row in network.rows.values())
+    network.state_limit("host-3", None)
+    for _ in network.run(1.0):
+        pass
+    assert all(row.limit_per_s is None for row in network.rows.values())
+
+
+def test_limit_of_an_earlier_run_is_ignored():
+    network = PermitNetwork.starting(2)
+    broker, row = network.brokers["host-0"], network.rows["host-0"]
+    row.started_ms = StartTime(7)
+    broker.hear("host-1", [["limit", ENDPOINT, 6, 1.0, 0.0]])
+    assert row.limit_per_s is None
+
+
+def test_node_without_permit_support_accepts_the_messages(caplog):
+    # Guards against messages that nodes of the previous version cannot read.
+    network = make_network(2, settle_s=2.0)
+    one, other = network.alive
+    network.nodes[one].send_permits([other], [["ask", "e", None, 1.0]])
+    network.step()
+    assert "unreadable news" not in caplog.messages
+
+
+@pytest.mark.parametrize(
+    "message", [["limit", "e"], ["ask", "e", None, "x"], ["what"], [], ["permit", 1, 2]]
+)
+def test_malformed_messages_are_ignored(message, caplog):
+    network = make_network(2, settle_s=2.0)
+    one, other = network.alive
+    permits = PermitNetwork.starting(2)
+    network.nodes[other].carry_permits(permits.brokers["host-0"])
+    network.nodes[one].send_permits([other], [message])
+    network.step()
+    assert permits.rows["host-0"].limit_per_s is None
+    assert not permits.rows["host-0"].permits
--- a/poplarrelay/entry/tests/test_sizing.py
+++ b/poplarrelay/entry/tests/test_sizing.py
@@ -10,6 +10,7 @@
 from poplarrelay.entry.sizing import (
     SizingInput,
     count_for_load,
+    count_lost_to_limits,
     count_needed,
     domains_taken,
     plan_endpoints,
@@ -247,3 +248,15 @@
     # Prompts of a few tokens and answers of a minute: nothing is in line, and the
     # batches fill up.
     assert count_for_load(64.0, 16) == 8.0
+
+
+def test_capacity_lost_to_limits_is_replaced():
+    # Guards against counting a limited endpoint at full capacity.
+    found = rows("abc")
+    found[0].limit_per_s = 1.0
+    found[1].limit_per_s = 50.0
+    assert count_lost_to_limits(found, requests_per_s=10.0) == pytest.approx(0.9)
+    needed = 2.0 + count_lost_to_limits(found, requests_per_s=10.0)
+    assert totals(plan_endpoints(given(found, needed)))[0] == 4
+    found[0].leaving = True
+    assert count_lost_to_limits(found, requests_per_s=10.0) == 0.0
--- a/poplarrelay/entry/waiting.py
+++ b/poplarrelay/entry/waiting.py
@@ -10,7 +10,14 @@
 from poplarrelay.entry.choosing import Choice, Wish
 from poplarrelay.entry.configuration import Route, ServiceName
 
-__all__ = ["Waiter", "WaitingRoom", "bounded_retry", "longest_wait", "retry_after"]
+__all__ = [
+    "PermitDenied",
+    "Waiter",
+    "WaitingRoom",
+    "bounded_retry",
+    "longest_wait",
+    "retry_after",
+]
 
 #: Part of the route's target for which a request may wait for a place. Beyond it the
 #: answer would be late anyway; told early, the caller can come back in time.
@@ -63,6 +70,19 @@
     return bounded_retry(until_free, remaining_s)
 
 
+@dataclass(frozen=True, slots=True)
+class PermitDenied:
+    """Result for a waiting request that no permit is expected to reach in time.
+
+    Attributes
+    ----------
+    wait_s : float
+        Seconds until a permit is expected.
+    """
+
+    wait_s: float
+
+
 @dataclass(order=True, slots=True)
 class Waiter:
     """A request in the queue; the order is the order of service.
@@ -73,12 +93,15 @@
         Rank of the request; 0 goes first.
     sequence : int
         Order of arrival.
+    until : float
+        Monotonic time at which the wait times out.
     """
 
     priority: int
     sequence: int
     wish: Wish = field(compare=False)
-    place: Future[Choice] = field(compare=False)
+    place: Future[Choice | PermitDenied] = field(compare=False)
+    until: float = field(compare=False, default=float("inf"))
 
 
 @dataclass(slots=True)
@@ -96,11 +119,16 @@
     arrivals: int = 0
 
     def join(
-        self, service: ServiceName, priority: int, wish: Wish, place: Future[Choice]
+        self,
+        service: ServiceName,
+        priority: int,
+        wish: Wish,
+        place: Future[Choice | PermitDenied],
+        until: float = float("inf"),
     ) -> Waiter:
         """Add a request to a service's queue."""
         self.arrivals += 1
-        waiter = Waiter(priority, self.arrivals, wish, place)
+        waiter = Waiter(priority, self.arrivals, wish, place, until)
         heapq.heappush(self.queues.setdefault(service, []), waiter)
         return waiter
 
@@ -109,6 +137,11 @@
         queue = self.queues.get(service, ())
         return sum(1 for waiter in queue if not waiter.place.done())
 
+    def pending(self, service: ServiceName) -> list[Waiter]:
+        """Return the requests waiting for a service, in the order of service."""
+        queue = self.queues.get(service, ())
+        return sorted(waiter for waiter in queue if not waiter.place.done())
+
     def serve(
         self, service: ServiceName, choose: Callable[[Wish], Choice | None]
     ) -> None:
--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -87,7 +87,7 @@
     cut : list of str
         Ids of requests whose caller closed before the end.
     limit : str or None
-        The limit of requests a second that its answers state, as sent.
+        Value of the ``Server-Limit`` header in its answers, None to omit it.
     crash_body : bytes or None
         Body of the requests that crash the endpoint when they start to run.
     on_crash : callable or None
