Keep reporting an outcome that only the holder of a copy has told

After one node had answered a lookup of a deferred request with its outcome, the request's home and the other nodes still reported "running" until the home had a copy confirmed.

It shrank to: accept, copy, run, and lose the confirmation of the copy of the outcome. The holder then reports the outcome. The home has it too, but reports "running" until a copy is confirmed, and a search took that reply as final.

Until a copy is confirmed, the home's reply now counts as that of a copy: when a caller asks the home, it queries the peers that it has sent a copy to, and a search from a peer continues past the home.

--- a/poplarrelay/systems/lookups.py
+++ b/poplarrelay/systems/lookups.py
@@ -25,6 +25,7 @@
 from poplarrelay.systems.copying import rank_peers, told_outcome
 from poplarrelay.systems.homes import home_of
 from poplarrelay.tables.members import Member, MemberStatus
+from poplarrelay.tables.requests import Request
 from poplarrelay.tables.world import World
 
 __all__ = [
@@ -51,7 +52,8 @@
     outcome : Outcome or None
         None while it runs.
     copy : bool
-        Known from a copy only; another node may have the outcome.
+        Known from a copy only, or with an unconfirmed outcome; another node may have
+        told the outcome.
     """
 
     outcome: Outcome | None
@@ -69,7 +71,7 @@
     home : str or None
         The one of them that runs the request, as far as this node knows.
     copy : bool
-        Whether this node holds a copy without an outcome.
+        Whether this node has the request, without an outcome that it may tell.
     complete : bool
         Whether these are all the nodes that may have the request.
     """
@@ -140,7 +142,7 @@
         return error
     request = world.requests.get(asked.id)
     if request is not None and request.team == team and request.deferred:
-        return LookupResult(told_outcome(world, request))
+        return _look_up_local(world, request, forwarded=asked.forwarded)
     stored = _stored(world, asked.id)
     mine = stored is not None and stored.team == team
     if stored is not None and mine and stored.outcome is not None:
@@ -154,6 +156,38 @@
     return RequestNotFound("the team has no such request")
 
 
+def _look_up_local(
+    world: World, request: Request, forwarded: bool
+) -> LookupResult | LookupElsewhere:
+    """Return the state of a deferred request whose home is this node.
+
+    Notes
+    -----
+    A peer that receives a copy of the outcome returns it to callers, even if its
+    confirmation is lost. Until such a copy is confirmed, "running" from this node is
+    therefore no more reliable than from a copy, and those peers have to be asked.
+    """
+    outcome = told_outcome(world, request)
+    unconfirmed = outcome is None and request.outcome is not None
+    holders = _possible_holders(world, request.id) if unconfirmed else ()
+    if forwarded or not holders:
+        return LookupResult(outcome, copy=unconfirmed)
+    return LookupElsewhere(holders, request.team, copy=True)
+
+
+def _possible_holders(world: World, request: RequestId) -> tuple[str, ...]:
+    """Return the peers that may hold the newest copy of a request."""
+    copy = world.sent_copies.get(request)
+    if copy is None:
+        return ()
+    nodes = [copy.holder, *sorted(copy.failed)]
+    return tuple(
+        world.members[node].peers
+        for node in nodes
+        if node is not None and node in world.members
+    )
+
+
 def _stored(world: World, request: RequestId) -> StoredRequest | None:
     """Return a peer's request that is held here, or one that is being handed over."""
     held = world.held_copies.get(request)
--- a/poplarrelay/systems/tests/test_copying.py
+++ b/poplarrelay/systems/tests/test_copying.py
@@ -79,6 +79,19 @@
     assert deferral.runs == 1
 
 
+def test_outcome_is_told_when_its_confirmation_is_lost(system):
+    # Guards against "running" from the home after the holder has told the outcome.
+    deferral = system.defer("n1", repeatable=False)
+    system.tick_all()
+    _pass_on(system, KeepCopy)
+    _pass_on(system, RunAttempt)
+    system.perform_all(KeepCopy, lost=True)
+    (holder,) = _held_by(system, deferral)
+    assert system.look_up(holder, deferral) == "answered"
+    for name in system.nodes:
+        assert system.look_up(name, deferral) == "answered"
+
+
 def test_outcome_is_told_where_no_peer_takes_it():
     # Guards against a ready answer that is held back while peer after peer is asked.
     system = FakeSystem(("n1", "n2", "n3", "n4", "n5", "n6"))
