Add crashing requests and stated limits to the soak test

The soak test had no fault in which a request crashes endpoints, and none in which an endpoint states how many requests it takes. Each is now a fault kind of its own: a request is sent repeatedly to random nodes while every endpoint that runs it crashes and restarts after 0.5 s, and an endpoint states three limits in turn, some of which may be unreadable. The checked promises are unchanged; one of them is that a refused request has not run. Plans of older seeds are still drawn from the kinds that existed when those seeds were added.

The soak test does not check how many endpoints one request crashes: nodes are killed, paused and cut off from the store in the meantime, and the bound holds only for nodes that are not.

--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -88,8 +88,8 @@
         Ids of requests whose caller closed before the end.
     limit : str or None
         Value of the ``Server-Limit`` header in its answers, None to omit it.
-    crash_body : bytes or None
-        Body of the requests that crash the endpoint when they start to run.
+    crash_bodies : set of bytes
+        Request bodies that crash the endpoint when the request starts to run.
     on_crash : callable or None
         Called after such a crash.
     """
@@ -105,14 +105,17 @@
     connections: int = 0
     working: int = 0
     limit: str | None = None
-    crash_body: bytes | None = None
+    crash_bodies: set[bytes] = field(default_factory=set)
     on_crash: Callable[[], None] | None = None
     _server: asyncio.Server | None = None
+    _port: int = 0
+    _crashed: bool = False
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self, port: int = 0) -> None:
         """Listen."""
         self._server = await asyncio.start_server(self._serve, self.host, port)
+        self._port = self._server.sockets[0].getsockname()[1]
 
     def stop(self) -> None:
         """Stop listening and reset all connections."""
@@ -124,8 +127,7 @@
     @property
     def address(self) -> str:
         """Return ``host:port``."""
-        assert self._server is not None
-        return f"{self.host}:{self._server.sockets[0].getsockname()[1]}"
+        return f"{self.host}:{self._port}"
 
     @property
     def busy(self) -> bool:
@@ -197,7 +199,7 @@
             return self._answer(http, writer, 421, attempt, b"", refused=True)
         if fault is Fault.SHED:
             return self._answer(http, writer, 503, attempt, b"", refused=True)
-        if self.crash_body is not None and body == self.crash_body:
+        if body in self.crash_bodies:
             self._crash(http, writer, attempt)
             return False
         if fault is not None:
@@ -261,8 +263,9 @@
         for each in list(self._writers):
             each.close()
         self.stop()
-        if self.on_crash is not None:
+        if self.on_crash is not None and not self._crashed:
             self.on_crash()
+        self._crashed = True
 
     async def _misbehave(
         self,
--- a/poplarrelay/testing/soak/callers.py
+++ b/poplarrelay/testing/soak/callers.py
@@ -78,12 +78,12 @@
             for connection in self._open.values():
                 connection.abort()
 
-    async def ask(self, node: str, kind: str) -> Asked:
-        """Send one request to a node and take what comes back."""
+    async def ask(self, node: str, kind: str, body: bytes = b"") -> Asked:
+        """Send one request to a node; its body defaults to its id."""
         repeatable, streams = KINDS[kind]
         team = self._rng.choice(list(KEYS))
         request = f"soak-{next(_NUMBERS)}"
-        asked = Asked(request, node, kind, team, repeatable, streams)
+        asked = Asked(request, node, kind, team, repeatable, streams, custom_body=body)
         self._asked.append(asked)
         sent_at = monotonic()
         leaves_s = None
@@ -113,10 +113,10 @@
 
     async def _answer_on(self, connection: Connection, asked: Asked) -> bool:
         """Send a request, take its answer, and tell if the connection may go on."""
-        body = asked.request.encode()
+        body = asked.request_body
         headers: Headers = [
             (b"Host", HOST.encode()),
-            (b"X-Poplarrelay-Attempt-Id", body),
+            (b"X-Poplarrelay-Attempt-Id", asked.request.encode()),
             (b"X-Poplarrelay-Deadline-Ms", str(int(1000 * DEADLINE_S)).encode()),
             (b"Authorization", f"Bearer {KEYS[asked.team]}".encode()),
             (b"Content-Length", str(len(body)).encode()),
--- a/poplarrelay/testing/soak/ledger.py
+++ b/poplarrelay/testing/soak/ledger.py
@@ -58,6 +58,8 @@
         Whether it may run more than once.
     disturbed : bool
         Whether its node was paused meanwhile, so that nothing can end in time.
+    custom_body : bytes
+        Request body to send instead of the request's id; empty to send the id.
     """
 
     request: str
@@ -70,6 +72,12 @@
     status: int = 0
     body: bytes = b""
     disturbed: bool = False
+    custom_body: bytes = b""
+
+    @property
+    def request_body(self) -> bytes:
+        """Return the request body."""
+        return self.custom_body or self.request.encode()
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +130,7 @@
     if team != sent.team:
         what = f"{sent.request} of {sent.team} came as {team}"
         found.append(Violation(Promise.NOTHING_INVENTED, what))
-    if received.body != sent.request.encode() or sent.kind not in received.target:
+    if received.body != sent.request_body or sent.kind not in received.target:
         what = f"{sent.request} came as {received.target} {received.body[:60]!r}"
         found.append(Violation(Promise.NOTHING_INVENTED, what))
     if any(key in value for key in keys for value in received.headers.values()):
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from random import Random
 
-__all__ = ["FIRST_KINDS", "FaultKind", "PlannedFault", "draw_plan"]
+__all__ = ["FIRST_KINDS", "SECOND_KINDS", "FaultKind", "PlannedFault", "draw_plan"]
 
 #: Seconds between two faults, on average. They last longer than that, so several
 #: are at work at most times.
@@ -47,6 +47,11 @@
     FOREIGN_RECORDS
         Another writer writes records that cannot be read, under an endpoint's id and
         under others.
+    REQUEST_CRASHES
+        A request that crashes every endpoint that runs it is sent repeatedly, to
+        random nodes. Crashed endpoints restart.
+    ENDPOINT_LIMITS
+        An endpoint states a series of request rate limits, which may be unreadable.
     """
 
     KILL = "kill"
@@ -66,15 +71,16 @@
     ENDPOINT_LEAVES = "endpoint leaves"
     ENDPOINT_RESTARTS = "endpoint restarts"
     FOREIGN_RECORDS = "foreign records"
+    REQUEST_CRASHES = "request crashes endpoints"
+    ENDPOINT_LIMITS = "endpoint limits"
 
 
 #: Kinds that plans were drawn from before endpoints restarted under their ids. Seeds
 #: that showed something then are played with these, so that their plans stay the same.
-FIRST_KINDS = tuple(
-    kind
-    for kind in FaultKind
-    if kind not in (FaultKind.ENDPOINT_RESTARTS, FaultKind.FOREIGN_RECORDS)
-)
+FIRST_KINDS = tuple(FaultKind)[:15]
+#: Kinds before ``REQUEST_CRASHES`` and ``ENDPOINT_LIMITS`` were added, for the seeds
+#: of that time. Both tuples depend on the order of the enum: append new kinds.
+SECOND_KINDS = tuple(FaultKind)[:17]
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -22,7 +22,7 @@
 from poplarrelay.standins.users.runner import Fault, RunnerStandIn
 from poplarrelay.standins.users.store import Outage, StoreStandIn
 from poplarrelay.testing.links import LinkState
-from poplarrelay.testing.soak.callers import KEYS, Caller, configuration_of
+from poplarrelay.testing.soak.callers import KEYS, KINDS, Caller, configuration_of
 from poplarrelay.testing.soak.ledger import (
     Asked,
     Promise,
@@ -45,6 +45,13 @@
 RESTART_S = 0.4
 #: Requests that an endpoint treats badly at once.
 FAULTY_REQUESTS = 4
+#: Seconds between the end of a request that crashes endpoints and the next.
+CRASH_REQUEST_GAP_S = 0.15
+#: Seconds after the crash of an endpoint at which it restarts.
+CRASH_RECOVERY_S = 0.5
+#: ``Server-Limit`` values that endpoints state, in requests per second. The last three
+#: are unreadable.
+STATED_LIMITS = ("0", "0.5", "2", "7.5", "-1", "soon", "")
 #: What other writers leave among the endpoints' records.
 FOREIGN_RECORDS: tuple[Any, ...] = (
     {"service": CALLS},
@@ -103,9 +110,14 @@
     paused_until : dict of str to float
         Monotonic time of the end of a node's last pause, infinite during one.
     starting : dict of str to asyncio.Lock
-        Held while a node's process is started, so that it is started once.
+        Held while a node's process, or an endpoint, is started, so that it is started
+        once.
     errors : list of str
         Faults that could not be brought about, which is a fault of the soak.
+    crash_bodies : set of bytes
+        Request bodies that crash endpoints; cleared when the faults end.
+    recoveries : list of asyncio.Task
+        Pending and completed restarts of crashed endpoints.
     """
 
     site: UsersSite
@@ -119,6 +131,8 @@
     paused_until: dict[str, float] = field(default_factory=dict)
     starting: dict[str, asyncio.Lock] = field(default_factory=dict)
     errors: list[str] = field(default_factory=list)
+    crash_bodies: set[bytes] = field(default_factory=set)
+    recoveries: list[asyncio.Task[None]] = field(default_factory=list)
     numbers: count[int] = field(default_factory=lambda: count(1))
 
     def paused(self, node: str, since: float) -> bool:
@@ -159,8 +173,26 @@
     async def add_endpoint(self, service: str) -> None:
         """Start one more endpoint of a service."""
         name = f"{service}-{next(self.numbers)}"
-        self.runners.append(await self.site.add_runner(name, service))
         self.listed[name] = service
+        self._track_endpoint(name, await self.site.add_runner(name, service))
+
+    def _track_endpoint(self, name: str, runner: RunnerStandIn) -> None:
+        """Record a run of an endpoint, and restart it when it crashes."""
+        self.runners.append(runner)
+        runner.crash_bodies = self.crash_bodies
+        runner.on_crash = lambda: self.recoveries.append(
+            asyncio.create_task(self._recover_endpoint(name))
+        )
+
+    async def _recover_endpoint(self, name: str) -> None:
+        await asyncio.sleep(CRASH_RECOVERY_S)
+        if name in self.listed:
+            await self._restart_endpoint(name)
+
+    async def _restart_endpoint(self, name: str) -> None:
+        async with self.starting.setdefault(name, asyncio.Lock()):
+            runner = await self.site.restart_runner(name, self.listed[name])
+            self._track_endpoint(name, runner)
 
     # faults
 
@@ -186,6 +218,8 @@
             FaultKind.ENDPOINT_LEAVES: self._endpoint_leaves,
             FaultKind.ENDPOINT_RESTARTS: self._endpoint_restarts,
             FaultKind.FOREIGN_RECORDS: self._foreign_records,
+            FaultKind.REQUEST_CRASHES: self._request_crashes,
+            FaultKind.ENDPOINT_LIMITS: self._endpoint_limits,
         }
         try:
             await strikes[fault.kind](draw, fault.for_s)
@@ -290,8 +324,24 @@
         self.site.store.put("keyed.servers", name, None)
 
     async def _endpoint_restarts(self, draw: Random, for_s: float) -> None:
-        name = draw.choice(sorted(self.listed))
-        self.runners.append(await self.site.restart_runner(name, self.listed[name]))
+        await self._restart_endpoint(draw.choice(sorted(self.listed)))
+
+    async def _request_crashes(self, draw: Random, for_s: float) -> None:
+        body = f"crash-{draw.randrange(1_000_000)}".encode()
+        kind = draw.choice(sorted(KINDS))
+        self.crash_bodies.add(body)
+        caller = Caller(self.site, self.asked, self.paused, draw)
+        end = monotonic() + for_s
+        while monotonic() < end:
+            await caller.ask(self._node(draw), kind, body)
+            await asyncio.sleep(CRASH_REQUEST_GAP_S)
+
+    async def _endpoint_limits(self, draw: Random, for_s: float) -> None:
+        runner = self.site.runners[draw.choice(sorted(self.listed))]
+        for limit in draw.choices(STATED_LIMITS, k=3):
+            runner.limit = limit
+            await asyncio.sleep(for_s / 3)
+        runner.limit = None
 
     async def _foreign_records(self, draw: Random, for_s: float) -> None:
         name = draw.choice(sorted(self.listed))
@@ -307,6 +357,8 @@
 
     async def recover(self) -> list[Violation]:
         """End all faults, and return what does not come back."""
+        self.crash_bodies.clear()
+        await asyncio.gather(*self.recoveries)
         for link in self.site.links.values():
             link.set(LinkState.WHOLE)
         for door in self.site.doors.values():
@@ -315,6 +367,7 @@
         for runner in self.runners:
             runner.faults.clear()
             runner.break_after = None
+            runner.limit = None
         end = monotonic() + RECOVERY_S
         waiting = set(self.site.processes)
         while waiting and monotonic() < end:
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -15,7 +15,12 @@
     check_duties,
     check_requests,
 )
-from poplarrelay.testing.soak.plan import FIRST_KINDS, FaultKind, draw_plan
+from poplarrelay.testing.soak.plan import (
+    FIRST_KINDS,
+    SECOND_KINDS,
+    FaultKind,
+    draw_plan,
+)
 from poplarrelay.testing.soak.run import SoakRun, SoakSize, soak
 from poplarrelay.testing.users import play, run_users_site
 
@@ -29,6 +34,8 @@
 SEEDS = (2, 19, 33)
 #: A seed that draws restarts of endpoints and foreign records.
 SEED_OF_LATER_KINDS = 25
+#: A seed that draws both requests that crash endpoints and stated limits.
+SEED_OF_ALL_KINDS = 3
 
 
 def runner(name="r1", *attempts, **headers):
@@ -148,7 +155,11 @@
 @pytest.mark.processes
 @pytest.mark.parametrize(
     ("seed", "kinds"),
-    [*((seed, FIRST_KINDS) for seed in SEEDS), (SEED_OF_LATER_KINDS, tuple(FaultKind))],
+    [
+        *((seed, FIRST_KINDS) for seed in SEEDS),
+        (SEED_OF_LATER_KINDS, SECOND_KINDS),
+        (SEED_OF_ALL_KINDS, tuple(FaultKind)),
+    ],
 )
 def test_promises_hold_under_random_faults(seed, kinds, tmp_path):
     # Callers keep asking three node processes while processes are killed, paused and
--- a/poplarrelay/testing/users.py
+++ b/poplarrelay/testing/users.py
@@ -346,7 +346,7 @@
         Each run has the same address and a new id.
         """
         runner = self.runners[name]
-        runner.crash_body = body
+        runner.crash_bodies = {body}
         port = int(runner.address.rsplit(":", 1)[1])
 
         async def recover() -> None:
