Avoid an ended run of an endpoint until the list shows the next one

Callers saw more than one request refused at an endpoint that had crashed and restarted at its address, while the list still showed the former run.

Cause, as traced earlier: a 421 excluded the endpoint for 0.5 s at first, like any other failure, so twelve calls that take longer reach it twice. A 421 shows for certain that this run has ended, and a new run gets a row of its own.

Such a run is now avoided for 30 s, and a later failure does not shorten that.

--- a/poplarrelay/entry/health.py
+++ b/poplarrelay/entry/health.py
@@ -20,8 +20,10 @@
 ROW_LIMIT = 2
 #: Seconds for which it is avoided at first; each further failure doubles that.
 FIRST_AVOIDANCE_S = 0.5
-#: Longest avoidance. An endpoint that has recovered is found again within it.
+#: Longest avoidance of a run that may be alive. An endpoint that has recovered is found again within it.
 LONGEST_AVOIDANCE_S = 4.0
+#: Avoidance of a run that has ended, in seconds. Longer than its record lasts.
+ENDED_RUN_AVOIDANCE_S = 30.0
 
 
 def note_success(row: Endpoint) -> None:
@@ -42,7 +44,11 @@
 
 
 def note_failure(
-    row: Endpoint, peers: Sequence[Endpoint], now: float, certain: bool
+    row: Endpoint,
+    peers: Sequence[Endpoint],
+    now: float,
+    certain: bool,
+    run_ended: bool = False,
 ) -> bool:
     """Note a failed attempt and return whether the endpoint is avoided anew.
 
@@ -57,6 +63,9 @@
     certain : bool
         Whether the failure shows a dead endpoint (it refused the connection, or
         another has its address) rather than one bad answer.
+    run_ended : bool
+        Whether the failure shows that this run of the endpoint has ended, because
+        another run answered at its address.
     """
     health = row.health
     health.failures_in_row += 1
@@ -69,6 +78,8 @@
         return False
     again = max(0, health.failures_in_row - ROW_LIMIT)
     avoidance_s = min(LONGEST_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2 ** min(again, 6))
+    if run_ended:
+        avoidance_s = ENDED_RUN_AVOIDANCE_S
     was_avoided = health.avoided_until > now
-    health.avoided_until = now + avoidance_s
+    health.avoided_until = max(health.avoided_until, now + avoidance_s)
     return not was_avoided
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -448,7 +448,8 @@
         certain = isinstance(result, NotRun)
         if certain:
             self._pool.forget(row.address)
-        if note_failure(row, peers, now, certain):
+        run_ended = isinstance(result, NotRun) and result.arrived and result.gone
+        if note_failure(row, peers, now, certain, run_ended):
             _LOG.warning(
                 "endpoint avoided",
                 extra={
--- a/poplarrelay/entry/tests/test_runs.py
+++ b/poplarrelay/entry/tests/test_runs.py
@@ -121,3 +121,18 @@
             assert len(runners[0].received) <= 1
 
     play(scenario)
+
+
+def test_ended_run_is_avoided_until_the_list_shows_the_next_one():
+    # Guards against one more refused request each time that an avoidance ends.
+    async def scenario():
+        async with run_users_site() as site:
+            runners = [await site.add_runner(f"r{i}", CALLS) for i in (1, 2)]
+            await site.ready(endpoints=2)
+            runners[0].endpoint = EndpointId("r9")
+            for _ in range(20):
+                await site.call("/pay/x")
+                await asyncio.sleep(0.06)
+            assert len(runners[0].received) <= 1
+
+    play(scenario)
