--- a/poplarrelay/entry/health.py
+++ b/poplarrelay/entry/health.py
@@ -20,7 +20,8 @@
 ROW_LIMIT = 2
 #: Seconds for which it is avoided at first; each further failure doubles that.
 FIRST_AVOIDANCE_S = 0.5
-#: Longest avoidance of a run that may be alive. An endpoint that has recovered is found again within it.
+#: Longest avoidance of a run that may be alive. An endpoint that has recovered is found
+#: again within it.
 LONGEST_AVOIDANCE_S = 4.0
 #: Avoidance of a run that has ended, in seconds. Longer than its record lasts.
 ENDED_RUN_AVOIDANCE_S = 30.0
