Resend an unconditional configuration change that lost to an unread one

Operators saw a change through one node answered with 409 right after another change had been accepted through another node.

Cause, from reading the code: a change without `after` is sent with the offset that its node has read as the one to replace. If the node has not read the accepted change yet, the record loses when it is folded, and the operator gets a conflict although it named no offset that could conflict.

Changes with `after` get the conflict as before.

test_change_that_lost_to_one_not_read_yet_is_sent_again and test_change_that_a_snapshot_may_cover_is_not_sent_again fail without the change, and without its second part. The state machine of folds now appends what is sent again; it passed.

--- a/poplarrelay/messages/questions.py
+++ b/poplarrelay/messages/questions.py
@@ -68,7 +68,7 @@
     ----------
     after : int or None
         Offset that the operator has seen in force; None means that the change
-        replaces whatever is in force when it is checked.
+        replaces whatever is in force at its position in the log.
     checked : bool
         Whether `after` was given.
     """
--- a/poplarrelay/systems/configuring.py
+++ b/poplarrelay/systems/configuring.py
@@ -237,6 +237,10 @@
         )
         for lease in snapshot.leases
     }
+    for pending in world.pending_changes.values():
+        # The snapshot may cover a record of the change that has won; sent again, the
+        # change could undo a later one.
+        pending.resendable = False
     history = world.configuration.history
     world.configuration = load_snapshot(snapshot)
     world.configuration.history = history
@@ -245,7 +249,18 @@
     position.caught_up = True
 
 
-def _settle(world: World, record_id: str, verdict: Verdict) -> Iterator[Effect]:
+def _settle(
+    world: World, record_id: str, verdict: Verdict, now: float
+) -> Iterator[Effect]:
+    """Tell an operator the verdict on a change, or send the change again.
+
+    Notes
+    -----
+    A change without `after` loses if an earlier change of the subject had not been
+    read by this node when it was sent. The operator named no offset, so that is not
+    a conflict. A record that has lost cannot come into force later, so the change is
+    sent again under a new record id until its deadline.
+    """
     pending = world.pending_changes.pop(RecordId(record_id), None)
     if pending is None:
         return
@@ -254,6 +269,8 @@
     elif verdict.problem:
         fault = Fault(pending.subject, verdict.problem)
         yield Reply(pending.call, InvalidConfiguration((fault,)))
+    elif pending.resendable and now < pending.until:
+        yield from _send_change(world, pending)
     else:
         yield Reply(
             pending.call, ConfigurationConflict(pending.subject, verdict.winner)
@@ -282,7 +299,7 @@
             ("problem", verdict.problem or None),
         ),
     )
-    yield from _settle(world, change.id, verdict)
+    yield from _settle(world, change.id, verdict, now)
 
 
 def _base_of(records: list[Record], oldest: Offset) -> SnapshotRecord | None:
@@ -372,18 +389,27 @@
     if asked.checked and asked.after != winner:
         yield Reply(asked.call, ConfigurationConflict(asked.subject, winner))
         return
+    until = now + PUBLISH_TIMEOUT_S
+    pending = PendingChange(
+        asked.call, asked.subject, until, asked.body, not asked.checked
+    )
+    yield from _send_change(world, pending)
+
+
+def _send_change(world: World, pending: PendingChange) -> Iterator[Effect]:
+    """Check a change and send it to replace the one in force on this node."""
+    subject, body = pending.subject, pending.body
     try:
-        _check_change(world.configuration, asked.subject, asked.body)
+        _check_change(world.configuration, subject, body)
     except InvalidConfiguration as error:
-        yield Reply(asked.call, error)
+        yield Reply(pending.call, error)
         return
+    current = world.configuration.entries.get(subject)
+    winner = None if current is None else current.offset
     record = world.new_record_id()
-    change = ChangeRecord(
-        id=record, subject=asked.subject, after=winner, body=asked.body
-    )
-    until = now + PUBLISH_TIMEOUT_S
-    world.pending_changes[record] = PendingChange(asked.call, asked.subject, until)
-    yield AppendRecord(CONFIGURATION, change, until)
+    change = ChangeRecord(id=record, subject=subject, after=winner, body=body)
+    world.pending_changes[record] = pending
+    yield AppendRecord(CONFIGURATION, change, pending.until)
 
 
 def share_configuration(world: World, inbox: Inbox, now: float) -> Iterator[Effect]:
--- a/poplarrelay/systems/tests/test_configuration_fold.py
+++ b/poplarrelay/systems/tests/test_configuration_fold.py
@@ -7,11 +7,14 @@
 subject's offset may ever go down on a node.
 """
 
+import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from poplarrelay.exception import ConfigurationConflict
 from poplarrelay.identifiers import Incarnation, Offset
+from poplarrelay.messages.effects import AppendRecord, Reply
 from poplarrelay.messages.inbox import Inbox
 from poplarrelay.messages.peers import ConfigurationReceived
 from poplarrelay.messages.platform import RecordsRead
@@ -99,7 +102,10 @@
             None,
             chosen,
         )
-        list(fold_configuration(world, Inbox([batch]), self.now))
+        effects = list(fold_configuration(world, Inbox([batch]), self.now))
+        resent = [e.value for e in effects if isinstance(e, AppendRecord)]
+        self.sent += [value for value in resent if isinstance(value, ChangeRecord)]
+        return effects
 
     @rule(node=NODES, subject=SUBJECTS, number=st.integers(0, 50), drop=st.booleans())
     def publish(self, node, subject, number, drop):
@@ -217,3 +223,69 @@
     assert world.configuration.entries == {}
     assert not world.streams[CONFIGURATION].caught_up
     assert encode_record(change)["subject"] == "template/base"
+
+
+def _effects_of(effect_type, effects):
+    return [effect for effect in effects if isinstance(effect, effect_type)]
+
+
+def _with_deployment_in_force():
+    """Return a log whose first two nodes have read a template and a deployment."""
+    log = Folding()
+    log._read("n1", 9)
+    for subject in ("template/base", "deployment/alpha"):
+        log.publish("n1", subject, 1, drop=False)
+        log._append(log.sent.pop())
+        for name in ("n1", "n2"):
+            log._read(name, 9)
+    return log
+
+
+def _publish_second(log, after, checked):
+    """Send a change through the second node and return its record."""
+    body = _body("deployment/alpha", 22)
+    asked = ChangeAsked(CallId(99), "deployment/alpha", body, after, checked)
+    effects = publish_changes(log.nodes["n2"], Inbox([asked]), log.now)
+    (sent,) = _effects_of(AppendRecord, effects)
+    return sent.value
+
+
+@pytest.mark.parametrize("checked", [False, True])
+def test_change_that_lost_to_one_not_read_yet_is_sent_again(checked):
+    # Without `after`, a change must not get a conflict because its node had not read
+    # an earlier change of the subject. With `after`, it must.
+    log = _with_deployment_in_force()
+    world = log.nodes["n2"]
+    seen = world.configuration.entries["deployment/alpha"].offset
+    log.publish("n1", "deployment/alpha", 21, drop=False)
+    log._append(log.sent.pop())
+    log._append(_publish_second(log, seen, checked))
+    effects = log._read("n2", 9)
+    if checked:
+        (reply,) = _effects_of(Reply, effects)
+        assert isinstance(reply.value, ConfigurationConflict)
+        return
+    (resent,) = _effects_of(AppendRecord, effects)
+    log._append(resent.value)
+    (reply,) = _effects_of(Reply, log._read("n2", 9))
+    assert reply.value.won
+    assert world.configuration.entries["deployment/alpha"].value.priority == 23
+
+
+def test_change_that_a_snapshot_may_cover_is_not_sent_again():
+    # Guards against a repeated record that undoes a later change of another operator.
+    log = _with_deployment_in_force()
+    record = _publish_second(log, None, checked=False)
+    log._append(record)
+    log._read("n1", 9)
+    log.learn_from_peer("n2", "n1")
+    log.publish("n1", "deployment/alpha", 30, drop=False)
+    log._append(log.sent.pop())
+    log._append(record)
+    effects = log._read("n2", 9)
+    assert _effects_of(AppendRecord, effects) == []
+    (reply,) = _effects_of(Reply, effects)
+    assert isinstance(reply.value, ConfigurationConflict)
+    assert (
+        log.nodes["n2"].configuration.entries["deployment/alpha"].value.priority == 31
+    )
--- a/poplarrelay/tables/world.py
+++ b/poplarrelay/tables/world.py
@@ -119,11 +119,17 @@
         The thread that waits for the verdict.
     until : float
         Monotonic time after which it is told that there is none.
+    body : dict or None
+        New value of the subject; None removes it.
+    resendable : bool
+        Whether it may be sent again if it loses to an earlier change.
     """
 
     call: CallId
     subject: str
     until: float
+    body: dict[str, object] | None
+    resendable: bool
 
 
 @dataclass(slots=True)
