Do not take crashes from peers that are too old to count

Found by reading: a node that had dropped a record after ten minutes took it back from a peer that had not yet, and passed it on as news, so that nodes could bring it back to each other again and again. test_crashes_that_no_longer_count_are_not_passed_on_again fails without the change and passes with it.

--- a/poplarrelay/entry/crashes.py
+++ b/poplarrelay/entry/crashes.py
@@ -100,10 +100,12 @@
     def decode(cls, raw: list[Any], now: float) -> CrashRecord:
         """Return the record from its JSON values; raises `ValueError`."""
         fingerprint, team, crashes, answered_s = raw
+        ages = {EndpointRun(str(run)): max(0.0, float(s)) for run, s in crashes}
         return cls(
             RequestFingerprint(str(fingerprint)),
             TeamId(str(team)),
-            {EndpointRun(str(run)): now - max(0.0, float(s)) for run, s in crashes},
+            # Nodes would keep passing on crashes that others have dropped.
+            {run: now - s for run, s in ages.items() if s <= CRASH_MEMORY_S},
             -inf if answered_s is None else now - max(0.0, float(answered_s)),
         )
 
--- a/poplarrelay/entry/tests/test_crashes.py
+++ b/poplarrelay/entry/tests/test_crashes.py
@@ -165,6 +165,17 @@
         assert blocked(table, 200.0)
 
 
+def test_crashes_that_no_longer_count_are_not_passed_on_again():
+    # Guards against records that nodes bring back to each other after dropping them.
+    one, other = CrashTable(), CrashTable()
+    crash(one, RUNS, 100.0)
+    other.hear(one.outgoing(100.0), "one", 100.0)
+    other.forget(101.0 + CRASH_MEMORY_S)
+    stale = [record.encode(101.0 + CRASH_MEMORY_S) for record in one.records]
+    other.hear(stale, "one", 101.0 + CRASH_MEMORY_S)
+    assert other.records == []
+
+
 def test_node_without_crash_records_accepts_news_of_them(caplog, monkeypatch):
     # Guards against datagrams that nodes of the previous version cannot read.
     network = make_network(2, settle_s=2.0)
