--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -414,38 +414,26 @@
         rows: list[list[Any]],
         hint: Hint,
         summaries: list[list[Any]],
-        ask: bool = False,
-        reading: bool = False,
-        crashes: Sequence[list[Any]] = (),
+        **fields: Any,
     ) -> bytes:
-        return _pack(self._news(rows, hint, summaries, ask, reading, crashes))
+        return _pack(self._news(rows, hint, summaries, **fields))
 
     def _news(
         self,
         rows: list[list[Any]],
         hint: Hint,
         summaries: list[list[Any]],
-        ask: bool = False,
-        reading: bool = False,
-        crashes: Sequence[list[Any]] = (),
-        permits: Sequence[list[Any]] = (),
+        **fields: Any,
     ) -> dict[str, Any]:
-        message = {
+        """Return a message with rows, and further fields if they are given."""
+        return {
             "from": self._table.me.node,
             "wall": self._clock.own,
             "hint": hint.encode(),
             "rows": rows,
             "cells": summaries,
+            **fields,
         }
-        if ask:
-            message["ask"] = True
-        if reading:
-            message["reading"] = True
-        if crashes:
-            message["crashes"] = crashes
-        if permits:
-            message["permits"] = permits
-        return message
 
 
 def _pack(value: dict[str, Any]) -> bytes:
