Let a raised limit take effect at once

Found by reading: an issuer kept to the time of its next permit after the limit had been raised, up to five seconds for one raised from 0, and other nodes kept to the waits that they had been told before. Both now end with the change. test_raised_limit_takes_effect_at_its_own_interval and test_raised_limit_is_used_at_once_by_all_nodes fail without it.

The bounds on what an endpoint may get are the same as before.

--- a/poplarrelay/entry/permits.py
+++ b/poplarrelay/entry/permits.py
@@ -96,13 +96,12 @@
             Current monotonic time.
         """
         interval_s = 1 / (max(per_s, PROBE_PER_S) * share)
-        next_at = self._next_at.get((endpoint, run))
-        if next_at is None:
-            # The previous issuer may have issued a permit just before the takeover.
-            next_at = now + interval_s
-            self._next_at[endpoint, run] = next_at
+        # Without an entry the previous issuer may have issued a permit just before the
+        # takeover; a later time than this one was set at a lower limit.
+        next_at = min(self._next_at.get((endpoint, run), inf), now + interval_s)
         if next_at > now:
-            return Permit(min(next_at - now, interval_s))
+            self._next_at[endpoint, run] = next_at
+            return Permit(next_at - now)
         earliest = now - min(interval_s, CATCH_UP_S)
         self._next_at[endpoint, run] = max(next_at, earliest) + interval_s
         return Permit(0.0)
--- a/poplarrelay/entry/rate_limits.py
+++ b/poplarrelay/entry/rate_limits.py
@@ -4,6 +4,7 @@
 
 import logging
 from dataclasses import dataclass
+from math import inf
 
 from poplarrelay.entry.endpoints import Endpoint
 
@@ -59,6 +60,8 @@
     row.limit_per_s, row.limit_as_of = per_s, as_of
     if before == per_s:
         return False
+    # Waits for permits were told at the limit before.
+    row.next_ask_at = row.next_permit_at = -inf
     _LOG.info(
         "endpoint limit",
         extra={
--- a/poplarrelay/entry/tests/test_permits.py
+++ b/poplarrelay/entry/tests/test_permits.py
@@ -59,6 +59,15 @@
     assert granted <= 1 + 10.0 * CATCH_UP_S
 
 
+def test_raised_limit_takes_effect_at_its_own_interval():
+    # Guards against waiting for the probe of a limit of zero after it was raised.
+    issuer = PermitIssuer()
+    issuer.issue(ENDPOINT, RUN, 0.0, 1.0, 100.0)
+    permit = issuer.issue(ENDPOINT, RUN, 10.0, 1.0, 100.1)
+    assert permit.wait_s == pytest.approx(0.1)
+    assert issuer.issue(ENDPOINT, RUN, 10.0, 1.0, 100.21).granted
+
+
 def test_limit_of_zero_allows_probes():
     # Guards against a limit of zero that is never cleared for lack of answers.
     issuer, now, issued = PermitIssuer(), 100.0, 0
@@ -135,6 +144,20 @@
     assert all(row.limit_per_s is None for row in network.rows.values())
 
 
+def test_raised_limit_is_used_at_once_by_all_nodes():
+    # Guards against nodes that keep to waits told at the limit before.
+    network = PermitNetwork.starting(9)
+    network.state_limit("host-0", 0.0)
+    for _ in network.run(3.0):
+        pass
+    raised_at = network.now
+    network.state_limit("host-3", 10.0)
+    for _ in network.run(2.0):
+        pass
+    late = [at for at in network.request_times() if at > raised_at]
+    assert len(late) >= 0.6 * 10.0 * 2.0
+
+
 def test_limit_of_an_earlier_run_is_ignored():
     network = PermitNetwork.starting(2)
     broker, row = network.brokers["host-0"], network.rows["host-0"]
