Test refusals at stated limits without real time

test_calls_beyond_all_limits_are_refused_at_once_and_told_when_to_retry failed once at load 20 to 25: the slowest of 240 calls took 0.53 s where 0.4 s was asked for, over three nodes, callers and endpoints on one event loop. What a call waits for in the node is decided by Places; it is now tested there without real time and more strictly: where no permit comes in time, a call is refused within the same turn of the event loop, and waiting calls are refused in the turn in which permits are denied. The test on the site keeps its other checks: 503 alone, with a time to retry, and the bound on what the endpoints get.

--- a/poplarrelay/entry/tests/test_limited_endpoints.py
+++ b/poplarrelay/entry/tests/test_limited_endpoints.py
@@ -93,31 +93,23 @@
     play(scenario)
 
 
-def test_calls_beyond_all_limits_are_refused_at_once_and_told_when_to_retry():
-    # Guards against calls that wait for limited endpoints until they time out.
+def test_calls_beyond_all_limits_are_refused_and_told_when_to_retry():
+    # Guards against calls that expire at endpoints at their limit.
     async def scenario():
         async with run_users_site(nodes=3) as site:
             runners = await add_endpoints(site, CALLS, ["2", "2"])
             await send_calls(site, "/look/x", per_s=10, for_s=1.0)
             start = monotonic()
-            times: list[float] = []
-
-            async def one(node: str) -> WholeResponse:
-                began = monotonic()
-                answer = await site.call("/look/x", node)
-                times.append(monotonic() - began)
-                return answer
-
             calls: list[asyncio.Task[WholeResponse]] = []
             while monotonic() < start + 6.0:
-                calls.append(asyncio.create_task(one("abc"[len(calls) % 3])))
+                call = site.call("/look/x", "abc"[len(calls) % 3])
+                calls.append(asyncio.create_task(call))
                 await asyncio.sleep(0.025)
             answers = await asyncio.gather(*calls)
             refused = [answer for answer in answers if answer.status != 200]
             assert all(answer.status == 503 for answer in refused)
             waits = [header_value(answer.headers, b"retry-after") for answer in refused]
             assert all(wait and 0.04 < float(wait) < 3.0 for wait in waits)
-            assert max(times) < 0.4
             assert len(refused) < len(answers)
             for runner in runners:
                 at = [request.at for request in runner.received]
--- /dev/null
+++ b/poplarrelay/entry/tests/test_places.py
@@ -0,0 +1,124 @@
+"""Places at endpoints that state a limit, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from time import monotonic
+from unittest.mock import Mock
+
+import pytest
+
+from poplarrelay.entry.configuration import ServiceName
+from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.outcomes import Refusal, RefusalReason
+from poplarrelay.entry.permits import PermitBroker
+from poplarrelay.entry.places import Places
+from poplarrelay.entry.settings import EntrySettings
+from poplarrelay.entry.state import EntryState
+from poplarrelay.identifiers import DomainId, EndpointId, Incarnation
+from poplarrelay.testing.cases import make_case
+
+SERVICE = "desk"
+
+
+def make_places(limits: list[float | None]) -> tuple[Places, PermitBroker, EntryState]:
+    """Return the places of a node whose peer issues permits for all endpoints."""
+    listeners = dict.fromkeys(
+        ("callers", "readiness", "discovery", "control"), "127.0.0.1:1"
+    )
+    settings = EntrySettings.model_validate(
+        {
+            "node": "a",
+            "failure_domain": "north",
+            "listeners": {**listeners, "gossip_port": 2},
+            "platform": {"store": "127.0.0.1:3"},
+        }
+    )
+    state = EntryState.from_settings(settings, Incarnation("1-1"), Random(1))
+    for number, limit in enumerate(limits):
+        name = EndpointId(f"e{number}")
+        row = Endpoint(
+            name, ServiceName(SERVICE), ("127.0.0.1", 1), DomainId("north"), 8
+        )
+        row.limit_per_s = limit
+        state.endpoints.put(row)
+    broker = PermitBroker(
+        "here",
+        state.endpoints.rows,
+        lambda: {"b": "elsewhere"},  # type: ignore[dict-item]
+        lambda: (1.0, 0.5),
+        Mock(),
+        monotonic,
+    )
+    return Places(state, Mock(), broker), broker, state
+
+
+async def turns(count: int = 5) -> None:
+    """Let other tasks run, without waiting for any time."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+def test_call_is_refused_without_a_wait_if_no_permit_comes_in_time():
+    # Guards against calls that wait for endpoints at their limit until they expire.
+    async def scenario():
+        places, _, state = make_places([2.0, 2.0])
+        for row in state.endpoints.rows.values():
+            row.next_permit_at = row.next_ask_at = monotonic() + 0.6
+        taken = asyncio.create_task(places.take(make_case(SERVICE)))
+        await turns()
+        refusal = taken.result()
+        assert isinstance(refusal, Refusal)
+        assert (refusal.status, refusal.reason) == (503, RefusalReason.LIMITED)
+        assert refusal.retry_after_s == pytest.approx(0.5, abs=0.15)
+
+    asyncio.run(scenario())
+
+
+def test_waiting_calls_are_refused_once_permits_are_denied():
+    # Guards against waits that go on although no permit comes before their end.
+    async def scenario():
+        places, broker, _ = make_places([50.0, 50.0])
+        waiting = [
+            asyncio.create_task(places.take(make_case(SERVICE))) for _ in range(3)
+        ]
+        await turns()
+        assert not any(task.done() for task in waiting)
+        broker.hear("elsewhere", [["permit", "e0", None, 0.9]])
+        broker.hear("elsewhere", [["permit", "e1", None, 0.9]])
+        await turns()
+        for task in waiting:
+            refusal = task.result()
+            assert isinstance(refusal, Refusal)
+            assert refusal.reason is RefusalReason.LIMITED
+
+    asyncio.run(scenario())
+
+
+def test_waiting_call_gets_the_place_once_a_permit_comes():
+    # Guards against permits that expire while calls wait for them.
+    async def scenario():
+        places, broker, state = make_places([2.0])
+        waiting = asyncio.create_task(places.take(make_case(SERVICE)))
+        await turns()
+        broker.hear("elsewhere", [["permit", "e0", None, 0.0]])
+        await turns()
+        choice = waiting.result()
+        assert not isinstance(choice, Refusal)
+        assert choice.endpoint.endpoint == "e0"
+        assert state.endpoints.rows[EndpointId("e0")].permits == []
+
+    asyncio.run(scenario())
+
+
+def test_endpoint_without_a_limit_is_used_beside_one_at_its_limit():
+    # Guards against refusals while another endpoint has room.
+    async def scenario():
+        places, _, _ = make_places([2.0, None])
+        for _ in range(8):
+            choice = await places.take(make_case(SERVICE))
+            assert not isinstance(choice, Refusal)
+            assert choice.endpoint.endpoint == "e1"
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/poplarrelay/testing/cases.py
@@ -0,0 +1,57 @@
+"""Builders of requests as an entry node serves them, for tests."""
+
+from __future__ import annotations
+
+from time import monotonic
+from unittest.mock import Mock
+
+from poplarrelay.entry.attempts import StreamProgress
+from poplarrelay.entry.case import Case
+from poplarrelay.entry.configuration import (
+    ConfigurationVersion,
+    Route,
+    RouteKind,
+    ServiceName,
+    ServiceShare,
+)
+from poplarrelay.entry.requests import CallerRequest
+from poplarrelay.identifiers import RequestId
+
+__all__ = ["make_case", "make_route"]
+
+
+def make_route(
+    service: str, kind: RouteKind = RouteKind.IDEMPOTENT, target_s: float = 0.2
+) -> Route:
+    """Return a route to one service."""
+    share = ServiceShare(ServiceName(service), 1.0)
+    return Route("look", "desk.example", "/look/", kind, 1.5, target_s, 1, (share,))
+
+
+def make_case(service: str, patience_s: float = 1.5) -> Case:
+    """Return an admitted call that has just arrived."""
+    now = monotonic()
+    request = CallerRequest(
+        request=RequestId("request-1"),
+        host="desk.example",
+        path="/look/x",
+        method=b"POST",
+        target=b"/look/x",
+        body=b"",
+        has_body=False,
+        passed_headers=[],
+        started_at=now,
+    )
+    return Case(
+        request=request,
+        exchange=Mock(),
+        route=make_route(service),
+        team=None,
+        priority=1,
+        service=ServiceName(service),
+        until=now + patience_s,
+        version=ConfigurationVersion(1),
+        progress=StreamProgress(None),
+        knows_keys=False,
+        fingerprint=request.fingerprint(None),
+    )
