--- a/poplarrelay/entry/crashes.py
+++ b/poplarrelay/entry/crashes.py
@@ -104,7 +104,7 @@
         return cls(
             RequestFingerprint(str(fingerprint)),
             TeamId(str(team)),
-            # Nodes would keep passing on crashes that others have dropped.
+            # Without this filter, nodes would keep sending expired crashes around.
             {run: now - s for run, s in ages.items() if s <= CRASH_MEMORY_S},
             -inf if answered_s is None else now - max(0.0, float(answered_s)),
         )
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -425,7 +425,7 @@
         summaries: list[list[Any]],
         **fields: Any,
     ) -> dict[str, Any]:
-        """Return a message with rows, and further fields if they are given."""
+        """Return a message with rows and any additional fields."""
         return {
             "from": self._table.me.node,
             "wall": self._clock.own,
--- a/poplarrelay/entry/permits.py
+++ b/poplarrelay/entry/permits.py
@@ -96,8 +96,8 @@
             Current monotonic time.
         """
         interval_s = 1 / (max(per_s, PROBE_PER_S) * share)
-        # Without an entry the previous issuer may have issued a permit just before the
-        # takeover; a later time than this one was set at a lower limit.
+        # Without an entry, the previous issuer may have issued a permit just before the
+        # takeover. A time more than one interval ahead was computed at a lower rate.
         next_at = min(self._next_at.get((endpoint, run), inf), now + interval_s)
         if next_at > now:
             self._next_at[endpoint, run] = next_at
--- a/poplarrelay/entry/rate_limits.py
+++ b/poplarrelay/entry/rate_limits.py
@@ -60,7 +60,7 @@
     row.limit_per_s, row.limit_as_of = per_s, as_of
     if before == per_s:
         return False
-    # Waits for permits were told at the limit before.
+    # These times were computed from the previous limit.
     row.next_ask_at = row.next_permit_at = -inf
     _LOG.info(
         "endpoint limit",
--- a/poplarrelay/entry/tests/test_crashes.py
+++ b/poplarrelay/entry/tests/test_crashes.py
@@ -166,7 +166,7 @@
 
 
 def test_crashes_that_no_longer_count_are_not_passed_on_again():
-    # Guards against records that nodes bring back to each other after dropping them.
+    # Guards against expired crashes that nodes keep sending back to each other.
     one, other = CrashTable(), CrashTable()
     crash(one, RUNS, 100.0)
     other.hear(one.outgoing(100.0), "one", 100.0)
--- a/poplarrelay/entry/tests/test_limited_endpoints.py
+++ b/poplarrelay/entry/tests/test_limited_endpoints.py
@@ -94,7 +94,7 @@
 
 
 def test_calls_beyond_all_limits_are_refused_and_told_when_to_retry():
-    # Guards against calls that expire at endpoints at their limit.
+    # Guards against calls that time out waiting for endpoints at their limit.
     async def scenario():
         async with run_users_site(nodes=3) as site:
             runners = await add_endpoints(site, CALLS, ["2", "2"])
--- a/poplarrelay/entry/tests/test_permits.py
+++ b/poplarrelay/entry/tests/test_permits.py
@@ -60,7 +60,7 @@
 
 
 def test_raised_limit_takes_effect_at_its_own_interval():
-    # Guards against waiting for the probe of a limit of zero after it was raised.
+    # Guards against waiting for the probe interval after a limit of zero is raised.
     issuer = PermitIssuer()
     issuer.issue(ENDPOINT, RUN, 0.0, 1.0, 100.0)
     permit = issuer.issue(ENDPOINT, RUN, 10.0, 1.0, 100.1)
@@ -145,7 +145,7 @@
 
 
 def test_raised_limit_is_used_at_once_by_all_nodes():
-    # Guards against nodes that keep to waits told at the limit before.
+    # Guards against nodes that keep wait times computed from the previous limit.
     network = PermitNetwork.starting(9)
     network.state_limit("host-0", 0.0)
     for _ in network.run(3.0):
--- a/poplarrelay/entry/tests/test_places.py
+++ b/poplarrelay/entry/tests/test_places.py
@@ -1,4 +1,4 @@
-"""Places at endpoints that state a limit, without a network."""
+"""Tests of places at endpoints that state a limit, without a network."""
 
 from __future__ import annotations
 
@@ -54,21 +54,21 @@
     return Places(state, Mock(), broker), broker, state
 
 
-async def turns(count: int = 5) -> None:
-    """Let other tasks run, without waiting for any time."""
-    for _ in range(count):
+async def run_other_tasks(rounds: int = 5) -> None:
+    """Let other tasks run without a delay."""
+    for _ in range(rounds):
         await asyncio.sleep(0)
 
 
 def test_call_is_refused_without_a_wait_if_no_permit_comes_in_time():
-    # Guards against calls that wait for endpoints at their limit until they expire.
+    # Guards against calls that wait for endpoints at their limit until they time out.
     async def scenario():
         places, _, state = make_places([2.0, 2.0])
         for row in state.endpoints.rows.values():
             row.next_permit_at = row.next_ask_at = monotonic() + 0.6
-        taken = asyncio.create_task(places.take(make_case(SERVICE)))
-        await turns()
-        refusal = taken.result()
+        call = asyncio.create_task(places.take(make_case(SERVICE)))
+        await run_other_tasks()
+        refusal = call.result()
         assert isinstance(refusal, Refusal)
         assert (refusal.status, refusal.reason) == (503, RefusalReason.LIMITED)
         assert refusal.retry_after_s == pytest.approx(0.5, abs=0.15)
@@ -77,17 +77,17 @@
 
 
 def test_waiting_calls_are_refused_once_permits_are_denied():
-    # Guards against waits that go on although no permit comes before their end.
+    # Guards against calls that keep waiting when no permit can arrive in time.
     async def scenario():
         places, broker, _ = make_places([50.0, 50.0])
         waiting = [
             asyncio.create_task(places.take(make_case(SERVICE))) for _ in range(3)
         ]
-        await turns()
+        await run_other_tasks()
         assert not any(task.done() for task in waiting)
         broker.hear("elsewhere", [["permit", "e0", None, 0.9]])
         broker.hear("elsewhere", [["permit", "e1", None, 0.9]])
-        await turns()
+        await run_other_tasks()
         for task in waiting:
             refusal = task.result()
             assert isinstance(refusal, Refusal)
@@ -97,13 +97,13 @@
 
 
 def test_waiting_call_gets_the_place_once_a_permit_comes():
-    # Guards against permits that expire while calls wait for them.
+    # Guards against permits that expire unused while calls wait for them.
     async def scenario():
         places, broker, state = make_places([2.0])
         waiting = asyncio.create_task(places.take(make_case(SERVICE)))
-        await turns()
+        await run_other_tasks()
         broker.hear("elsewhere", [["permit", "e0", None, 0.0]])
-        await turns()
+        await run_other_tasks()
         choice = waiting.result()
         assert not isinstance(choice, Refusal)
         assert choice.endpoint.endpoint == "e0"
@@ -113,7 +113,7 @@
 
 
 def test_endpoint_without_a_limit_is_used_beside_one_at_its_limit():
-    # Guards against refusals while another endpoint has room.
+    # Guards against refusals while another endpoint has capacity.
     async def scenario():
         places, _, _ = make_places([2.0, None])
         for _ in range(8):
--- a/poplarrelay/systems/configuring.py
+++ b/poplarrelay/systems/configuring.py
@@ -238,8 +238,8 @@
         for lease in snapshot.leases
     }
     for pending in world.pending_changes.values():
-        # The snapshot may cover a record of the change that has won; sent again, the
-        # change could undo a later one.
+        # The snapshot may already include the change. Resending it could then
+        # overwrite a later change.
         pending.resendable = False
     history = world.configuration.history
     world.configuration = load_snapshot(snapshot)
@@ -252,14 +252,14 @@
 def _settle(
     world: World, record_id: str, verdict: Verdict, now: float
 ) -> Iterator[Effect]:
-    """Tell an operator the verdict on a change, or send the change again.
+    """Reply to an operator with the verdict on a change, or resend the change.
 
     Notes
     -----
-    A change without `after` loses if an earlier change of the subject had not been
-    read by this node when it was sent. The operator named no offset, so that is not
-    a conflict. A record that has lost cannot come into force later, so the change is
-    sent again under a new record id until its deadline.
+    A change without `after` loses if this node had not read an earlier change of the
+    subject when it sent the record. The operator gave no offset, so this is not a
+    conflict. A record that has lost cannot come into force later, so the change is
+    resent under a new record id until its deadline.
     """
     pending = world.pending_changes.pop(RecordId(record_id), None)
     if pending is None:
@@ -397,7 +397,7 @@
 
 
 def _send_change(world: World, pending: PendingChange) -> Iterator[Effect]:
-    """Check a change and send it to replace the one in force on this node."""
+    """Check a change and append it after the one in force on this node."""
     subject, body = pending.subject, pending.body
     try:
         _check_change(world.configuration, subject, body)
--- a/poplarrelay/systems/tests/test_configuration_fold.py
+++ b/poplarrelay/systems/tests/test_configuration_fold.py
@@ -229,8 +229,8 @@
     return [effect for effect in effects if isinstance(effect, effect_type)]
 
 
-def _with_deployment_in_force():
-    """Return a log whose first two nodes have read a template and a deployment."""
+def _make_log_with_deployment():
+    """Return a log with a template and a deployment that two nodes have read."""
     log = Folding()
     log._read("n1", 9)
     for subject in ("template/base", "deployment/alpha"):
@@ -241,8 +241,8 @@
     return log
 
 
-def _publish_second(log, after, checked):
-    """Send a change through the second node and return its record."""
+def _publish_on_second_node(log, after, checked):
+    """Publish a change on the second node and return its record."""
     body = _body("deployment/alpha", 22)
     asked = ChangeAsked(CallId(99), "deployment/alpha", body, after, checked)
     effects = publish_changes(log.nodes["n2"], Inbox([asked]), log.now)
@@ -252,14 +252,14 @@
 
 @pytest.mark.parametrize("checked", [False, True])
 def test_change_that_lost_to_one_not_read_yet_is_sent_again(checked):
-    # Without `after`, a change must not get a conflict because its node had not read
-    # an earlier change of the subject. With `after`, it must.
-    log = _with_deployment_in_force()
+    # Guards against a conflict for a change without `after` when its node had not read
+    # an earlier change of the subject. A change with `after` must get the conflict.
+    log = _make_log_with_deployment()
     world = log.nodes["n2"]
     seen = world.configuration.entries["deployment/alpha"].offset
     log.publish("n1", "deployment/alpha", 21, drop=False)
     log._append(log.sent.pop())
-    log._append(_publish_second(log, seen, checked))
+    log._append(_publish_on_second_node(log, seen, checked))
     effects = log._read("n2", 9)
     if checked:
         (reply,) = _effects_of(Reply, effects)
@@ -273,9 +273,9 @@
 
 
 def test_change_that_a_snapshot_may_cover_is_not_sent_again():
-    # Guards against a repeated record that undoes a later change of another operator.
-    log = _with_deployment_in_force()
-    record = _publish_second(log, None, checked=False)
+    # Guards against a resent change that overwrites a later one by another operator.
+    log = _make_log_with_deployment()
+    record = _publish_on_second_node(log, None, checked=False)
     log._append(record)
     log._read("n1", 9)
     log.learn_from_peer("n2", "n1")
--- a/poplarrelay/testing/cases.py
+++ b/poplarrelay/testing/cases.py
@@ -1,4 +1,4 @@
-"""Builders of requests as an entry node serves them, for tests."""
+"""Test builders for routes and admitted requests of an entry node."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 
 def make_case(service: str, patience_s: float = 1.5) -> Case:
-    """Return an admitted call that has just arrived."""
+    """Return an admitted request that has just arrived."""
     now = monotonic()
     request = CallerRequest(
         request=RequestId("request-1"),
