Test crashing requests and stated limits on node processes

Both tests run three nodes as separate processes and kill and restart one of them during the run. In the first, a request that crashes endpoints is sent four times a second for 12 s. In the second, an endpoint states a limit of 2 requests per second while 40 per second are sent.

--- a/poplarrelay/entry/tests/test_crashing_requests.py
+++ b/poplarrelay/entry/tests/test_crashing_requests.py
@@ -46,7 +46,7 @@
 ) -> None:
     """Send the crashing request four times a second, to one node after the other."""
     end = monotonic() + for_s
-    for node in cycle(list(site.nodes)):
+    for node in cycle([*site.nodes, *site.processes]):
         if monotonic() > end:
             return
         sent = asyncio.create_task(site.call(path, node, CRASHING_BODY, **more))
@@ -215,3 +215,28 @@
             assert len(status["blocked_requests"]) == 1
 
     play(scenario)
+
+
+@pytest.mark.processes
+def test_node_processes_do_not_relay_a_request_that_crashes_endpoints(tmp_path):
+    # Guards against a node process that misses or loses the crashes its peers report.
+    async def scenario():
+        async with run_users_site(nodes=0) as site:
+            seed = ""
+            for name in "abc":
+                await site.start_process(name, tmp_path, seed)
+                seed = seed or ":".join(map(str, site.address(name, "control")))
+            await add_crashing_endpoints(site, CALLS)
+            sending = asyncio.create_task(send_repeatedly(site, "/look/x", for_s=12.0))
+            await until(lambda: len(arrivals(site)) >= 3)
+            killed = site.processes["b"]
+            await killed.kill()
+            restarted = await site.run_process("b", killed.path)
+            await until(lambda: "ready" in restarted.messages())
+            await sending
+            times = [request.at for request in arrivals(site)]
+            late = [at for at in times if at > times[2] + SPREAD_S]
+            assert len(late) <= MOST_LATE_ATTEMPTS
+            assert (await site.call("/look/x", "b")).status == 200
+
+    play(scenario)
--- a/poplarrelay/entry/tests/test_limited_endpoints.py
+++ b/poplarrelay/entry/tests/test_limited_endpoints.py
@@ -51,7 +51,7 @@
         except ExchangeFailed:
             return None
 
-    nodes = list(site.nodes)
+    nodes = [*site.nodes, *site.processes]
     sent: list[asyncio.Task[int | None]] = []
     end = monotonic() + for_s
     while monotonic() < end:
@@ -177,3 +177,28 @@
             assert most_in_window(times, start + KNOWN_S) <= allowed(1.0)
 
     play(scenario)
+
+
+@pytest.mark.processes
+def test_node_processes_keep_to_a_limit_while_one_is_restarted(tmp_path):
+    # Guards against exceeding the limit when a node is killed and rejoins.
+    async def scenario():
+        async with run_users_site(nodes=0) as site:
+            seed = ""
+            for name in "abc":
+                await site.start_process(name, tmp_path, seed)
+                seed = seed or ":".join(map(str, site.address(name, "control")))
+            runners = await add_endpoints(site, CALLS, ["2", None, None])
+            start = monotonic()
+            sending = asyncio.create_task(send_calls(site, "/look/x", 40, for_s=12.0))
+            await asyncio.sleep(4.0)
+            killed = site.processes["b"]
+            await killed.kill()
+            restarted = await site.run_process("b", killed.path)
+            await until(lambda: "ready" in restarted.messages())
+            await sending
+            times = [request.at for request in runners[0].received]
+            assert most_in_window(times, start + KNOWN_S) <= allowed(2.0)
+            assert any(at > start + 2 * KNOWN_S for at in times)
+
+    play(scenario)
