--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -161,7 +161,7 @@
         f"{ENTRY}/places.py",
         "        if not rows or len(limits) < len(rows):\n",
         "        if True:\n",
-        "test_limited_endpoints.py",
+        "test_places.py",
     ),
     Safeguard(
         "work that must not be repeated",
