--- a/poplarrelay/entry/tests/test_crashing_requests.py
+++ b/poplarrelay/entry/tests/test_crashing_requests.py
@@ -222,17 +222,11 @@
     # Guards against a node process that misses or loses the crashes its peers report.
     async def scenario():
         async with run_users_site(nodes=0) as site:
-            seed = ""
-            for name in "abc":
-                await site.start_process(name, tmp_path, seed)
-                seed = seed or ":".join(map(str, site.address(name, "control")))
+            await site.start_processes("abc", tmp_path)
             await add_crashing_endpoints(site, CALLS)
             sending = asyncio.create_task(send_repeatedly(site, "/look/x", for_s=12.0))
             await until(lambda: len(arrivals(site)) >= 3)
-            killed = site.processes["b"]
-            await killed.kill()
-            restarted = await site.run_process("b", killed.path)
-            await until(lambda: "ready" in restarted.messages())
+            await site.kill_and_restart_process("b")
             await sending
             times = [request.at for request in arrivals(site)]
             late = [at for at in times if at > times[2] + SPREAD_S]
--- a/poplarrelay/entry/tests/test_limited_endpoints.py
+++ b/poplarrelay/entry/tests/test_limited_endpoints.py
@@ -184,18 +184,12 @@
     # Guards against exceeding the limit when a node is killed and rejoins.
     async def scenario():
         async with run_users_site(nodes=0) as site:
-            seed = ""
-            for name in "abc":
-                await site.start_process(name, tmp_path, seed)
-                seed = seed or ":".join(map(str, site.address(name, "control")))
+            await site.start_processes("abc", tmp_path)
             runners = await add_endpoints(site, CALLS, ["2", None, None])
             start = monotonic()
             sending = asyncio.create_task(send_calls(site, "/look/x", 40, for_s=12.0))
             await asyncio.sleep(4.0)
-            killed = site.processes["b"]
-            await killed.kill()
-            restarted = await site.run_process("b", killed.path)
-            await until(lambda: "ready" in restarted.messages())
+            await site.kill_and_restart_process("b")
             await sending
             times = [request.at for request in runners[0].received]
             assert most_in_window(times, start + KNOWN_S) <= allowed(2.0)
--- a/poplarrelay/systems/tests/test_configuration_fold.py
+++ b/poplarrelay/systems/tests/test_configuration_fold.py
@@ -252,8 +252,7 @@
 
 @pytest.mark.parametrize("checked", [False, True])
 def test_change_that_lost_to_one_not_read_yet_is_sent_again(checked):
-    # Guards against a conflict for a change without `after` when its node had not read
-    # an earlier change of the subject. A change with `after` must get the conflict.
+    # Guards against conflicts for a change that named no change to replace.
     log = _make_log_with_deployment()
     world = log.nodes["n2"]
     seen = world.configuration.entries["deployment/alpha"].offset
--- a/poplarrelay/testing/users.py
+++ b/poplarrelay/testing/users.py
@@ -286,6 +286,20 @@
         await until(lambda: "ready" in started.messages(), "node process ready")
         return started
 
+    async def start_processes(self, names: str, folder: Path) -> None:
+        """Start nodes as processes that have the first one as their seed."""
+        seed = ""
+        for name in names:
+            await self.start_process(name, folder, seed)
+            seed = seed or ":".join(map(str, self.address(name, "control")))
+
+    async def kill_and_restart_process(self, name: str) -> None:
+        """Kill a node's process, and wait until another one of it serves."""
+        killed = self.processes[name]
+        await killed.kill()
+        restarted = await self.run_process(name, killed.path)
+        await until(lambda: "ready" in restarted.messages(), "restarted node ready")
+
     async def run_process(self, name: str, settings: Path) -> EntryProcess:
         """Run a node's process with a settings file; its log is started anew."""
         output = settings.with_suffix(f".{next(_NUMBERS)}.log")
