Count the requests in a window in one place in the tests of limits

test_permits.py and test_limited_endpoints.py each had their own most_in_window, allowed and WINDOW_S; both take them from testing/permits.py now. set_limit is listed as public, since permits.py uses it. No check changes; both files: 36 passed.

--- a/poplarrelay/entry/rate_limits.py
+++ b/poplarrelay/entry/rate_limits.py
@@ -8,7 +8,7 @@
 
 from poplarrelay.entry.endpoints import Endpoint
 
-__all__ = ["StatedLimit", "apply_stated_limit"]
+__all__ = ["StatedLimit", "apply_stated_limit", "set_limit"]
 
 _LOG = logging.getLogger("poplarrelay.entry.limits")
 
--- a/poplarrelay/entry/tests/test_limited_endpoints.py
+++ b/poplarrelay/entry/tests/test_limited_endpoints.py
@@ -12,6 +12,7 @@
 from poplarrelay.exception import ExchangeFailed
 from poplarrelay.identifiers import EndpointId
 from poplarrelay.standins.users.runner import RunnerStandIn
+from poplarrelay.testing.permits import allowed, most_in_window
 from poplarrelay.testing.users import (
     CALLS,
     STREAMS,
@@ -23,21 +24,6 @@
 
 #: Seconds after which all nodes must keep to a newly stated limit.
 KNOWN_S = 3.0
-#: Seconds over which the requests at an endpoint are counted.
-WINDOW_S = 4.0
-
-
-def most_in_window(times: Sequence[float], start: float) -> int:
-    """Return the largest number of times within a window that begins after a start."""
-    late = [at for at in times if at >= start]
-    return max(
-        (sum(0 <= at - first < WINDOW_S for at in late) for first in late), default=0
-    )
-
-
-def allowed(per_s: float) -> float:
-    """Return the requests that an endpoint may get in a window."""
-    return 1.5 * per_s * WINDOW_S + 5
 
 
 async def send_calls(
--- a/poplarrelay/entry/tests/test_permits.py
+++ b/poplarrelay/entry/tests/test_permits.py
@@ -11,12 +11,16 @@
 from poplarrelay.entry.permits import CATCH_UP_S, PROBE_PER_S, PermitIssuer
 from poplarrelay.entry.rate_limits import StatedLimit, apply_stated_limit
 from poplarrelay.identifiers import DomainId, EndpointId, StartTime
-from poplarrelay.testing.permits import ENDPOINT, PermitNetwork
+from poplarrelay.testing.permits import (
+    ENDPOINT,
+    WINDOW_S,
+    PermitNetwork,
+    allowed,
+    most_in_window,
+)
 from poplarrelay.testing.rows import make_network
 
 RUN = StartTime(1)
-#: Seconds over which requests are counted.
-WINDOW_S = 4.0
 
 
 def make_endpoint() -> Endpoint:
@@ -24,18 +28,6 @@
     return Endpoint(EndpointId("e"), ServiceName("s"), ("h", 1), DomainId("d"), 8)
 
 
-def most_in_window(times: list[float]) -> int:
-    """Return the largest number of times within a window."""
-    return max(
-        (sum(0 <= at - first < WINDOW_S for at in times) for first in times), default=0
-    )
-
-
-def allowed(per_s: float) -> float:
-    """Return the requests that an endpoint may get in a window."""
-    return 1.5 * per_s * WINDOW_S + 5
-
-
 @given(
     st.lists(st.floats(0, 3), max_size=60),
     st.lists(st.sampled_from([0.0, 0.3, 1.0, 1.7, 5.0]), min_size=60, max_size=60),
--- a/poplarrelay/testing/permits.py
+++ b/poplarrelay/testing/permits.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 from typing import Any
 
@@ -13,12 +14,27 @@
 from poplarrelay.entry.rate_limits import StatedLimit
 from poplarrelay.identifiers import DomainId, EndpointId, NodeId
 
-__all__ = ["PermitNetwork"]
+__all__ = ["ENDPOINT", "WINDOW_S", "PermitNetwork", "allowed", "most_in_window"]
 
 ENDPOINT = EndpointId("e")
 STEP_S = 0.01
 #: Mean seconds until a node detects that others are dead or cut off.
 DETECTION_S = 1.5
+#: Seconds over which the requests at an endpoint are counted.
+WINDOW_S = 4.0
+
+
+def most_in_window(times: Sequence[float], start: float = -inf) -> int:
+    """Return the largest number of times within a window that begins after a start."""
+    late = [at for at in times if at >= start]
+    return max(
+        (sum(0 <= at - first < WINDOW_S for at in late) for first in late), default=0
+    )
+
+
+def allowed(per_s: float) -> float:
+    """Return the requests that an endpoint may get in a window."""
+    return 1.5 * per_s * WINDOW_S + 5
 
 
 @dataclass(slots=True)
