Move fenced appends of the usage ledger to a module of their own

The ledger of usage counts writes to the store under the fencing token of the duties and repeats an unanswered append until it is answered. Roll-outs need the same for two more topics. `FencedTopic` does it for one topic; the behaviour of the ledger is unchanged.

--- a/poplarrelay/entry/duty_worker.py
+++ b/poplarrelay/entry/duty_worker.py
@@ -10,6 +10,7 @@
 import orjson
 
 from poplarrelay.entry.duty_lease import DutyLease, LeaseChange, is_candidate
+from poplarrelay.entry.fenced_topic import FencedTopic
 from poplarrelay.entry.metering import WindowNumber, merge_counts
 from poplarrelay.entry.scaling import SCALING_INTERVAL_S, EndpointScaler
 from poplarrelay.entry.state import EntryState
@@ -20,7 +21,7 @@
     CloudOutcome,
     DutyHolder,
 )
-from poplarrelay.platform.store import Producer, Store
+from poplarrelay.platform.store import Store
 
 __all__ = ["DutyWorker", "UsageLedger"]
 
@@ -118,9 +119,8 @@
         self._member = f"{state.me.node}/{state.me.incarnation}"
         self._ledger = UsageLedger()
         self._ledger_next = Offset(0)
+        self._ledger_topic = FencedTopic(store, LEDGER_TOPIC, "usage")
         self._prepared_token = -1
-        self._sequence = 0
-        self._pending: tuple[WindowNumber, dict[TeamId, int]] | None = None
         self._retired = False
         self._started_at = monotonic()
         self._endpoint_scaler = EndpointScaler(
@@ -233,20 +233,14 @@
     # usage
 
     async def _prepare_ledger(self) -> None:
-        """Prevent appends of earlier holders to the ledger (fencing), then read it.
+        """Refuse appends of earlier holders to the ledger, then read it.
 
-        Notes
-        -----
-        This runs once per lease term. The empty append raises the epoch above those of
-        all earlier holders, so no other node can append to the ledger during the term.
+        This runs once per lease term.
         """
         token = self._lease.token
         if self._prepared_token == token:
             return
-        self._sequence = 0
-        self._pending = None
-        await self._store.append(LEDGER_TOPIC, 0, [], self._producer())
-        self._sequence = 1
+        await self._ledger_topic.prepare(token)
         await self._read_ledger()
         self._prepared_token = token
 
@@ -263,16 +257,12 @@
             if not page.records or page.next >= page.end:
                 return
 
-    def _producer(self) -> Producer:
-        return Producer("usage", self._lease.token, self._sequence)
-
     async def _report_usage(self) -> None:
         window_s = self._state.usage.window_s
         wall = self._state.clock.now()
         newest = int((wall - DECISION_DELAY_S) // window_s) - 1
         oldest = int((wall - MAX_WINDOW_AGE_S) // window_s)
-        if self._pending is not None:
-            await self._append_pending()
+        await self._ledger_topic.flush()
         for window in range(oldest, newest + 1):
             if window not in self._ledger.decided:
                 if (window + 1) * window_s <= self._state.peers.earliest_start():
@@ -286,29 +276,13 @@
 
     async def _decide_window(self, window: WindowNumber) -> None:
         counts = merge_counts(self._state.peers.usage_reports(), window)
-        self._pending = (window, counts)
-        await self._append_pending()
 
-    async def _append_pending(self) -> None:
-        """Append the pending counts to the ledger.
+        def note_decided() -> None:
+            self._ledger.decided[window] = counts
+            _LOG.info("usage decided", extra={"window": window, "counts": counts})
 
-        Notes
-        -----
-        The store can execute an append, immediately or later, even if its response is
-        lost.
-        Until an append is answered, this node must repeat the same record with the same
-        sequence number. If it sent newer counts or the next window instead, the store
-        would keep the first record and repeat its first response. The next holder would
-        then report different counts from this node.
-        """
-        assert self._pending is not None
-        window, counts = self._pending
         record = UsageLedger.encode(window, counts)
-        await self._store.append(LEDGER_TOPIC, 0, [record], self._producer())
-        self._sequence += 1
-        self._pending = None
-        self._ledger.decided[window] = counts
-        _LOG.info("usage decided", extra={"window": window, "counts": counts})
+        await self._ledger_topic.append([record], note_decided)
 
     async def _report_window(self, window: WindowNumber) -> None:
         counts = self._ledger.decided[window]
