Move a service's traffic to another version under an order of the operators

The order `op/rollout/SERVICE` was ignored, no status was written, and the version of an endpoint was dropped when its record was decoded, so a bad version got the same share of the requests as a good one.

Change: the package `entry/rollouts`. Orders, versions and states are decoded in `platform/`. Nodes count answers, failures and latencies by route and side, and send them to the holder of the duties, which tests the target against the other versions at the same time, over all answers and over recent ones, and moves the traffic as late as the longest requests permit. It writes its progress and then the status under its fencing token. Progress also spreads by gossip, a node's own evidence suffices to revert, and nodes read the progress from the store while a roll-out is open. Streams that would be cut continue at the target version. Orders of endpoints count one of the two sets only. The status page, the metrics, `explain` and a log line per phase show what was decided.

--- a/poplarrelay/commands/explain.py
+++ b/poplarrelay/commands/explain.py
@@ -18,6 +18,8 @@
 ENDPOINT_STATE_MESSAGES = ("endpoint", "endpoint avoided")
 #: Messages about requests with one fingerprint. They concern a request that has it.
 FINGERPRINT_STATE_MESSAGES = ("request blocked", "request unblocked")
+#: Messages about the state of a service. They concern a request for it.
+SERVICE_STATE_MESSAGES = ("rollout",)
 #: Messages about the state of a node. They concern all its requests.
 NODE_STATE_MESSAGES = (
     "configuration in force",
@@ -138,10 +140,13 @@
             latest[node, message, str(line.get("endpoint"))] = line
         elif message in FINGERPRINT_STATE_MESSAGES:
             latest[node, message, str(line.get("fingerprint"))] = line
+        elif message in SERVICE_STATE_MESSAGES:
+            latest[node, message, str(line.get("service"))] = line
         elif message in NODE_STATE_MESSAGES:
             latest[node, message, str(line.get("dependency", ""))] = line
     subjects = {line.get("endpoint") for line in explanation.lines}
     subjects |= {line.get("fingerprint") for line in explanation.lines}
+    subjects |= {line.get("service") for line in explanation.lines}
     explanation.known_state = [
         line
         for (_, message, subject), line in latest_before_end.items()
--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -112,6 +112,43 @@
     progress: StreamProgress = field(default_factory=lambda: StreamProgress(None))
     _connection: Connection | None = None
     _sent_at: float = 0.0
+    _first_event_at: float = 0.0
+    _last_event_at: float = 0.0
+    _events: int = 0
+    _moved: bool = False
+
+    @property
+    def sent_at(self) -> float:
+        """Return the monotonic time at which the request was sent, 0 before."""
+        return self._sent_at
+
+    @property
+    def elapsed_s(self) -> float:
+        """Return the seconds since the request was sent."""
+        return monotonic() - self._sent_at
+
+    @property
+    def event_interval_s(self) -> float | None:
+        """Return the mean seconds between two events, None for less than two."""
+        if self._events < 2:
+            return None
+        return (self._last_event_at - self._first_event_at) / (self._events - 1)
+
+    @property
+    def sent(self) -> bool:
+        """Return whether the request has been sent."""
+        return self._sent_at > 0
+
+    @property
+    def moved(self) -> bool:
+        """Return whether `move` has broken off the attempt."""
+        return self._moved
+
+    def move(self) -> None:
+        """Break off the attempt, so that another endpoint continues the stream."""
+        if self._connection is not None:
+            self._moved = True
+            self._connection.abort()
 
     async def run(self) -> AttemptResult:
         """Send the request and return its answer, or how the attempt failed.
@@ -126,7 +163,7 @@
                 return NotRun(str(failure), arrived=False, gone=True)
             return self._failed(str(failure), failure.sent, closed=failure.closed)
         except TimeoutError:
-            return self._failed("silent", sent=self._sent_at > 0, silent=True)
+            return self._failed("silent", self.sent, silent=True)
         finally:
             # An endpoint drops a request when its connection closes. Without this, it
             # would continue to work for a caller that has disconnected.
@@ -138,6 +175,8 @@
     ) -> AttemptResult:
         if not sent:
             return NotRun(reason, arrived=False)
+        if self._moved:
+            reason, closed = "moved to another version", False
         if self.exchange.begun:
             return StreamBroken(reason, silent, closed)
         return Broken(reason, silent, closed)
@@ -214,6 +253,7 @@
                 break
             events = splitter.feed(part)
             if events.content:
+                self._note_events(events.count)
                 await self._forward_events(head, events.content, events.last_id)
         if splitter.rest:
             if not head.framed:
@@ -227,6 +267,12 @@
         self.exchange.finish()
         return Streamed(self.progress.forwarded_bytes, head.framed)
 
+    def _note_events(self, count: int) -> None:
+        self._last_event_at = monotonic()
+        if not self._events:
+            self._first_event_at = self._last_event_at
+        self._events += count
+
     def _start(self, head: ResponseHead) -> None:
         if not self.exchange.begun:
             self.exchange.start(head.status, response_headers(head.headers))
--- a/poplarrelay/entry/choosing.py
+++ b/poplarrelay/entry/choosing.py
@@ -88,6 +88,10 @@
         Uncached tokens of the prompt at the engine.
     queue_s, prefill_s : float
         Seconds that the engine needs for the queued prompts, and then for this one.
+    queued_tokens : float
+        Uncached tokens of the queued prompts.
+    load : int
+        Requests of all nodes at the endpoint.
     """
 
     endpoint: Endpoint
@@ -96,6 +100,8 @@
     unread_tokens: int = 0
     queue_s: float = 0.0
     prefill_s: float = 0.0
+    queued_tokens: float = 0.0
+    load: int = 0
 
 
 def _score(key: str, endpoint: EndpointId) -> int:
@@ -203,13 +209,16 @@
     uncached = criteria.prompt_tokens - cached_tokens.get(best.endpoint, 0)
     if missing_tokens > 0 and cached_tokens.get(source.endpoint, 0):
         uncached -= round((1 - FETCH_SHARE) * missing_tokens)
+    queued_tokens = best.backlog(now, speed(best))
     return Choice(
         best,
         "prefix home" if best is affinity_endpoint else "first event due first",
         source.address if missing_tokens > 0 else None,
         uncached,
-        best.backlog(now, speed(best)) / speed(best),
+        queued_tokens / speed(best),
         uncached / speed(best),
+        queued_tokens,
+        best.load,
     )
 
 
--- a/poplarrelay/entry/configuration_follower.py
+++ b/poplarrelay/entry/configuration_follower.py
@@ -8,6 +8,7 @@
 from random import Random
 from time import monotonic
 
+from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.state import EntryState
 from poplarrelay.exception import (
     HistoryTrimmed,
@@ -19,6 +20,8 @@
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
     decode_configuration,
+    decode_rollout_order,
+    rollout_service,
 )
 from poplarrelay.platform.store import KeyedRecord, Store, parse_page
 
@@ -174,7 +177,7 @@
 
 
 class ConfigurationApplier:
-    """Receiver of configuration records, which applies them to the node's state.
+    """Receiver of configurations and roll-out orders, which applies them to the state.
 
     Parameters
     ----------
@@ -191,6 +194,20 @@
     def apply_records(self, records: list[KeyedRecord]) -> None:
         """Apply the records of the configuration topic."""
         for record in records:
-            if record.key == CONFIGURATION_KEY and record.value is not None:
+            if record.value is None:
+                continue
+            if record.key == CONFIGURATION_KEY:
                 apply_configuration(self._state, record.value, "store")
+            elif (service := rollout_service(record.key)) is not None:
+                self._apply_order(service, record.value, record.offset)
         self._on_change()
+
+    def _apply_order(
+        self, service: ServiceName, content: bytes, offset: Offset
+    ) -> None:
+        try:
+            order = decode_rollout_order(service, content, offset)
+        except PlatformRecordMalformed as error:
+            _LOG.error("rollout order unreadable", extra={"why": str(error)})
+            return
+        self._state.rollouts.receive_order(order)
--- a/poplarrelay/entry/duty_worker.py
+++ b/poplarrelay/entry/duty_worker.py
@@ -12,6 +12,7 @@
 from poplarrelay.entry.duty_lease import DutyLease, LeaseChange, is_candidate
 from poplarrelay.entry.fenced_topic import FencedTopic
 from poplarrelay.entry.metering import WindowNumber, merge_counts
+from poplarrelay.entry.rollouts.worker import DECISION_INTERVAL_S, RolloutWorker
 from poplarrelay.entry.scaling import SCALING_INTERVAL_S, EndpointScaler
 from poplarrelay.entry.state import EntryState
 from poplarrelay.exception import AppendRefused, HistoryTrimmed, PlatformUnavailable
@@ -126,12 +127,18 @@
         self._endpoint_scaler = EndpointScaler(
             state, cloud, self._lease, lambda: self._stamp
         )
+        self._rollouts = RolloutWorker(state, store, self._lease)
 
     @property
     def lease(self) -> DutyLease:
         """Return the lease on the duties."""
         return self._lease
 
+    @property
+    def rollouts(self) -> RolloutWorker:
+        """Return the worker that decides on roll-outs."""
+        return self._rollouts
+
     async def renew_forever(self) -> None:
         """Renew the group membership until cancelled or retired."""
         while not self._retired:
@@ -213,6 +220,17 @@
             await self._endpoint_scaler.run_round()
             await asyncio.sleep(SCALING_INTERVAL_S)
 
+    async def advance_rollouts_forever(self) -> None:
+        """Decide on roll-outs while this node holds the duties, until cancelled."""
+        while True:
+            try:
+                await self._rollouts.run_round()
+            except PlatformUnavailable as error:
+                _LOG.info("rollout delayed", extra={"why": str(error)})
+            except AppendRefused as error:
+                await self._step_down(f"rollouts: {error.reason}")
+            await asyncio.sleep(DECISION_INTERVAL_S)
+
     @property
     def _stamp(self) -> DutyHolder:
         """Return the stamp for a call to the platform, and record an action."""
--- a/poplarrelay/entry/endpoint_list.py
+++ b/poplarrelay/entry/endpoint_list.py
@@ -356,6 +356,7 @@
         row.slots = record.slots
         row.reclaimable = record.reclaimable
         row.suspended_until = None
+        row.warm_at = self._clock() + record.cold_s
         if record.leaves_in_s is not None:
             row.leaves_at = self._clock() + record.leaves_in_s
         self._log(row, change, offset, why)
@@ -386,6 +387,7 @@
             extra={
                 "endpoint": row.endpoint,
                 "service": row.service,
+                "version": row.version,
                 "change": change,
                 "why": why,
                 "leaving": row.leaving,
@@ -479,10 +481,11 @@
 
 def _same_run(row: Endpoint, record: EndpointRecord) -> bool:
     """Return whether a record and a row belong to the same run of the endpoint."""
-    return (row.service, row.address, row.domain, row.started_ms) == (
+    return (row.service, row.address, row.domain, row.version, row.started_ms) == (
         record.service,
         (record.host, record.port),
         record.domain,
+        record.version,
         record.started_ms,
     )
 
@@ -495,5 +498,6 @@
         domain=record.domain,
         slots=record.slots,
         reclaimable=record.reclaimable,
+        version=record.version,
         started_ms=record.started_ms,
     )
--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -6,9 +6,12 @@
 
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.http.pool import Address
-from poplarrelay.identifiers import DomainId, EndpointId, StartTime
+from poplarrelay.identifiers import DomainId, EndpointId, SoftwareVersion, StartTime
 
-__all__ = ["Endpoint", "EndpointTable", "Health"]
+__all__ = ["UNKNOWN_VERSION", "Endpoint", "EndpointTable", "Health"]
+
+#: Version of an endpoint that states none.
+UNKNOWN_VERSION = SoftwareVersion("")
 
 
 @dataclass(slots=True)
@@ -69,6 +72,12 @@
     suspended_until : float
         Monotonic time until which a record that vanished during an outage of the store
         can be restored.
+    version : SoftwareVersion
+        Version of the endpoint's software.
+    barred : bool
+        Whether a roll-out keeps all requests from the endpoint's version.
+    warm_at : float
+        Monotonic time from which the endpoint is no longer slow after its start.
     started_ms : StartTime or None
         Start of this run of the endpoint, by the endpoint's own clock; None if unknown.
     limit_per_s : float or None
@@ -103,6 +112,9 @@
     prefill_reported_at: float = 0.0
     prefill_speed: float = 0.0
     suspended_until: float | None = None
+    version: SoftwareVersion = UNKNOWN_VERSION
+    barred: bool = False
+    warm_at: float = float("-inf")
     started_ms: StartTime | None = None
     limit_per_s: float | None = None
     limit_updated_at: float = float("-inf")
@@ -115,7 +127,7 @@
     @property
     def accepts_work(self) -> bool:
         """Return whether new requests can be sent to the endpoint."""
-        return not self.leaving and not self.gone
+        return not self.leaving and not self.gone and not self.barred
 
     @property
     def load(self) -> int:
--- a/poplarrelay/entry/events.py
+++ b/poplarrelay/entry/events.py
@@ -21,10 +21,13 @@
         The events as received.
     last_id : bytes or None
         Id of the last event that has an id.
+    count : int
+        Number of the events.
     """
 
     content: bytes
     last_id: bytes | None
+    count: int = 0
 
 
 class EventSplitter:
@@ -40,7 +43,7 @@
     --------
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2")
-    CompleteEvents(content=b'id: 1\ndata: a\n\n', last_id=b'1')
+    CompleteEvents(content=b'id: 1\ndata: a\n\n', last_id=b'1', count=1)
     >>> splitter.rest
     b'id: 2'
     """
@@ -56,9 +59,10 @@
     def feed(self, data: bytes) -> CompleteEvents:
         """Add received bytes and return the events that they complete."""
         content = self._rest + data
-        end = 0
+        end = count = 0
         for match in _END.finditer(content):
             end = match.end()
+            count += 1
         complete, self._rest = content[:end], content[end:]
         ids = _ID.findall(complete)
-        return CompleteEvents(complete, ids[-1] if ids else None)
+        return CompleteEvents(complete, ids[-1] if ids else None, count)
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -25,6 +25,8 @@
 from poplarrelay.entry.peer_rows import PeerRow, decode_row, encode_row
 from poplarrelay.entry.peers import PeerTable
 from poplarrelay.entry.permits import PermitBroker
+from poplarrelay.entry.rollouts.coordinator import RolloutReport
+from poplarrelay.entry.rollouts.table import RolloutTable
 from poplarrelay.identifiers import NodeId, Offset
 
 __all__ = ["FANOUT", "Gossip", "pick_targets"]
@@ -42,6 +44,8 @@
 FORWARD_ROUNDS = 2
 #: Nodes, of any cell, that get one datagram of crash records.
 CRASH_FANOUT = 4
+#: Nodes, of any cell, that get one datagram about a change of a roll-out.
+ROLLOUT_FANOUT = 4
 #: Largest datagram; larger messages are split.
 MAX_DATAGRAM_BYTES = 8_000
 #: Most rows in one datagram; the limit bounds the time to encode them.
@@ -106,6 +110,8 @@
         self._backlog_client: BacklogClient | None = None
         self._crashes: CrashTable | None = None
         self._permits: PermitBroker | None = None
+        self._rollouts: RolloutTable | None = None
+        self._on_rollout_report: Callable[[RolloutReport], None] | None = None
         self._on_new_row = on_new_row
         self._on_new_summary = on_new_summary
         self._monotonic = monotonic
@@ -144,6 +150,23 @@
         """Exchange endpoint limits and permits with other nodes."""
         self._permits = permits
 
+    def attach_rollouts(
+        self,
+        rollouts: RolloutTable,
+        on_report: Callable[[RolloutReport], None] | None,
+    ) -> None:
+        """Exchange the progress of roll-outs with other nodes.
+
+        Parameters
+        ----------
+        rollouts : RolloutTable
+            Table that stores received progress.
+        on_report : callable or None
+            Called with each report of a node to the coordinator of a roll-out.
+        """
+        self._rollouts = rollouts
+        self._on_rollout_report = on_report
+
     async def start(self, host: str, port: int) -> None:
         """Bind the node's datagram port."""
         loop = asyncio.get_running_loop()
@@ -210,6 +233,11 @@
             self._crashes.receive(message.get("crashes", ()), host, now)
         if self._permits is not None:
             self._permits.receive(host, message.get("permits", ()))
+        if self._rollouts is not None:
+            self._rollouts.receive(message.get("rollouts", ()), host)
+        if self._on_rollout_report is not None:
+            for raw in message.get("rollout_reports", ()):
+                self._on_rollout_report(RolloutReport.decode(raw))
         for row in rows:
             before = self._table.seen.get(row.node)
             if self._table.receive(row, now):
@@ -303,6 +331,20 @@
         data = self._encode([], self._announcement(), [], crashes=records)
         self._send(data, targets)
 
+    def send_rollouts(self) -> None:
+        """Send the progress of roll-outs to some nodes of any cell."""
+        if self._transport is None:
+            return
+        hosts = [row.host for row in self._table.alive(self._monotonic())]
+        targets = self._rng.sample(hosts, min(ROLLOUT_FANOUT, len(hosts)))
+        self._send(self._encode([], self._announcement(), []), targets)
+
+    def send_rollout_report(self, host: str, report: RolloutReport) -> None:
+        """Send a report on a roll-out to its coordinator."""
+        announcement = self._announcement()
+        reports = [report.encode()]
+        self._send(self._encode([], announcement, [], rollout_reports=reports), [host])
+
     def broadcast_row(self) -> None:
         """Send only this node's row to every node of this cell."""
         alive = [row.host for row in self._table.alive_rows(self._monotonic())]
@@ -460,6 +502,9 @@
         **fields: Any,
     ) -> dict[str, Any]:
         """Return a message with rows and the given additional fields."""
+        rollouts = [] if self._rollouts is None else self._rollouts.outgoing()
+        if rollouts:
+            fields["rollouts"] = rollouts
         return {
             "from": self._table.me.node,
             "wall": self._clock.own,
--- a/poplarrelay/entry/metrics.py
+++ b/poplarrelay/entry/metrics.py
@@ -7,6 +7,9 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from poplarrelay.entry.rollouts.evidence import Side
+from poplarrelay.entry.rollouts.table import RolloutTable
+
 __all__ = ["EntryMetrics"]
 
 #: Bounds of the latency histogram in seconds, around the latency targets of both kinds
@@ -30,6 +33,11 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._rollouts = Gauge(
+            "poplarrelay_rollout",
+            "Requests of the latest roll-out of a service, by version.",
+            registry=self._registry,
+        )
         self._gauges = Gauge(
             "poplarrelay_node",
             "State of the node, by what is measured.",
@@ -41,6 +49,21 @@
         self._requests.inc({"status": status})
         self._latency.observe({"status": status[:1]}, took_s)
 
+    def set_rollouts(self, rollouts: RolloutTable) -> None:
+        """Set the counts of both sides of the roll-outs since their orders."""
+        for local in rollouts:
+            order, evidence = local.progress.order, local.evidence
+            for side in Side:
+                version = order.target if side is Side.TARGET else "others"
+                counts = {
+                    "sent": evidence.sent[side],
+                    "answers": evidence.answers(side),
+                    "failures": evidence.failures(side),
+                }
+                for name, value in counts.items():
+                    labels = {"service": order.service, "version": version}
+                    self._rollouts.set({**labels, "what": name}, value)
+
     def render(self, values: dict[str, float]) -> bytes:
         """Return all metrics as text, with the given values of gauges."""
         for name, value in values.items():
--- a/poplarrelay/entry/node_handlers.py
+++ b/poplarrelay/entry/node_handlers.py
@@ -102,6 +102,7 @@
         if incoming.target.partition(b"?")[0] != METRICS_PATH.encode():
             await exchange.send(404, [], b"")
             return
+        self._metrics.set_rollouts(self._state.rollouts)
         body = self._metrics.render({**self._own_gauges(), **self._gauges()})
         await exchange.send(200, [(b"Content-Type", b"text/plain")], body)
 
@@ -134,9 +135,14 @@
                 for record in state.crashes.records
                 if record.blocked_s(now) is not None
             },
+            "rollouts": {
+                local.progress.order.service: local.describe()
+                for local in state.rollouts
+            },
             "endpoints": {
                 row.endpoint: {
                     "service": row.service,
+                    "version": row.version,
                     "domain": row.domain,
                     "leaving": row.leaving,
                     "running": row.running,
--- a/poplarrelay/entry/peer_sync.py
+++ b/poplarrelay/entry/peer_sync.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import logging
+from collections.abc import Iterable
 from dataclasses import dataclass
 from time import monotonic
 from typing import Any
@@ -58,6 +59,7 @@
             ]
             for change in endpoints.all()
         ],
+        "rollouts": state.rollouts.all_progress(),
     }
     configuration = state.configuration
     if configuration is not None and configuration.version > known_version:
@@ -128,11 +130,19 @@
             return
         finally:
             client.close()
+        # The endpoints of the list can belong to a roll-out.
+        self._apply_rollouts(value.get("rollouts", ()), host)
         content = value.get("configuration")
         if content is not None:
             apply_configuration(self.state, base64.b64decode(content), f"peer {host}")
         self._apply_endpoints(value, sent_at, host)
 
+    def _apply_rollouts(self, records: Iterable[list[Any]], peer: str) -> None:
+        try:
+            self.state.rollouts.receive(records, peer)
+        except ValueError as error:
+            _LOG.warning("rollouts unreadable", extra={"peer": peer, "why": str(error)})
+
     def _apply_endpoints(
         self, value: dict[str, Any], sent_at: float, peer: str
     ) -> None:
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -36,6 +36,7 @@
 from poplarrelay.entry.peer_sync import PeerSync
 from poplarrelay.entry.permits import PermitBroker
 from poplarrelay.entry.relaying import Relay
+from poplarrelay.entry.rollouts.worker import RolloutFollower
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.entry.state import EntryState
 from poplarrelay.exception import SettingsError
@@ -178,6 +179,10 @@
         if settings.platform.cloud is not None:
             self._cloud = CloudClient(parse_address(settings.platform.cloud))
             self._duties = DutyWorker(self._state, self._store, self._cloud)
+        on_report = None if self._duties is None else self._duties.rollouts.receive
+        self._gossip.attach_rollouts(self._state.rollouts, on_report)
+        self._state.rollouts.on_change = self._on_change
+        self._rollout_follower = RolloutFollower(self._state, self._store, self._rng)
         self._freeze_detector = FreezeDetector(FROZEN_S)
         self._stopping_at: float | None = None
         self._next_gossip_at = 0.0
@@ -306,11 +311,13 @@
         sync = PeerSync(self._state, self._endpoints, control_port)
         coroutines = [self._follower.run(), self._reader.run()]
         coroutines += [self._directory.run(), sync.run(), self._watch_settings()]
+        coroutines.append(self._rollout_follower.run())
         if self._duties is not None:
             coroutines += [
                 self._duties.renew_forever(),
                 self._duties.report_forever(),
                 self._duties.order_forever(),
+                self._duties.advance_rollouts_forever(),
             ]
         for coroutine in coroutines:
             task = asyncio.create_task(coroutine)
@@ -465,6 +472,10 @@
             self._run_gossip(now)
         elif state.crashes.urgent:
             self._gossip.send_crashes()
+        state.rollouts.move_streams()
+        if state.rollouts.urgent:
+            state.rollouts.urgent = False
+            self._gossip.send_rollouts()
         if state.configuration is not None:
             for service in state.configuration.services:
                 self._relay.slot_allocator.dispatch_queued(service)
@@ -562,6 +573,21 @@
         for bucket in state.buckets.values():
             bucket.forget(reporters)
         self._gossip.run_round(self._gossip_seeds)
+        self._run_rollouts(now)
+
+    def _run_rollouts(self, now: float) -> None:
+        """Judge this node's evidence, and report it to the coordinators."""
+        state = self._state
+        state.rollouts.mark_endpoints(state.endpoints, now)
+        state.rollouts.judge_own_evidence()
+        for local in state.rollouts:
+            host = local.progress.coordinator
+            if local.is_open and host and host != state.me.host:
+                rows = state.endpoints.of(local.progress.order.service)
+                report = state.rollouts.report(
+                    local, state.me.node, state.me.incarnation, rows
+                )
+                self._gossip.send_rollout_report(host, report)
 
     def _refresh_own_row(self) -> None:
         state = self._state
@@ -631,6 +657,7 @@
                 bucket.receive(reporter, used, used if older else 0.0, now)
 
     def _on_change(self) -> None:
+        self._state.rollouts.mark_endpoints(self._state.endpoints, monotonic())
         if self._state.configuration is None:
             return
         for service in self._state.configuration.services:
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -38,6 +38,11 @@
 from poplarrelay.entry.request_context import RequestContext
 from poplarrelay.entry.requests import CallerRequest
 from poplarrelay.entry.responses import ResponseWriter
+from poplarrelay.entry.rollouts.observing import (
+    note_attempt,
+    note_deadline,
+    note_first_event,
+)
 from poplarrelay.entry.routing import Admitted, Denied, NoRoute, admit, choose_service
 from poplarrelay.entry.slots import NO_ENDPOINT_RETRY_S, SlotAllocator
 from poplarrelay.entry.state import EntryState
@@ -239,7 +244,7 @@
         refusal = self._refuse_blocked(context)
         if refusal is None:
             return choice
-        self.slot_allocator.release_slot(context.service, choice.endpoint)
+        self.slot_allocator.release_unused_slot(context.service, choice.endpoint)
         return refusal
 
     def _refuse_blocked(self, context: RequestContext) -> Refusal | None:
@@ -325,6 +330,8 @@
                     row.endpoint, context.request.request, PromptEnd.BEGAN
                 )
             note_success_time(row, took_s)
+            if context.streams:
+                note_first_event(self._state, context.route, choice, attempt)
             self._count_usage(context)
 
         def on_limit(stated: StatedLimit, sent_at: float) -> None:
@@ -339,6 +346,8 @@
             on_limit,
             context.progress,
         )
+        if context.streams and context.route.resumable and not last_attempt:
+            self._state.rollouts.add_stream(row, id(attempt), attempt.move)
         ran_before = context.may_have_run
         # True until the endpoint reports that the request did not run: the deadline can
         # cancel this method in the middle of the attempt.
@@ -354,11 +363,19 @@
                 self._backlog_client.remove_prompt(
                     row.endpoint, context.request.request, end
                 )
-            self.slot_allocator.release_slot(context.service, row)
+            self._state.rollouts.remove_stream(row, id(attempt))
+            if context.remaining_s <= 0:
+                note_deadline(self._state.rollouts, context.route, row)
+            if attempt.sent:
+                self.slot_allocator.release_slot(context.service, row)
+            else:
+                self.slot_allocator.release_unused_slot(context.service, row)
         if isinstance(result, NotRun):
             context.may_have_run = ran_before
-        self._update_health(context, row, result)
-        self._note_crash_or_answer(context, row, result)
+        if not attempt.moved:
+            self._update_health(context, row, result)
+            self._note_crash_or_answer(context, row, result)
+        note_attempt(self._state, context.route, row, attempt, result)
         _LOG.info(
             "attempt",
             extra={
@@ -366,6 +383,7 @@
                 "fingerprint": context.fingerprint,
                 "endpoint": row.endpoint,
                 "service": context.service,
+                "version": row.version,
                 "reason": choice.reason,
                 "prompt_tokens": context.request.prompt_tokens,
                 "unread_tokens": choice.unread_tokens,
--- a/poplarrelay/entry/scaling.py
+++ b/poplarrelay/entry/scaling.py
@@ -138,6 +138,11 @@
             if service.scaling is not None:
                 await self._order_endpoints(service)
 
+    def _endpoints_of(self, service: ServiceName) -> list[Endpoint]:
+        """Return a service's endpoints; during a roll-out, one of the two sets."""
+        rows = self._state.endpoints.of(service)
+        return self._state.rollouts.counted(service, rows)
+
     def _smooth_needs(self, now: float) -> None:
         configuration = self._state.configuration
         elapsed_s = now - self._smoothed_at
@@ -157,9 +162,9 @@
 
     def _count_needed(self, service: ServiceName, now: float) -> float:
         """Return how many endpoints are needed for the demand of all callers."""
-        rows = self._state.endpoints.of(service)
+        rows = self._endpoints_of(service)
         demand = self._state.total_demand(service, now)
-        load = float(sum(row.load for row in rows))
+        load = float(sum(row.load for row in self._state.endpoints.of(service)))
         slots = min((row.slots for row in rows), default=1)
         speed = median_prefill_speed(rows)
         needed = max(count_needed(demand, speed), count_for_load(load, slots))
@@ -198,7 +203,7 @@
         exhausted_domains: Collection[DomainId],
     ) -> Plan:
         now = monotonic()
-        rows = self._state.endpoints.of(service.name)
+        rows = self._endpoints_of(service.name)
         domains = limits.domain_prices
         sizing_input = SizingInput(
             limits,
@@ -262,7 +267,7 @@
             for (name, domain, reclaimable), last in self._orders.items()
             if name == service.name and reclaimable
         }
-        rows = self._state.endpoints.of(service.name)
+        rows = self._endpoints_of(service.name)
         exhausted = reclaimed_domains(rows, ordered)
         for domain in exhausted:
             # The ordered endpoints are gone, even if the platform still counts them.
@@ -325,12 +330,12 @@
             return 0
         scaled = _scaled_services(configuration)
         tokens_per_s = expected_tokens_per_s(configuration.teams.values())
-        speed = median_prefill_speed(self._state.endpoints.of(service))
+        speed = median_prefill_speed(self._endpoints_of(service))
         return ceil(count_needed(tokens_per_s / max(1, len(scaled)), speed))
 
     def _present(self, order: EndpointOrder) -> int:
         """Return how many endpoints of the order's domain and kind serve."""
-        rows = self._state.endpoints.of(order.service)
+        rows = self._endpoints_of(order.service)
         return count_serving(rows, order.domain, order.reclaimable)
 
     def _repeat_after_s(self, order: EndpointOrder, limits: ScalingLimits) -> float:
@@ -374,9 +379,7 @@
                 "count": order.count,
                 "reclaimable": order.reclaimable,
                 "present": self._present(order),
-                "load": sum(
-                    row.load for row in self._state.endpoints.of(order.service)
-                ),
+                "load": sum(row.load for row in self._endpoints_of(order.service)),
                 "needed": round(self._needed.get(order.service, 0.0), 2),
                 "token": self._lease.token,
                 "outcome": outcome.value,
--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -102,6 +102,9 @@
         Time in which a duty must not pass to another node and back.
     usage_window_s, usage_late_s : float
         Length of a usage window, and time from its end until its report is due.
+    canary_share : float
+        Largest share of a service's requests that an unproven version gets during a
+        roll-out.
     address_ttl_most_s : float
         Longest time for which callers keep addresses from discovery.
     """
@@ -118,6 +121,7 @@
     lease_ms: int = Field(default=3000, gt=0)
     usage_window_s: float = Field(default=5, gt=0)
     usage_late_s: float = Field(default=10, gt=0)
+    canary_share: float = Field(default=0.1, gt=0, le=1)
     address_ttl_most_s: float = Field(default=5, gt=0)
 
 
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from time import monotonic
 
 from poplarrelay.entry.admission import (
@@ -79,7 +80,7 @@
     ) -> Choice | None:
         """Choose an endpoint with a free slot and acquire the slot."""
         now = monotonic()
-        rows = self._state.endpoints.accepting(service)
+        rows = self._eligible(service, now)
         self._permits.prepare(rows, now)
         choice = choose_endpoint(
             self._known_accepting(rows, now), criteria, now, self._state.rng
@@ -87,9 +88,18 @@
         if choice is None:
             choice = choose_endpoint(rows, criteria, now, self._state.rng)
         if choice is not None:
-            choice.endpoint.acquire_slot()
+            self._acquire(choice.endpoint)
         return choice
 
+    def _eligible(self, service: ServiceName, now: float) -> Sequence[Endpoint]:
+        """Return the endpoints that the next request may be sent to."""
+        rows = self._state.endpoints.accepting(service)
+        return self._state.rollouts.eligible(service, rows, now)
+
+    def _acquire(self, row: Endpoint) -> None:
+        row.acquire_slot()
+        self._state.rollouts.note_acquired(row)
+
     async def _choose_engine(
         self, context: RequestContext, criteria: SelectionCriteria
     ) -> Choice | Refusal | None:
@@ -98,7 +108,7 @@
         Refuse the request if its first event would be late at every candidate.
         """
         now = monotonic()
-        rows = self._state.endpoints.accepting(context.service)
+        rows = self._eligible(context.service, now)
         self._permits.prepare(rows, now)
         rng = self._state.rng
         candidates = sample_candidates(
@@ -139,7 +149,7 @@
                 )
                 detail = f"{forecast.queue_s:.2f} s queue time"
                 return Refusal(503, RefusalReason.QUEUE_TOO_LONG, wait_s, detail)
-        choice.endpoint.acquire_slot()
+        self._acquire(choice.endpoint)
         return choice
 
     @staticmethod
@@ -150,7 +160,7 @@
         target_s = context.route.target_s
         return FirstEventForecast(waited_s, choice.queue_s, choice.prefill_s, target_s)
 
-    def _known_accepting(self, rows: list[Endpoint], now: float) -> list[Endpoint]:
+    def _known_accepting(self, rows: Sequence[Endpoint], now: float) -> list[Endpoint]:
         """Return the endpoints that were last known to accept work.
 
         Suspended endpoints, whose records expired in an outage of the store, are left
@@ -178,7 +188,7 @@
             choice = self._choose(context.service, criteria)
             if choice is not None:
                 return choice
-        if not self._state.endpoints.accepting(context.service):
+        if not self._eligible(context.service, monotonic()):
             if context.may_have_run:
                 return Refusal(502, RefusalReason.UNKNOWN, detail="no other endpoint")
             return Refusal(503, RefusalReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_S)
@@ -197,7 +207,7 @@
         )
 
     def _has_untried(self, context: RequestContext) -> bool:
-        rows = self._state.endpoints.accepting(context.service)
+        rows = self._eligible(context.service, monotonic())
         return any(row.endpoint not in context.tried for row in rows)
 
     async def _wait_for_slot(
@@ -229,7 +239,7 @@
             if future.done() and not future.cancelled():
                 outcome = future.result()
                 if not isinstance(outcome, PermitDenied):
-                    self.release_slot(context.service, outcome.endpoint)
+                    self.release_unused_slot(context.service, outcome.endpoint)
             raise
         finally:
             future.cancel()
@@ -242,7 +252,7 @@
         Returns None unless all accepting endpoints are limited: otherwise a request can
         get a slot without a permit.
         """
-        rows = self._state.endpoints.accepting(service)
+        rows = self._eligible(service, now)
         limits = [row.limit_per_s for row in rows if row.limit_per_s is not None]
         if not rows or len(limits) < len(rows):
             return None
@@ -272,6 +282,11 @@
         row.running -= 1
         self.dispatch_queued(service)
 
+    def release_unused_slot(self, service: ServiceName, row: Endpoint) -> None:
+        """Release a slot from which no request reached the endpoint."""
+        self._state.rollouts.note_unsent(row)
+        self.release_slot(service, row)
+
     def dispatch_queued(self, service: ServiceName) -> None:
         """Assign free slots to queued requests."""
         self._queue.serve(service, lambda criteria: self._choose(service, criteria))
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -19,6 +19,7 @@
 from poplarrelay.entry.peer_rows import NodeState, PeerRow
 from poplarrelay.entry.peers import PeerTable
 from poplarrelay.entry.quotas import Bucket
+from poplarrelay.entry.rollouts.table import RolloutTable
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.entry.slot_limits import max_slots_per_node
 from poplarrelay.identifiers import DomainId, Incarnation, NodeId, TeamId
@@ -58,6 +59,8 @@
         Demand of this node's callers.
     crashes : CrashTable
         Crashes of endpoints during requests.
+    rollouts : RolloutTable
+        Roll-outs of services to other versions.
     recent_node_counts : list of tuple of float and int
         Times at which the number of live nodes changed, with the new number.
     """
@@ -68,6 +71,7 @@
     peers: PeerTable
     usage: UsageCounts
     freshness: ListFreshness
+    rollouts: RolloutTable
     endpoints: EndpointTable = field(default_factory=EndpointTable)
     configuration: Configuration | None = None
     configuration_record: bytes = b""
@@ -98,13 +102,15 @@
             configuration=0,  # type: ignore[arg-type]
             usage=usage.windows,
         )
+        clock = ClusterClock()
         return cls(
             settings=settings,
             rng=rng,
-            clock=ClusterClock(),
+            clock=clock,
             peers=PeerTable(me),
             usage=usage,
             freshness=ListFreshness(rng, ListTimes.from_config(settings.bounds)),
+            rollouts=RolloutTable(settings.bounds.canary_share, clock.now, rng),
         )
 
     @property
@@ -127,6 +133,7 @@
         """
         self.settings = settings
         self.freshness.times = ListTimes.from_config(settings.bounds)
+        self.rollouts.canary_share = settings.bounds.canary_share
         for budget in self.budgets.values():
             budget.ratio = settings.bounds.retry_ratio
             budget.slack = settings.bounds.retry_slack
--- a/poplarrelay/identifiers.py
+++ b/poplarrelay/identifiers.py
@@ -16,6 +16,7 @@
     "RecordId",
     "RequestFingerprint",
     "RequestId",
+    "SoftwareVersion",
     "StartTime",
     "StreamName",
     "TeamId",
@@ -31,6 +32,8 @@
 #: The endpoint id and this time identify the run. A run with a later start time
 #: replaces the earlier run.
 StartTime = NewType("StartTime", int)
+#: Version of the software that an endpoint runs.
+SoftwareVersion = NewType("SoftwareVersion", str)
 #: Digest of an endpoint id and a start time.
 EndpointRun = NewType("EndpointRun", str)
 #: Name of a failure domain.
--- a/poplarrelay/platform/records.py
+++ b/poplarrelay/platform/records.py
@@ -25,25 +25,45 @@
     ServiceShare,
     Team,
 )
+from poplarrelay.entry.rollouts.records import RolloutOrder, RolloutState
 from poplarrelay.exception import PlatformRecordMalformed
-from poplarrelay.identifiers import DomainId, EndpointId, StartTime, TeamId
+from poplarrelay.identifiers import (
+    DomainId,
+    EndpointId,
+    Offset,
+    SoftwareVersion,
+    StartTime,
+    TeamId,
+)
 
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
     "ENDPOINTS_TOPIC",
+    "STATUS_TOPIC",
     "EndpointRecord",
     "decode_configuration",
     "decode_endpoint",
+    "decode_rollout_order",
+    "decode_rollout_status",
+    "encode_rollout_status",
+    "rollout_key",
+    "rollout_service",
 ]
 
 #: Topic in which the newest record with the key `CONFIGURATION_KEY` is the
 #: configuration.
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
+#: Prefix of the keys of roll-out orders, in the same topic, and of roll-out states in
+#: `STATUS_TOPIC`; the name of the service follows.
+ROLLOUT_PREFIX = "rollout/"
+STATUS_TOPIC = "keyed.status"
 #: Topic with the record of every endpoint; the key is the endpoint's id.
 ENDPOINTS_TOPIC = "keyed.servers"
 
+#: Longest duration of a roll-out in seconds. A larger one is taken for a mistake.
+MAX_ROLLOUT_S = 30 * 86_400.0
 #: Largest number of slots that an endpoint can state, far above that of any real
 #: endpoint. An endpoint with a larger number, in a record from a foreign writer, would
 #: attract all requests.
@@ -67,6 +87,10 @@
         Whether the endpoint accepts no new work.
     reclaimable : bool
         Whether the platform can reclaim the endpoint on short notice.
+    version : SoftwareVersion
+        Version of the endpoint's software.
+    cold_s : float
+        Seconds for which the endpoint is still slow after its start.
     started_ms : StartTime or None
         Start time of this run by the endpoint's own clock, None if not stated. An
         endpoint can restart under the same id, without any state of its former run.
@@ -83,8 +107,10 @@
     slots: int
     leaving: bool
     reclaimable: bool
+    version: SoftwareVersion
     started_ms: StartTime | None
     leaves_in_s: float | None = field(compare=False)
+    cold_s: float = field(default=0.0, compare=False)
 
 
 def _route(raw: dict[str, Any]) -> Route:
@@ -247,6 +273,78 @@
         slots=raw.slots,
         leaving=raw.state == "draining",
         reclaimable=raw.preemptible,
+        version=SoftwareVersion(raw.version),
         started_ms=None if raw.born is None else StartTime(raw.born),
         leaves_in_s=None if raw.leaves_ms is None else raw.leaves_ms / 1000,
+        cold_s=raw.cold_ms / 1000,
     )
+
+
+class _RolloutModel(BaseModel):
+    """Required format of a roll-out order."""
+
+    model_config = ConfigDict(strict=True, frozen=True, extra="ignore")
+
+    service: str = Field(min_length=1)
+    target: str = Field(min_length=1)
+    duration_s: float = Field(
+        alias="durationS", gt=0, le=MAX_ROLLOUT_S, allow_inf_nan=False
+    )
+
+
+def rollout_key(service: ServiceName) -> str:
+    """Return the key of a service's roll-out order and of its roll-out state."""
+    return f"{ROLLOUT_PREFIX}{service}"
+
+
+def rollout_service(key: str) -> ServiceName | None:
+    """Return the service of a roll-out order's key, None for any other key."""
+    if not key.startswith(ROLLOUT_PREFIX):
+        return None
+    return ServiceName(key.removeprefix(ROLLOUT_PREFIX))
+
+
+def decode_rollout_order(
+    service: ServiceName, content: bytes, offset: Offset
+) -> RolloutOrder:
+    """Decode the order to move a service to another version.
+
+    Raises
+    ------
+    PlatformRecordMalformed
+        If the record does not have the format that operators write, or names another
+        service than its key.
+    """
+    place = f"roll-out of {service}"
+    try:
+        raw = _RolloutModel.model_validate_json(content)
+    except ValidationError as error:
+        first = error.errors(include_url=False, include_input=False)[0]
+        location = ".".join(map(str, first["loc"])) or "record"
+        raise PlatformRecordMalformed(place, f"{location}: {first['msg']}") from error
+    if raw.service != service:
+        raise PlatformRecordMalformed(place, f"service: names {raw.service}")
+    return RolloutOrder(service, SoftwareVersion(raw.target), raw.duration_s, offset)
+
+
+def encode_rollout_status(state: RolloutState, target: SoftwareVersion) -> bytes:
+    """Encode the state of a roll-out, which operators read."""
+    return orjson.dumps({"state": state.value, "target": target})
+
+
+def decode_rollout_status(
+    service: ServiceName, content: bytes
+) -> tuple[SoftwareVersion, RolloutState]:
+    """Decode the state of a roll-out, with the target version.
+
+    Raises
+    ------
+    PlatformRecordMalformed
+        If the record has another format.
+    """
+    try:
+        raw = orjson.loads(content)
+        return SoftwareVersion(str(raw["target"])), RolloutState(raw["state"])
+    except (ValueError, LookupError, TypeError) as error:
+        place = f"state of the roll-out of {service}"
+        raise PlatformRecordMalformed(place, repr(error)) from error
--- a/poplarrelay/platform/store.py
+++ b/poplarrelay/platform/store.py
@@ -31,6 +31,7 @@
     "LogPage",
     "Producer",
     "Store",
+    "encode_keyed",
     "keyed_topic",
     "parse_page",
     "split_keyed",
@@ -294,8 +295,7 @@
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a new record of a key that only this process writes."""
-        name = key.encode()
-        await self.append(topic, 0, [bytes((len(name),)) + name + value])
+        await self.append(topic, 0, [encode_keyed(key, value)])
 
     async def join(
         self, group: str, member: str, topic: str, ttl_s: float, generation: int
@@ -338,6 +338,12 @@
     return f"keyed.{name}"
 
 
+def encode_keyed(key: str, value: bytes) -> bytes:
+    """Return a record of a keyed topic."""
+    name = key.encode()
+    return bytes((len(name),)) + name + value
+
+
 def split_keyed(record: bytes, offset: Offset) -> KeyedRecord:
     """Split a record of a keyed topic into its key and its value.
 
--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -10,7 +10,7 @@
 
 import h11
 
-__all__ = ["Fault", "ReceivedRequest", "RunnerStandIn"]
+__all__ = ["BadVersion", "Fault", "ReceivedRequest", "RunnerStandIn"]
 
 
 class Fault(Enum):
@@ -65,6 +65,31 @@
         return self.headers.get("x-poplarrelay-attempt-id", "")
 
 
+@dataclass(frozen=True, slots=True)
+class BadVersion:
+    """Fault of the software that an endpoint runs.
+
+    Attributes
+    ----------
+    failure_share : float
+        Share of the requests that are answered with status 500.
+    slowdown : float
+        Factor by which answers and events take longer.
+    after : int
+        Requests that are answered well before the fault begins.
+    min_active : int
+        Requests in progress without which the fault does not show.
+    prefix : str
+        Beginning of the paths of the requests that the fault concerns.
+    """
+
+    failure_share: float = 0.0
+    slowdown: float = 1.0
+    after: int = 0
+    min_active: int = 0
+    prefix: str = "/"
+
+
 @dataclass(slots=True)
 class RunnerStandIn:
     """Endpoint that serves calls or streams over HTTP/1.1.
@@ -95,6 +120,12 @@
         Request bodies that crash the endpoint when the request starts to run.
     on_crash : callable or None
         Called after the first such crash.
+    bad_version : BadVersion or None
+        Fault of the endpoint's software.
+    bad_answers : list of float
+        Monotonic times of the answers that this fault has spoiled.
+    active : int
+        Number of requests in progress.
     """
 
     endpoint: str
@@ -110,6 +141,9 @@
     limit: str | None = None
     crash_bodies: set[bytes] = field(default_factory=set)
     on_crash: Callable[[], None] | None = None
+    bad_version: BadVersion | None = None
+    bad_answers: list[float] = field(default_factory=list)
+    active: int = 0
     _server: asyncio.Server | None = None
     _port: int = 0
     _crashed: bool = False
@@ -206,13 +240,41 @@
         if body in self.crash_bodies:
             self._crash(http, writer, attempt)
             return False
+        bad = self._bad_version(head.target.decode())
+        if bad is not None and self._fails(bad):
+            fault = Fault.ERROR
         if fault is not None:
             return await self._answer_with_fault(fault, http, reader, writer, attempt)
-        if self.events:
-            return await self._stream(http, reader, writer, headers, attempt)
-        await asyncio.sleep(self.pause_s)
+        pause_s = self.pause_s * (1.0 if bad is None else bad.slowdown)
+        self.active += 1
+        try:
+            if self.events:
+                return await self._stream(
+                    http, reader, writer, headers, attempt, pause_s
+                )
+            await asyncio.sleep(pause_s)
+        finally:
+            self.active -= 1
         return self._answer(http, writer, 200, attempt, self.body_of(attempt))
 
+    def _bad_version(self, target: str) -> BadVersion | None:
+        """Return the software's fault if it concerns the latest request."""
+        bad = self.bad_version
+        if bad is None or not target.startswith(bad.prefix):
+            return None
+        shows = len(self.ran) > bad.after and self.active >= bad.min_active
+        if shows and bad.slowdown > 1:
+            self.bad_answers.append(monotonic())
+        return bad if shows else None
+
+    def _fails(self, bad: BadVersion) -> bool:
+        """Return whether the latest request fails, evenly at the stated share."""
+        number = len(self.ran)
+        fails = int(number * bad.failure_share) > int((number - 1) * bad.failure_share)
+        if fails:
+            self.bad_answers.append(monotonic())
+        return fails
+
     def body_of(self, attempt: str) -> bytes:
         """Return the body of the response to an attempt."""
         return f"answer to {attempt} by {self.endpoint}".encode()
@@ -312,6 +374,7 @@
         writer: asyncio.StreamWriter,
         headers: dict[str, str],
         attempt: str,
+        pause_s: float,
     ) -> bool:
         first = int(headers.get("last-event-id", "0")) + 1
         extra_headers = (
@@ -326,7 +389,7 @@
         self.active_streams += 1
         try:
             for number in range(first, self.events + 1):
-                done, _ = await asyncio.wait({disconnected}, timeout=self.pause_s)
+                done, _ = await asyncio.wait({disconnected}, timeout=pause_s)
                 if done:
                     self.disconnected_attempts.append(attempt)
                     return False
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -347,7 +347,12 @@
         await self.nodes.pop(name).abandon()
 
     async def add_runner(
-        self, name: str, service: str, port: int = 0, **options: Any
+        self,
+        name: str,
+        service: str,
+        port: int = 0,
+        version: str = "1",
+        **options: Any,
     ) -> RunnerStandIn:
         """Start an endpoint and write its record; port 0 picks a free port."""
         if service == STREAMS:
@@ -355,7 +360,7 @@
         runner = RunnerStandIn(name, "127.0.0.1", **options)
         await runner.start(port)
         self.runners[name] = runner
-        self.list_runner(name, service)
+        self.list_runner(name, service, version=version)
         return runner
 
     async def restart_runner(self, name: str, service: str) -> RunnerStandIn:
@@ -399,6 +404,22 @@
 
         runner.on_crash = start_recovery
 
+    def order_rollout(self, service: str, target: str, duration_s: float) -> None:
+        """Order that a service's traffic moves to a version."""
+        order = {"service": service, "target": target, "durationS": duration_s}
+        self.store.put("keyed.op", f"rollout/{service}", order)
+
+    def rollout_states(self, service: str) -> list[tuple[str, str]]:
+        """Return the states written for a service's roll-outs, with their targets."""
+        key = f"rollout/{service}".encode()
+        records = self.store.records("keyed.status")
+        values = [
+            orjson.loads(record[1 + record[0] :])
+            for record in records
+            if record[1 : 1 + record[0]] == key
+        ]
+        return [(value["state"], value["target"]) for value in values]
+
     def unlist_runner(self, name: str) -> None:
         """Remove an endpoint's record."""
         self.store.put_raw("keyed.servers", bytes([len(name)]) + name.encode())
