Check the relinquished lease at the moment of the thaw

The test of a freeze checked last that the node held no lease. It now waits for the node that holds the lease, and checks in the same turn of the event loop as the thaw that the lease is given up.

--- a/poplarrelay/entry/tests/test_nodes.py
+++ b/poplarrelay/entry/tests/test_nodes.py
@@ -111,21 +111,28 @@
 
 
 def test_node_does_not_count_peers_dead_after_freeze():
-    # After a freeze of a minute all rows in the node's table are old. Guards against a
-    # node that returns only its own address, which would send all callers to one node.
+    # Guards against a thawed node that returns only its own address to all callers, or
+    # that acts on a lease that another node may have got.
     async def scenario():
         async with run_entry_site(nodes=3) as site:
-            await site.ready("a")
+            for name in site.nodes:
+                await site.ready(name)
             expected = hosts(site, "a", "b", "c")
-            await wait_until_resolved(site, "a", expected)
-            node = site.nodes["a"]
+            nodes = site.nodes.items()
+            name = await poll_until(
+                lambda: next((n for n, each in nodes if each.duties.lease.held), None)
+            )
+            await wait_until_resolved(site, name, expected)
+            node = site.nodes[name]
+            lease = node.duties.lease
+            await poll_until(lambda: lease.held)
             for seen in node.state.peers.seen.values():
                 seen.last_seen_at -= 60
             # Check immediately: later gossip would hide the effect of the freeze.
             table = node.state.peers
             assert len(choose_addresses(table, 1, monotonic(), Random(1))) == 1
             node.resume_after_freeze(60.0)
-            assert await resolve_hosts(site, "a") == expected
-            assert not node.duties.lease.held
+            assert not lease.held
+            assert await resolve_hosts(site, name) == expected
 
     run_scenario(scenario)
