Do not charge a cell for the past of nodes that it learns of

The representative of a cell learns of its nodes one after the other; each adds its usage since its start to the sum at once, which then looked like usage within one round and set a rate of hundreds of thousands of tokens a second. Change: a summary with more nodes than any before is estimated from the previous rate, as a summary of another representative is, and the first report of a node sets no rate. Until then the usage of these nodes was limited by their own shares.

--- a/poplarrelay/entry/quotas.py
+++ b/poplarrelay/entry/quotas.py
@@ -79,8 +79,8 @@
     usage_rate, recent_rate : float
         Moving averages of the usage per second, over `RATE_WINDOW_S` and over
         `RECENT_RATE_WINDOW_S`.
-    node_count : int
-        Number of nodes whose usage this is.
+    node_count, most_nodes : int
+        Number of nodes whose usage this is, and the largest number so far.
     run : str
         Id of the run within which the total only grows; empty for a single process.
     unreachable_s : float
@@ -93,6 +93,7 @@
     usage_rate: float = 0.0
     recent_rate: float = 0.0
     node_count: int = 1
+    most_nodes: int = 1
     run: str = ""
     unreachable_s: float = UNREACHABLE_S
 
@@ -260,8 +261,10 @@
         if remote is None:
             # A process that has started since holds its first refill; see `starting`.
             refilled_to = now - RESTART_REFILL_S if baseline == 0 else now
-            remote = RemoteUsage(baseline, now, refilled_to)
-            self.remotes[reporter] = remote
+            self.remotes[reporter] = RemoteUsage(total, now, refilled_to)
+            # The time in which this was used is not known, so it sets no usage rate.
+            self.level -= total - baseline
+            return
         self._charge(remote, total, now)
 
     def record_cell_usage(
@@ -289,16 +292,23 @@
         meaningless, and the usage between them is estimated from the previous usage
         rate. Without this estimate, the end of a representative refunded all usage of
         its cell since its start at every node.
+
+        The same applies when the representative has learned of further nodes: their
+        usage until then was limited by their own shares of the refill, which are not in
+        this bucket.
         """
         remote = self.remotes.get(cell)
         if remote is None:
             remote = RemoteUsage(total, now, now, unreachable_s=CELL_UNREACHABLE_S)
             self.remotes[cell] = remote
-        elif remote.run != run:
+        elif remote.run != run or node_count > remote.most_nodes:
             silence_s = min(now - remote.last_seen_at, remote.unreachable_s)
             remote.total = total - remote.usage_rate * silence_s
+        if remote.run != run:
+            remote.most_nodes = 0
         remote.run = run
         remote.node_count = node_count
+        remote.most_nodes = max(remote.most_nodes, node_count)
         self._charge(remote, total, now)
 
     def _charge(self, remote: RemoteUsage, total: float, now: float) -> None:
