Play roll-outs among the faults of the soak

A new kind orders that a service moves to a new version, which is good in two of five cases, fails, is slow or turns bad later. On `completed` the old endpoints stop at once, otherwise the new ones do. The plans of the seeds that showed faults keep their kinds.

--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -227,6 +227,7 @@
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _listener_ports: dict[str, str] = field(default_factory=dict)
     _recoveries: list[asyncio.Task[None]] = field(default_factory=list)
+    _versions: dict[str, str] = field(default_factory=dict)
     _sequence_numbers: count[int] = field(default_factory=lambda: count(1))
 
     def delay_gossip(self, name: str, delay_s: float) -> None:
@@ -360,7 +361,8 @@
         runner = RunnerStandIn(name, "127.0.0.1", **options)
         await runner.start(port)
         self.runners[name] = runner
-        self.list_runner(name, service, version=version)
+        self._versions[name] = version
+        self.list_runner(name, service)
         return runner
 
     async def restart_runner(self, name: str, service: str) -> RunnerStandIn:
@@ -437,7 +439,7 @@
             "service": service,
             "address": self._reachable_address(name, self.runners[name].address),
             "zone": "north",
-            "version": "1",
+            "version": self._versions.get(name, "1"),
             "slots": slots,
             "state": state,
             "coldRemainingMs": 0,
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -7,7 +7,14 @@
 from enum import Enum
 from random import Random
 
-__all__ = ["FIRST_KINDS", "SECOND_KINDS", "FaultKind", "PlannedFault", "draw_plan"]
+__all__ = [
+    "FIRST_KINDS",
+    "SECOND_KINDS",
+    "THIRD_KINDS",
+    "FaultKind",
+    "PlannedFault",
+    "draw_plan",
+]
 
 #: Mean seconds between the starts of two faults. Faults last longer on average, so
 #: several overlap most of the time.
@@ -55,6 +62,9 @@
         random nodes. Crashed endpoints restart.
     ENDPOINT_LIMITS
         An endpoint states a series of request rate limits. Some are unreadable.
+    ROLLOUT
+        Operators order that a service moves to a new version, which may be bad. When
+        the roll-out is completed, the old endpoints stop at once.
     """
 
     KILL = "kill"
@@ -76,15 +86,18 @@
     FOREIGN_RECORDS = "foreign records"
     REQUEST_CRASHES = "request crashes endpoints"
     ENDPOINT_LIMITS = "endpoint limits"
+    ROLLOUT = "rollout"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
 #: found a fault at that time run with these kinds, so that their plans stay the same.
 FIRST_KINDS = tuple(FaultKind)[:15]
 #: Kinds before ``REQUEST_CRASHES`` and ``ENDPOINT_LIMITS`` were added, for the seeds
-#: of that time. Both tuples depend on the order of the enum: append new kinds at its
-#: end.
+#: of that time.
 SECOND_KINDS = tuple(FaultKind)[:17]
+#: Kinds before ``ROLLOUT`` was added. These tuples depend on the order of the enum:
+#: append new kinds at its end.
+THIRD_KINDS = tuple(FaultKind)[:19]
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -18,8 +18,9 @@
 import orjson
 
 from poplarrelay.entry.duty_worker import GROUP
+from poplarrelay.entry.rollouts.records import RolloutState
 from poplarrelay.standins.users.cloud import CloudStandIn
-from poplarrelay.standins.users.runner import Fault, RunnerStandIn
+from poplarrelay.standins.users.runner import BadVersion, Fault, RunnerStandIn
 from poplarrelay.standins.users.store import Outage, StoreStandIn
 from poplarrelay.testing.entry_site import (
     CALLS,
@@ -70,6 +71,17 @@
     ["no", "record"],
     "text",
 )
+#: Faults of the versions that roll-outs bring; None is a good version.
+VERSION_FAULTS = (
+    None,
+    None,
+    BadVersion(failure_share=0.4),
+    BadVersion(slowdown=8.0),
+    BadVersion(failure_share=0.5, after=10),
+)
+#: Minimum time for a roll-out, and time after its deadline in which its end is awaited.
+MIN_ROLLOUT_S = 3.0
+ROLLOUT_GRACE_S = 1.0
 #: Ways in which an endpoint can mishandle a request.
 _ENDPOINT_FAULTS = list(Fault)
 _LINK_STATES = [state for state in LinkState if state is not LinkState.INTACT]
@@ -190,11 +202,13 @@
         value = entry_configuration(self.version, tenants=teams)
         self.site.store.put("keyed.op", "config", value)
 
-    async def add_endpoint(self, service: str) -> None:
-        """Start and list a new endpoint of a service."""
+    async def add_endpoint(self, service: str, version: str = "1") -> str:
+        """Start and list a new endpoint of a service; return its name."""
         name = f"{service}-{next(self.endpoint_numbers)}"
         self.listed[name] = service
-        self._track_endpoint(name, await self.site.add_runner(name, service))
+        runner = await self.site.add_runner(name, service, version=version)
+        self._track_endpoint(name, runner)
+        return name
 
     def _track_endpoint(self, name: str, runner: RunnerStandIn) -> None:
         """Record a run of an endpoint, and arrange its restart after a crash."""
@@ -240,6 +254,7 @@
             FaultKind.FOREIGN_RECORDS: self._write_foreign_records,
             FaultKind.REQUEST_CRASHES: self._send_crashing_requests,
             FaultKind.ENDPOINT_LIMITS: self._state_limits,
+            FaultKind.ROLLOUT: self._roll_out,
         }
         try:
             await injectors[fault.kind](rng, fault.duration_s)
@@ -363,6 +378,28 @@
             await asyncio.sleep(duration_s / 3)
         runner.limit = None
 
+    async def _roll_out(self, rng: Random, duration_s: float) -> None:
+        service = rng.choice((CALLS, STREAMS))
+        version = f"v{rng.randrange(1_000_000)}"
+        replaced = [name for name, other in self.listed.items() if other == service]
+        added = [await self.add_endpoint(service, version) for _ in replaced]
+        fault = rng.choice(VERSION_FAULTS)
+        for name in added:
+            self.site.runners[name].bad_version = fault
+        length_s = MIN_ROLLOUT_S + 2 * duration_s
+        self.site.order_rollout(service, version, length_s)
+        end = monotonic() + length_s + ROLLOUT_GRACE_S
+        completed = (RolloutState.COMPLETED.value, version)
+        while monotonic() < end and completed not in self.site.rollout_states(service):
+            await asyncio.sleep(0.05)
+        stopped = added
+        if completed in self.site.rollout_states(service):
+            stopped = replaced
+        for name in stopped:
+            if self.listed.pop(name, None) is not None:
+                self.site.store.put("keyed.servers", name, None)
+                self.site.runners[name].stop()
+
     async def _write_foreign_records(self, rng: Random, duration_s: float) -> None:
         name = rng.choice(sorted(self.listed))
         service = self.listed[name]
@@ -388,6 +425,7 @@
             runner.faults.clear()
             runner.break_after = None
             runner.limit = None
+            runner.bad_version = None
         end = monotonic() + RECOVERY_S
         waiting = set(self.site.processes)
         while waiting and monotonic() < end:
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -19,6 +19,7 @@
 from poplarrelay.testing.soak.plan import (
     FIRST_KINDS,
     SECOND_KINDS,
+    THIRD_KINDS,
     FaultKind,
     draw_plan,
 )
@@ -35,7 +36,9 @@
 #: A seed whose plan has restarts of endpoints and foreign records.
 SEED_OF_LATER_KINDS = 25
 #: A seed whose plan has requests that crash endpoints and stated limits.
-SEED_OF_ALL_KINDS = 3
+SEED_OF_CRASHES_AND_LIMITS = 3
+#: A seed whose plan has a roll-out.
+SEED_OF_ALL_KINDS = 29
 
 
 def make_runner(name="r1", *request_ids, **headers):
@@ -169,6 +172,7 @@
     [
         *((seed, FIRST_KINDS) for seed in SEEDS),
         (SEED_OF_LATER_KINDS, SECOND_KINDS),
+        (SEED_OF_CRASHES_AND_LIMITS, THIRD_KINDS),
         (SEED_OF_ALL_KINDS, tuple(FaultKind)),
     ],
 )
