Test that a node without peers learns of a revert from the store

When the read of the progress was removed by hand, the test still passed: the node's own evidence had sufficed. The node gets no requests now, and the test fails without the read.

--- a/poplarrelay/entry/rollouts/tests/test_rollouts.py
+++ b/poplarrelay/entry/rollouts/tests/test_rollouts.py
@@ -133,16 +133,18 @@
 
 
 def test_node_that_reaches_no_peer_follows_the_store():
+    # The node gets no requests, so it has no evidence of its own.
     async def scenario():
         async with run_entry_site(nodes=3) as site:
             await start(site, bad=BadVersion(failure_share=0.5))
             site.nodes["c"].gossip.stop()
-            async with run_traffic(site):
+            async with run_traffic(site, nodes="ab"):
                 await ended(site, "reverted")
-                await poll_until(lambda: phase(site, "c") is RolloutPhase.REVERTED)
-                began = monotonic()
-                await asyncio.sleep(0.5)
-                assert count_runs(site, "new", since=began) == 0
+            await poll_until(lambda: phase(site, "c") is RolloutPhase.REVERTED)
+            began = monotonic()
+            for _ in range(20):
+                assert (await site.call("/look/x", node="c")).status == 200
+            assert count_runs(site, "new", since=began) == 0
 
     run_scenario(scenario)
 
--- a/poplarrelay/testing/rollouts.py
+++ b/poplarrelay/testing/rollouts.py
@@ -178,9 +178,9 @@
 
 @contextlib.asynccontextmanager
 async def run_traffic(
-    site: EntrySite, path: str = "/look/x", per_s: float = 100.0
+    site: EntrySite, path: str = "/look/x", per_s: float = 100.0, nodes: str = ""
 ) -> AsyncIterator[list[int]]:
-    """Send requests to all nodes in turn; yields the statuses of the answers."""
+    """Send requests to the named nodes in turn, or to all; yields the statuses."""
     statuses: list[int] = []
     tasks: set[asyncio.Task[None]] = set()
 
@@ -191,7 +191,7 @@
     async def produce() -> None:
         number = 0
         while True:
-            names = list(site.nodes)
+            names = nodes or list(site.nodes)
             task = asyncio.create_task(call(names[number % len(names)]))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
