--- a/poplarrelay/testing/quota_simulation.py
+++ b/poplarrelay/testing/quota_simulation.py
@@ -2,15 +2,10 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import Counter, deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from functools import partial
-from itertools import count
 from math import inf
 from random import Random
-from typing import Any
 
 from poplarrelay.entry.cells import cell_bits, cell_of
 from poplarrelay.entry.charging import (
@@ -21,6 +16,7 @@
 from poplarrelay.entry.configuration import Quota
 from poplarrelay.entry.quotas import Bucket, raise_refill
 from poplarrelay.identifiers import NodeId
+from poplarrelay.testing.virtual_time import VirtualTime
 
 __all__ = ["QuotaOutcome", "QuotaScenario", "simulate_quota"]
 
@@ -133,9 +129,7 @@
     def __init__(self, scenario: QuotaScenario) -> None:
         self._scenario = scenario
         self._rng = Random(scenario.seed)
-        self._now = 0.0
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = count()
+        self._time = VirtualTime(0.0)
         names = [NodeId(f"node-{number}") for number in range(scenario.nodes)]
         self._bits = cell_bits(scenario.nodes, 0)
         self._cells: dict[int, list[int]] = {}
@@ -152,28 +146,22 @@
 
     def _new_node(self, name: NodeId, run: int, first: bool) -> _Node:
         bounds = self._scenario
-        bucket = Bucket.starting(bounds.quota, self._now, bounds.nodes, first)
-        started_at = self._now + self._rng.uniform(0, START_SPREAD_S)
+        bucket = Bucket.starting(bounds.quota, self._time.now, bounds.nodes, first)
+        started_at = self._time.now + self._rng.uniform(0, START_SPREAD_S)
         return _Node(name, run, started_at, bucket)
 
-    def _at(self, when: float, action: Callable[..., None], *values: Any) -> None:
-        call: Callable[[], None] = partial(action, *values)
-        heapq.heappush(self._events, (when, next(self._numbers), call))
-
     def run(self) -> None:
         scenario = self._scenario
         for number in range(scenario.nodes):
-            self._at(self._rng.uniform(0, ROUND_S), self._round, number)
-        self._at(0.0, self._arrive)
+            self._time.at(self._rng.uniform(0, ROUND_S), self._round, number)
+        self._time.at(0.0, self._arrive)
         if scenario.killed_at < inf:
-            self._at(scenario.killed_at, self._kill)
-        while self._events and self._events[0][0] <= scenario.length_s:
-            self._now, _, action = heapq.heappop(self._events)
-            action()
+            self._time.at(scenario.killed_at, self._kill)
+        self._time.run(scenario.length_s)
 
     def _kill(self) -> None:
         self._down = True
-        self._at(self._now + 1.0, self._restart)
+        self._time.after(1.0, self._restart)
 
     def _restart(self) -> None:
         self._down = False
@@ -184,24 +172,24 @@
     def _arrive(self) -> None:
         scenario, rng = self._scenario, self._rng
         begins, ends, factor = scenario.flood
-        load = scenario.load * (factor if begins <= self._now < ends else 1.0)
-        self._at(
-            self._now + rng.expovariate(load * scenario.per_s / MEAN_COST), self._arrive
+        load = scenario.load * (factor if begins <= self._time.now < ends else 1.0)
+        self._time.after(
+            rng.expovariate(load * scenario.per_s / MEAN_COST), self._arrive
         )
         if self._down:
             return
         cost = self._draw_cost()
-        owed = self._oracle.take(scenario.quota, cost, self._now, 1) is None
+        owed = self._oracle.take(scenario.quota, cost, self._time.now, 1) is None
         number = rng.randrange(scenario.nodes)
         admitted = self._take(number, cost)
         if owed:
             self.outcome.owed += 1
             self.outcome.owed_tokens += cost
-            self.outcome.owed_by_second[int(self._now)] += 1
+            self.outcome.owed_by_second[int(self._time.now)] += 1
             if not admitted:
                 self.outcome.refused += 1
                 self.outcome.refused_tokens += cost
-                self.outcome.refused_by_second[int(self._now)] += 1
+                self.outcome.refused_by_second[int(self._time.now)] += 1
 
     def _draw_cost(self) -> float:
         kinds = [(median, spread) for _, median, spread in KINDS]
@@ -214,12 +202,15 @@
         bucket = self._nodes[number].bucket
         quota = raise_refill(scenario.quota, OVERRUN_SHARE * scenario.overrun)
         tolerance = ESTIMATE_ERROR_SHARE * scenario.slack
-        if bucket.take(quota, cost, self._now, scenario.nodes, tolerance) is not None:
+        if (
+            bucket.take(quota, cost, self._time.now, scenario.nodes, tolerance)
+            is not None
+        ):
             return False
         self.outcome.admitted += cost
-        self._window.append((self._now, cost))
+        self._window.append((self._time.now, cost))
         self._in_window += cost
-        while self._window[0][0] <= self._now - scenario.window_s:
+        while self._window[0][0] <= self._time.now - scenario.window_s:
             self._in_window -= self._window.popleft()[1]
         share = self._in_window / scenario.bound
         self.outcome.most_in_window = max(self.outcome.most_in_window, share)
@@ -229,14 +220,14 @@
         if bucket.is_low(quota) and unreported > limit and not node.announced:
             node.announced = True
             delay_s = max(ANNOUNCE_S, 0.005 * len(self._cells[self._cell_of[number]]))
-            self._at(self._now + delay_s, self._announce, number)
+            self._time.after(delay_s, self._announce, number)
         return True
 
     # reports
 
     def _is_cut(self, sender: int, receiver: int) -> bool:
         begins, ends, share = self._scenario.cut
-        if not begins <= self._now < ends:
+        if not begins <= self._time.now < ends:
             return False
         limit = share * self._scenario.nodes
         return (sender < limit) != (receiver < limit)
@@ -250,7 +241,7 @@
 
     def _round(self, number: int) -> None:
         pause_s = ROUND_S * self._rng.uniform(0.9, 1.1)
-        self._at(self._now + pause_s, self._round, number)
+        self._time.after(pause_s, self._round, number)
         if self._down:
             return
         self._send_row(number, CELL_DELAY_S)
@@ -268,8 +259,8 @@
         node.bucket.reported = node.bucket.used
         for other in self._cells[self._cell_of[number]]:
             if other != number and not self._is_cut(number, other):
-                at = self._now + self._rng.uniform(*delays_s)
-                self._at(at, self._receive, other, node, node.bucket.used)
+                at = self._time.now + self._rng.uniform(*delays_s)
+                self._time.at(at, self._receive, other, node, node.bucket.used)
 
     def _receive(self, number: int, sender: _Node, used: float) -> None:
         node = self._nodes[number]
@@ -277,18 +268,22 @@
         known, _ = node.seen.get(reporter, (0.0, 0.0))
         if self._down or used < known or sender.run != node.run:
             return
-        node.seen[reporter] = (used, self._now)
+        node.seen[reporter] = (used, self._time.now)
         baseline = used if sender.started_at < node.started_at else 0.0
-        node.bucket.receive(reporter, used, baseline, self._now)
+        node.bucket.receive(reporter, used, baseline, self._time.now)
 
     def _send_summary(self, number: int, cell: int) -> None:
         node = self._nodes[number]
         total = node.bucket.used + sum(used for used, _ in node.seen.values())
-        alive = 1 + sum(self._now - at <= SILENCE_S for _, at in node.seen.values())
+        alive = 1 + sum(
+            self._time.now - at <= SILENCE_S for _, at in node.seen.values()
+        )
         for other in range(self._scenario.nodes):
             if self._cell_of[other] != cell and not self._is_cut(number, other):
-                at = self._now + self._rng.uniform(*OTHER_CELL_DELAY_S)
-                self._at(at, self._receive_summary, other, node, cell, total, alive)
+                at = self._time.now + self._rng.uniform(*OTHER_CELL_DELAY_S)
+                self._time.at(
+                    at, self._receive_summary, other, node, cell, total, alive
+                )
 
     def _receive_summary(
         self, number: int, sender: _Node, cell: int, total: float, alive: int
@@ -297,7 +292,7 @@
         if self._down or sender.run != node.run:
             return
         run = f"{sender.name}/{sender.run}"
-        node.bucket.record_cell_usage(f"cell-{cell}", run, total, alive, self._now)
+        node.bucket.record_cell_usage(f"cell-{cell}", run, total, alive, self._time.now)
 
 
 def simulate_quota(scenario: QuotaScenario) -> QuotaOutcome:
--- a/poplarrelay/testing/rollout_simulation.py
+++ b/poplarrelay/testing/rollout_simulation.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from functools import partial
-from itertools import count
 from math import inf
 from random import Random
 from typing import Any
@@ -35,6 +32,7 @@
     Offset,
     SoftwareVersion,
 )
+from poplarrelay.testing.virtual_time import VirtualTime
 
 __all__ = [
     "Onset",
@@ -256,9 +254,7 @@
         self._scenario = scenario
         self._test = test
         self._rng = Random(scenario.seed)
-        self._now = -BEFORE_S
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = count()
+        self._time = VirtualTime(-BEFORE_S)
         self._active: dict[EndpointId, int] = {}
         self._stored: RolloutProgress | None = None
         self._order = RolloutOrder(SERVICE, NEW, scenario.duration_s, Offset(7))
@@ -273,14 +269,14 @@
 
     def _new_node(self, number: int, run: int) -> _Node:
         table = RolloutTable(
-            self._scenario.canary_share, lambda: self._now, self._rng, self._test
+            self._scenario.canary_share, lambda: self._time.now, self._rng, self._test
         )
         node = _Node(
             NodeId(f"node-{number}"), Incarnation(f"{run}"), table, EndpointTable()
         )
         for index in range(self._scenario.endpoints):
             self._add_endpoint(node, index, OLD)
-        node.table.mark_endpoints(node.endpoints, self._now)
+        node.table.mark_endpoints(node.endpoints, self._time.now)
         return node
 
     def _add_endpoint(self, node: _Node, index: int, version: SoftwareVersion) -> None:
@@ -296,52 +292,45 @@
 
     # events
 
-    def _at(self, when: float, action: Callable[..., None], *values: Any) -> None:
-        """Call an action with the given values at a time."""
-        call: Callable[[], None] = partial(action, *values)
-        heapq.heappush(self._events, (when, next(self._numbers), call))
-
     def run(self) -> None:
         """Play the roll-out."""
         scenario, rng = self._scenario, self._rng
         end = scenario.duration_s + AFTER_S
-        self._at(0.0, self._give_order)
-        self._at(scenario.boot_s, self._add_target)
+        self._time.at(0.0, self._give_order)
+        self._time.at(scenario.boot_s, self._add_target)
         for number in range(scenario.nodes):
-            self._at(rng.uniform(-1.0, 0.0), self._round, number)
-        self._at(0.05, self._decide)
-        self._at(-BEFORE_S, self._arrive)
+            self._time.at(rng.uniform(-1.0, 0.0), self._round, number)
+        self._time.at(0.05, self._decide)
+        self._time.at(-BEFORE_S, self._arrive)
         for number in range(scenario.nodes):
             if rng.random() < scenario.killed:
                 at = rng.uniform(0.0, scenario.duration_s)
-                self._at(at, self._restart, number)
+                self._time.at(at, self._restart, number)
         if scenario.holder_dies:
             at = rng.uniform(0.0, scenario.duration_s - FAILOVER_S)
-            self._at(at, self._change_holder)
-        while self._events and self._events[0][0] <= end:
-            self._now, _, action = heapq.heappop(self._events)
-            action()
+            self._time.at(at, self._change_holder)
+        self._time.run(end)
 
     def _give_order(self) -> None:
         for node in self._nodes:
             if node.reaches_store:
                 delay_s = self._rng.uniform(*MESSAGE_S)
-                self._at(delay_s, self._read_order, node)
+                self._time.at(delay_s, self._read_order, node)
 
     def _read_order(self, node: _Node) -> None:
         node.table.receive_order(self._order)
-        node.table.mark_endpoints(node.endpoints, self._now)
+        node.table.mark_endpoints(node.endpoints, self._time.now)
 
     def _add_target(self) -> None:
         for number in range(len(self._nodes)):
             delay_s = self._rng.uniform(0.0, 1.0)
-            self._at(self._now + delay_s, self._add_target_endpoints, number)
+            self._time.after(delay_s, self._add_target_endpoints, number)
 
     def _add_target_endpoints(self, number: int) -> None:
         node = self._nodes[number]
         for index in range(self._scenario.endpoints):
             self._add_endpoint(node, index, NEW)
-        node.table.mark_endpoints(node.endpoints, self._now)
+        node.table.mark_endpoints(node.endpoints, self._time.now)
 
     def _restart(self, number: int) -> None:
         before = self._nodes[number]
@@ -349,22 +338,22 @@
         node.reaches_peers = before.reaches_peers
         node.reaches_store = before.reaches_store
         self._nodes[number] = node
-        if self._now > self._scenario.boot_s + 1.0:
+        if self._time.now > self._scenario.boot_s + 1.0:
             self._add_target_endpoints(number)
         if node.reaches_store and not self._store_is_away():
             self._read_order(node)
             if self._stored is not None:
                 node.table.merge(self._stored, "store")
-            node.table.mark_endpoints(node.endpoints, self._now)
+            node.table.mark_endpoints(node.endpoints, self._time.now)
 
     # requests
 
     def _arrive(self) -> None:
         rng, scenario = self._rng, self._scenario
-        self._at(self._now + rng.expovariate(scenario.per_s), self._arrive)
+        self._time.after(rng.expovariate(scenario.per_s), self._arrive)
         node = rng.choice(self._nodes)
         rows = node.table.eligible(
-            SERVICE, node.endpoints.accepting(SERVICE), self._now
+            SERVICE, node.endpoints.accepting(SERVICE), self._time.now
         )
         if not rows:
             self.outcome.refused += 1
@@ -390,18 +379,18 @@
                 took_s *= fault.slowdown
                 bad = True
         target = row.version == NEW
-        if 0 <= self._now <= scenario.duration_s:
+        if 0 <= self._time.now <= scenario.duration_s:
             self.outcome.sent += 1
             self.outcome.sent_target += target
         if target:
-            self.outcome.last_target_s = self._now
+            self.outcome.last_target_s = self._time.now
         if scenario.first_event_s is not None and not failed:
             first_s = took_s * scenario.first_event_s / scenario.service_s
-            self._at(self._now + first_s, self._begin, node, row, route, first_s)
+            self._time.after(first_s, self._begin, node, row, route, first_s)
         latency = None if failed or scenario.first_event_s is not None else took_s
-        end_at = self._now + took_s * (rng.random() if failed else 1.0)
-        took_s = end_at - self._now
-        self._at(end_at, self._end, node, row, route, failed, bad, latency, took_s)
+        end_at = self._time.now + took_s * (rng.random() if failed else 1.0)
+        took_s = end_at - self._time.now
+        self._time.at(end_at, self._end, node, row, route, failed, bad, latency, took_s)
 
     def _begin(
         self, node: _Node, row: Endpoint, route: RouteName, first_s: float
@@ -419,7 +408,7 @@
         load = self._scenario.per_s * self._scenario.service_s
         shows = {
             Onset.AT_ONCE: True,
-            Onset.LATE: self._now >= fault.late_s,
+            Onset.LATE: self._time.now >= fault.late_s,
             Onset.UNDER_LOAD: active >= 0.3 * load / self._scenario.endpoints,
             Onset.ONE_ROUTE: route == next(iter(ROUTES)),
         }[fault.onset]
@@ -438,7 +427,7 @@
         row.running -= 1
         self._active[row.endpoint] -= 1
         if bad:
-            self.outcome.bad_answers.append(self._now)
+            self.outcome.bad_answers.append(self._time.now)
         node.table.note_duration(SERVICE, took_s)
         node.table.note_answer(row, route, failed)
         if latency is not None:
@@ -448,13 +437,13 @@
 
     def _send(self, receiver: _Node, action: Callable[..., None], *values: Any) -> None:
         if receiver.reaches_peers and self._rng.random() >= LOST_SHARE:
-            self._at(self._now + self._rng.uniform(*MESSAGE_S), action, *values)
+            self._time.after(self._rng.uniform(*MESSAGE_S), action, *values)
 
     def _round(self, number: int) -> None:
         pause_s = ROUND_S * self._rng.uniform(0.9, 1.1)
-        self._at(self._now + pause_s, self._round, number)
+        self._time.after(pause_s, self._round, number)
         node = self._nodes[number]
-        node.table.mark_endpoints(node.endpoints, self._now)
+        node.table.mark_endpoints(node.endpoints, self._time.now)
         node.table.judge_own_evidence()
         self._gossip(node)
         local = node.table.get(SERVICE)
@@ -468,7 +457,7 @@
 
     def _receive_report(self, holder: _Node, raw: list[Any]) -> None:
         if holder.coordinator is not None:
-            holder.coordinator.receive(RolloutReport.decode(raw), self._now)
+            holder.coordinator.receive(RolloutReport.decode(raw), self._time.now)
 
     def _gossip(self, node: _Node) -> None:
         node.table.urgent = False
@@ -481,15 +470,15 @@
     def _receive(self, node: _Node, records: list[Any]) -> None:
         node.table.receive(records, "peer")
         if node.table.urgent:
-            node.table.mark_endpoints(node.endpoints, self._now)
+            node.table.mark_endpoints(node.endpoints, self._time.now)
             node.table.urgent = False
-            self._at(self._now + TICK_S, self._gossip, node)
+            self._time.after(TICK_S, self._gossip, node)
 
     # the holder of the duties and the store
 
     def _store_is_away(self) -> bool:
         begins, ends = self._scenario.store_away
-        return begins <= self._now < ends
+        return begins <= self._time.now < ends
 
     def _change_holder(self) -> None:
         self._restart(self._holder)
@@ -499,10 +488,10 @@
         def take_over() -> None:
             self._holder = (before + 1) % len(self._nodes)
 
-        self._at(self._now + FAILOVER_S, take_over)
+        self._time.after(FAILOVER_S, take_over)
 
     def _decide(self) -> None:
-        self._at(self._now + DECISION_S, self._decide)
+        self._time.after(DECISION_S, self._decide)
         if self._holder < 0 or self._store_is_away():
             return
         node = self._nodes[self._holder]
@@ -516,11 +505,11 @@
         rows = node.endpoints.of(SERVICE)
         target, others = local.split(rows)
         own = node.table.report(local, node.name, node.incarnation, rows)
-        node.coordinator.receive(own, self._now)
+        node.coordinator.receive(own, self._time.now)
         names = [each.name for each in self._nodes if each.reaches_peers]
         capacity = Capacity.from_rows(target, others)
         progress = node.coordinator.decide(
-            local.progress, capacity, local.had_others, names, self._now
+            local.progress, capacity, local.had_others, names, self._time.now
         )
         if progress.phase is RolloutPhase.COMPLETED:
             progress = progress.bar([OLD])
@@ -536,14 +525,14 @@
         for node in self._nodes:
             if node.reaches_store:
                 delay_s = self._rng.uniform(*MESSAGE_S)
-                self._at(self._now + delay_s, self._read_progress, node, progress)
+                self._time.after(delay_s, self._read_progress, node, progress)
 
     def _note_phase(self, progress: RolloutProgress) -> None:
         outcome = self.outcome
-        outcome.phase, outcome.ended_s = progress.phase, self._now
+        outcome.phase, outcome.ended_s = progress.phase, self._time.now
         outcome.why = progress.why
         if progress.phase is RolloutPhase.MOVING:
-            outcome.moved_s = self._now
+            outcome.moved_s = self._time.now
         if progress.phase is RolloutPhase.COMPLETED:
             outcome.running_at_others = sum(
                 active
@@ -554,7 +543,7 @@
     def _read_progress(self, node: _Node, progress: RolloutProgress) -> None:
         if not self._store_is_away():
             node.table.merge(progress, "store")
-            node.table.mark_endpoints(node.endpoints, self._now)
+            node.table.mark_endpoints(node.endpoints, self._time.now)
 
 
 def simulate_rollout(
