Complete no roll-out without the reports of half of the nodes

Cause: found by a test that failed once in three runs beside other tests and was traced. The node whose gossip was cut held the duties. It reached the store and no peer, so it saw one node alive, one report and no fault, and would have moved and completed a bad version. The share of reports was taken of the nodes that are alive for the holder. Change: it is taken of all nodes, silent ones included, and a holder that gets no reports within 3 s gives up the duties. The reports also convict a version while no node holds the lease, as in an outage of the store: the test for that failed before, since a holder decided only after its calls to the store.

--- a/poplarrelay/entry/duty_worker.py
+++ b/poplarrelay/entry/duty_worker.py
@@ -225,6 +225,8 @@
         while True:
             try:
                 await self._rollouts.run_round()
+                if self._lease.held and self._rollouts.is_cut_off():
+                    await self._step_down("rollouts: no reports")
             except PlatformUnavailable as error:
                 _LOG.info("rollout delayed", extra={"why": str(error)})
             except AppendRefused as error:
--- a/poplarrelay/entry/rollouts/coordinator.py
+++ b/poplarrelay/entry/rollouts/coordinator.py
@@ -191,6 +191,10 @@
         self._reports[report.node, report.incarnation] = report
         self._received_at[report.node] = time_of_day
 
+    def is_informed(self, total_nodes: int) -> bool:
+        """Return whether enough nodes have reported for more than a revert."""
+        return len(self._received_at) >= MIN_REPORTS_SHARE * total_nodes
+
     def evidence(self) -> Evidence:
         """Return the evidence of all nodes."""
         return sum_evidence(report.evidence for report in self._reports.values())
@@ -201,6 +205,7 @@
         capacity: Capacity,
         had_others: bool,
         nodes: Collection[NodeId],
+        total_nodes: int,
         time_of_day: float,
     ) -> RolloutProgress:
         """Return the progress in the phase that follows now, or unchanged.
@@ -215,17 +220,18 @@
             Whether endpoints of another version have been listed since the order.
         nodes : collection of NodeId
             Nodes that are alive.
+        total_nodes : int
+            Number of nodes, including silent ones.
         time_of_day : float
             Current time in seconds.
         """
         if progress.phase.is_final:
             return progress
         evidence = self.evidence()
-        why = self._conviction(evidence, time_of_day)
+        why = self.convict(time_of_day)
         if why:
             return progress.advance(RolloutPhase.REVERTED, why, time_of_day)
-        reported = sum(node in self._received_at for node in nodes)
-        if reported < MIN_REPORTS_SHARE * len(nodes):
+        if not self.is_informed(total_nodes):
             return progress
         if progress.phase is RolloutPhase.CANARY:
             phase, why = self._after_canary(
@@ -237,8 +243,9 @@
             return progress
         return progress.advance(phase, why, time_of_day)
 
-    def _conviction(self, evidence: Evidence, time_of_day: float) -> str:
+    def convict(self, time_of_day: float) -> str:
         """Return why all evidence, or the recent part, shows a bad version."""
+        evidence = self.evidence()
         conviction = self.test.judge(evidence)
         for start in self._starts:
             if conviction is None:
--- a/poplarrelay/entry/rollouts/tests/test_coordinator.py
+++ b/poplarrelay/entry/rollouts/tests/test_coordinator.py
@@ -39,7 +39,8 @@
 
 
 def decide(coordinator, progress, now, capacity=ROOM, had_others=True):
-    return coordinator.decide(progress, capacity, had_others, NODES, now).phase
+    decided = coordinator.decide(progress, capacity, had_others, NODES, 2, now)
+    return decided.phase
 
 
 def test_move_begins_late_and_earlier_for_long_requests():
@@ -55,7 +56,7 @@
     bad = [report(node, make_evidence((20, 8), (300, 1))) for node in NODES]
     for phase in (RolloutPhase.CANARY, RolloutPhase.MOVING):
         progress = make_progress(phase, since=1.0)
-        reverted = coordinator_with(*bad).decide(progress, ROOM, True, NODES, 2.0)
+        reverted = coordinator_with(*bad).decide(progress, ROOM, True, NODES, 2, 2.0)
         assert reverted.phase is RolloutPhase.REVERTED
         assert "failures" in reverted.why
 
@@ -80,7 +81,7 @@
     coordinator = coordinator_with(*(report(node, evidence) for node in NODES))
     progress = make_progress()
     assert decide(coordinator, progress, 8.5, capacity) is RolloutPhase.CANARY
-    reverted = coordinator.decide(progress, capacity, True, NODES, 9.5)
+    reverted = coordinator.decide(progress, capacity, True, NODES, 2, 9.5)
     assert reverted.phase is RolloutPhase.REVERTED
     assert why in reverted.why
 
@@ -109,6 +110,14 @@
         assert decide(empty, make_progress(phase), 11.5) is phase
 
 
+def test_coordinator_that_reaches_few_nodes_neither_moves_nor_completes():
+    # Guards against a holder cut from its peers that finds no fault, as it sees none.
+    alone = coordinator_with(report(NODES[0], Evidence()))
+    for phase in (RolloutPhase.CANARY, RolloutPhase.MOVING):
+        decided = alone.decide(make_progress(phase), ROOM, True, NODES[:1], 3, 11.5)
+        assert decided.phase is phase
+
+
 def test_order_back_to_the_version_of_all_endpoints_completes_at_once():
     capacity = Capacity(18, 0, 5)
     progress = make_progress()
--- a/poplarrelay/entry/rollouts/tests/test_rollouts.py
+++ b/poplarrelay/entry/rollouts/tests/test_rollouts.py
@@ -132,18 +132,23 @@
     run_scenario(scenario)
 
 
-def test_node_that_reaches_no_peer_follows_the_store():
+@pytest.mark.parametrize("cut_holder", [True, False])
+def test_node_that_reaches_no_peer_follows_the_store(cut_holder):
     # The node gets no requests, so it has no evidence of its own.
     async def scenario():
         async with run_entry_site(nodes=3) as site:
-            await start(site, bad=BadVersion(failure_share=0.5))
-            site.nodes["c"].gossip.stop()
-            async with run_traffic(site, nodes="ab"):
+            await start(site, bad=BadVersion(failure_share=0.5), duration_s=9.0)
+            await poll_until(lambda: states(site))
+            holds = [site.nodes[name].duties.lease.held for name in "abc"]
+            cut = "abc"[holds.index(cut_holder)]
+            site.nodes[cut].gossip.stop()
+            others = "abc".replace(cut, "")
+            async with run_traffic(site, nodes=others):
                 await ended(site, "reverted")
-            await poll_until(lambda: phase(site, "c") is RolloutPhase.REVERTED)
+            await poll_until(lambda: phase(site, cut) is RolloutPhase.REVERTED)
             began = monotonic()
             for _ in range(20):
-                assert (await site.call("/look/x", node="c")).status == 200
+                assert (await site.call("/look/x", node=cut)).status == 200
             assert count_runs(site, "new", since=began) == 0
 
     run_scenario(scenario)
@@ -183,6 +188,25 @@
     run_scenario(scenario)
 
 
+def test_bad_version_is_reverted_while_the_store_is_silent():
+    async def scenario():
+        async with run_entry_site(nodes=3) as site:
+            await start(site, bad=BadVersion(failure_share=0.4))
+            await poll_until(lambda: states(site))
+            for name in site.nodes:
+                await site.ready(name, endpoints=6)
+            for listener in site.store_listeners.values():
+                listener.begin_outage(Outage.SILENT)
+            async with run_traffic(site):
+                reverted = RolloutPhase.REVERTED
+                await poll_until(lambda: {phase(site, n) for n in "abc"} == {reverted})
+                for listener in site.store_listeners.values():
+                    listener.begin_outage(Outage.NONE)
+                await ended(site, "reverted")
+
+    run_scenario(scenario)
+
+
 def test_new_holder_of_the_duties_continues():
     async def scenario():
         async with run_entry_site(nodes=3) as site:
--- a/poplarrelay/entry/rollouts/worker.py
+++ b/poplarrelay/entry/rollouts/worker.py
@@ -62,6 +62,9 @@
 IDLE_S = 0.2
 #: Seconds for which a read of the progress waits for a change.
 PROGRESS_WAIT_S = 5.0
+#: Seconds in which at least half of the nodes report to a new coordinator. A holder
+#: that gets no reports gives up the duties.
+MAX_SILENCE_S = 3.0
 #: Longest pause in seconds after a failed read.
 MAX_PAUSE_S = 0.6
 
@@ -147,6 +150,8 @@
         self._prepared_token = -1
         self._coordinators: dict[ServiceName, tuple[Offset, RolloutCoordinator]] = {}
         self._written: dict[ServiceName, RolloutProgress] = {}
+        #: Monotonic time at which nodes could first learn to report to this holder.
+        self._asked_at = float("inf")
         self._stated: dict[ServiceName, tuple[SoftwareVersion, RolloutState]] = {}
 
     def receive(self, report: RolloutReport) -> None:
@@ -175,6 +180,7 @@
         PlatformUnavailable
             If the store does not answer.
         """
+        self._revert_bad_versions()
         if not self._lease.may_act(monotonic()) or not self._has_work():
             return
         await self._prepare()
@@ -183,6 +189,30 @@
         for local in self._state.rollouts:
             await self._advance(local)
 
+    def _revert_bad_versions(self) -> None:
+        """Revert what the reports to this node convict, also without the lease.
+
+        While the store is unavailable, no node holds the lease, and the reports still
+        arrive here.
+        """
+        state = self._state
+        for local in state.rollouts:
+            if local.is_open and local.progress.coordinator == state.me.host:
+                why = self._coordinator(local).convict(state.clock.now())
+                if why:
+                    state.rollouts.revert(local.progress.order.service, why)
+
+    def is_cut_off(self) -> bool:
+        """Return whether other nodes do not report to this holder in time."""
+        state = self._state
+        return any(
+            local.is_open
+            and local.progress.token == self._lease.token
+            and monotonic() - self._asked_at > MAX_SILENCE_S
+            and not self._coordinator(local).is_informed(state.total_nodes)
+            for local in state.rollouts
+        )
+
     def _has_work(self) -> bool:
         return any(
             local.is_open or self._is_unstated(local.progress)
@@ -204,6 +234,7 @@
         apply_progress_records(self._state, records)
         self._stated = {}
         self._written = {}
+        self._asked_at = float("inf")
         records, _ = await self._store.newest(STATUS_TOPIC)
         for record in records:
             self._read_status(record)
@@ -224,9 +255,6 @@
             return
         progress = self._decide(local)
         service = progress.order.service
-        if progress.phase is RolloutPhase.REVERTED:
-            # Nodes stop sending to the version even while the store is unavailable.
-            self._state.rollouts.merge(progress, "this node")
         if self._needs_write(service, progress):
             await self._write_progress(progress)
         await self._write_states(progress)
@@ -246,6 +274,7 @@
             Capacity.from_rows(target, others),
             local.had_others,
             nodes,
+            state.total_nodes,
             now,
         )
         if progress is not before and progress.phase is RolloutPhase.COMPLETED:
@@ -266,6 +295,8 @@
         service = progress.order.service
 
         def note_written() -> None:
+            if not self._written:
+                self._asked_at = monotonic()
             self._written[service] = progress
             self._state.rollouts.merge(progress, "this node")
 
--- a/poplarrelay/testing/rollout_simulation.py
+++ b/poplarrelay/testing/rollout_simulation.py
@@ -509,7 +509,12 @@
         names = [each.name for each in self._nodes if each.reaches_peers]
         capacity = Capacity.from_rows(target, others)
         progress = node.coordinator.decide(
-            local.progress, capacity, local.had_others, names, self._time.now
+            local.progress,
+            capacity,
+            local.had_others,
+            names,
+            len(names),
+            self._time.now,
         )
         if progress.phase is RolloutPhase.COMPLETED:
             progress = progress.bar([OLD])
