Add up the evidence of a roll-out once per change

The coordinator added up the reports of all nodes in each use; with 410 nodes that took 8.7 ms, four times a decision. The sum is kept until a report arrives.

--- a/poplarrelay/entry/rollouts/coordinator.py
+++ b/poplarrelay/entry/rollouts/coordinator.py
@@ -181,6 +181,7 @@
         default_factory=dict
     )
     _received_at: dict[NodeId, float] = field(default_factory=dict)
+    _total: Evidence | None = None
     _starts: deque[Evidence] = field(
         default_factory=lambda: deque(maxlen=RECENT_STARTS)
     )
@@ -190,6 +191,7 @@
         """Store the latest report of a node's process."""
         self._reports[report.node, report.incarnation] = report
         self._received_at[report.node] = time_of_day
+        self._total = None
 
     def is_informed(self, total_nodes: int) -> bool:
         """Return whether enough nodes have reported for more than a revert."""
@@ -197,7 +199,9 @@
 
     def evidence(self) -> Evidence:
         """Return the evidence of all nodes."""
-        return sum_evidence(report.evidence for report in self._reports.values())
+        if self._total is None:
+            self._total = sum_evidence(r.evidence for r in self._reports.values())
+        return self._total
 
     def decide(
         self,
