--- a/poplarrelay/entry/rollouts/coordinator.py
+++ b/poplarrelay/entry/rollouts/coordinator.py
@@ -181,7 +181,7 @@
         default_factory=dict
     )
     _received_at: dict[NodeId, float] = field(default_factory=dict)
-    _total: Evidence | None = None
+    _total: Evidence = field(default_factory=Evidence)
     _starts: deque[Evidence] = field(
         default_factory=lambda: deque(maxlen=RECENT_STARTS)
     )
@@ -189,18 +189,20 @@
 
     def receive(self, report: RolloutReport, time_of_day: float) -> None:
         """Store the latest report of a node's process."""
+        before = self._reports.get((report.node, report.incarnation))
+        if before is not None:
+            self._total.add(before.evidence, sign=-1)
+        self._total.add(report.evidence)
         self._reports[report.node, report.incarnation] = report
         self._received_at[report.node] = time_of_day
-        self._total = None
 
     def is_informed(self, total_nodes: int) -> bool:
         """Return whether enough nodes have reported for more than a revert."""
         return len(self._received_at) >= MIN_REPORTS_SHARE * total_nodes
 
+    @property
     def evidence(self) -> Evidence:
         """Return the evidence of all nodes."""
-        if self._total is None:
-            self._total = sum_evidence(r.evidence for r in self._reports.values())
         return self._total
 
     def decide(
@@ -231,7 +233,7 @@
         """
         if progress.phase.is_final:
             return progress
-        evidence = self.evidence()
+        evidence = self._total
         why = self.convict(time_of_day)
         if why:
             return progress.advance(RolloutPhase.REVERTED, why, time_of_day)
@@ -249,14 +251,14 @@
 
     def convict(self, time_of_day: float) -> str:
         """Return why all evidence, or the recent part, shows a bad version."""
-        evidence = self.evidence()
+        evidence = self._total
         conviction = self.test.judge(evidence)
         for start in self._starts:
             if conviction is None:
                 conviction = self._judge_recent(evidence, start)
         if time_of_day >= self._next_start_at:
             self._next_start_at = time_of_day + RECENT_INTERVAL_S
-            self._starts.append(evidence)
+            self._starts.append(sum_evidence([evidence]))
         return "" if conviction is None else conviction.why
 
     def _judge_recent(self, evidence: Evidence, start: Evidence) -> Conviction | None:
--- a/poplarrelay/entry/rollouts/evidence.py
+++ b/poplarrelay/entry/rollouts/evidence.py
@@ -91,12 +91,14 @@
         """Count one latency."""
         self.latencies.setdefault(kind, Counter())[bucket_of(latency)] += 1
 
-    def add(self, other: AnswerCounts) -> None:
-        """Add the counts of other answers."""
-        self.answers += other.answers
-        self.failures += other.failures
+    def add(self, other: AnswerCounts, sign: int = 1) -> None:
+        """Add the counts of other answers, or subtract them if `sign` is -1."""
+        self.answers += sign * other.answers
+        self.failures += sign * other.failures
         for kind, buckets in other.latencies.items():
-            self.latencies.setdefault(kind, Counter()).update(buckets)
+            own = self.latencies.setdefault(kind, Counter())
+            for bucket, count in buckets.items():
+                own[bucket] += sign * count
 
 
 @dataclass(slots=True)
@@ -120,6 +122,13 @@
         """Return the counts of a route, which the caller may change."""
         return self.counts[side].setdefault(route, AnswerCounts())
 
+    def add(self, other: Evidence, sign: int = 1) -> None:
+        """Add other evidence, or subtract it if `sign` is -1."""
+        for side in Side:
+            self.sent[side] += sign * other.sent[side]
+            for route, counts in other.counts[side].items():
+                self.of(side, route).add(counts, sign)
+
     def answers(self, side: Side) -> int:
         """Return the number of answers on all routes."""
         return sum(each.answers for each in self.counts[side].values())
@@ -133,10 +142,7 @@
     """Return the sum of the evidence of several nodes."""
     total = Evidence()
     for report in reports:
-        for side in Side:
-            total.sent[side] += report.sent[side]
-            for route, counts in report.counts[side].items():
-                total.of(side, route).add(counts)
+        total.add(report)
     return total
 
 
--- a/poplarrelay/entry/rollouts/table.py
+++ b/poplarrelay/entry/rollouts/table.py
@@ -12,7 +12,13 @@
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.endpoints import Endpoint, EndpointTable
 from poplarrelay.entry.rollouts.coordinator import RolloutReport
-from poplarrelay.entry.rollouts.evidence import Evidence, LatencyKind, RouteName, Side
+from poplarrelay.entry.rollouts.evidence import (
+    Evidence,
+    LatencyKind,
+    RouteName,
+    Side,
+    sum_evidence,
+)
 from poplarrelay.entry.rollouts.exposure import (
     ShareCredit,
     canary_endpoints,
@@ -309,7 +315,7 @@
             self._share(local) >= 1.0,
             sum(row.running for row in others),
             self.longest_s(order.service),
-            local.evidence,
+            sum_evidence([local.evidence]),
         )
 
     def receive(self, records: Iterable[list[Any]], host: str) -> None:
