Remove dead code of roll-outs, and decode faults in one place

`FencedTopic.token`, the result of `prepare` and `RolloutCoordinator.evidence` had no user. The first faulty field of a record was worked out twice, for endpoints and for orders. Behaviour is the same; roll-outs, platform, duties and lists: 168 passed.

--- a/poplarrelay/entry/fenced_topic.py
+++ b/poplarrelay/entry/fenced_topic.py
@@ -38,13 +38,8 @@
         self._pending: list[bytes] = []
         self._on_written: Callable[[], None] = lambda: None
 
-    @property
-    def token(self) -> int:
-        """Return the fencing token for which the topic is prepared, -1 at first."""
-        return self._token
-
-    async def prepare(self, token: int) -> bool:
-        """Refuse the appends of earlier holders; return whether a term begins.
+    async def prepare(self, token: int) -> None:
+        """Begin a term with a fencing token: refuse the appends of earlier holders.
 
         Notes
         -----
@@ -53,14 +48,13 @@
         this node is dropped.
         """
         if self._token == token:
-            return False
+            return
         self._pending = []
         self._sequence = 0
         producer = Producer(self._producer, token, 0)
         await self._store.append(self._topic, 0, [], producer)
         self._sequence = 1
         self._token = token
-        return True
 
     async def append(
         self, records: Sequence[bytes], on_written: Callable[[], None]
--- a/poplarrelay/entry/rollouts/coordinator.py
+++ b/poplarrelay/entry/rollouts/coordinator.py
@@ -200,11 +200,6 @@
         """Return whether enough nodes have reported for more than a revert."""
         return len(self._received_at) >= MIN_REPORTS_SHARE * total_nodes
 
-    @property
-    def evidence(self) -> Evidence:
-        """Return the evidence of all nodes."""
-        return self._total
-
     def decide(
         self,
         progress: RolloutProgress,
--- a/poplarrelay/platform/records.py
+++ b/poplarrelay/platform/records.py
@@ -219,6 +219,13 @@
         raise PlatformRecordMalformed("configuration", repr(error)) from error
 
 
+def _first_fault(error: ValidationError) -> str:
+    """Return the first faulty field of a record and what is wrong with it."""
+    first = error.errors(include_url=False, include_input=False)[0]
+    location = ".".join(map(str, first["loc"])) or "record"
+    return f"{location}: {first['msg']}"
+
+
 class _EndpointModel(BaseModel):
     """Required format of an endpoint's record."""
 
@@ -255,9 +262,7 @@
     try:
         raw = _EndpointModel.model_validate_json(content)
     except ValidationError as error:
-        first = error.errors(include_url=False, include_input=False)[0]
-        location = ".".join(map(str, first["loc"])) or "record"
-        why = f"{location}: {first['msg']}"
+        why = _first_fault(error)
         raise PlatformRecordMalformed(f"endpoint {endpoint}", why) from error
     host, _, port = raw.address.rpartition(":")
     if int(port) > MAX_PORT:
@@ -319,9 +324,7 @@
     try:
         raw = _RolloutModel.model_validate_json(content)
     except ValidationError as error:
-        first = error.errors(include_url=False, include_input=False)[0]
-        location = ".".join(map(str, first["loc"])) or "record"
-        raise PlatformRecordMalformed(place, f"{location}: {first['msg']}") from error
+        raise PlatformRecordMalformed(place, _first_fault(error)) from error
     if raw.service != service:
         raise PlatformRecordMalformed(place, f"service: names {raw.service}")
     return RolloutOrder(service, SoftwareVersion(raw.target), raw.duration_s, offset)
