--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from time import monotonic
+from time import monotonic, time
 
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.events import EventSplitter
@@ -18,6 +18,7 @@
 )
 from poplarrelay.entry.http.listener import Exchange
 from poplarrelay.entry.http.pool import Address, ConnectionPool
+from poplarrelay.entry.notices import EndpointNotice
 from poplarrelay.entry.outcomes import (
     Answered,
     AttemptResult,
@@ -34,6 +35,7 @@
     AttemptHeaders,
     attempt_headers,
     echoed_request,
+    endpoint_notice,
     not_executed,
     response_headers,
     stated_limit,
@@ -101,6 +103,9 @@
     on_limit : callable
         Called with the limit stated in the answer and the monotonic time at which
         the request was sent.
+    on_head : callable
+        Called with the status of each answer and with what its head states about new
+        requests.
     """
 
     request: CallerRequest
@@ -109,6 +114,7 @@
     pool: ConnectionPool
     on_started: Callable[[float], None]
     on_limit: Callable[[StatedLimit, float], None]
+    on_head: Callable[[int, EndpointNotice], None]
     progress: StreamProgress = field(default_factory=lambda: StreamProgress(None))
     _connection: Connection | None = None
     _sent_at: float = 0.0
@@ -186,6 +192,7 @@
         assert self._connection is not None
         async with asyncio.timeout(self.plan.silence_timeout_s):
             head = await self._connection.response_head()
+        self.on_head(head.status, endpoint_notice(head.status, head.headers, time()))
         echoed = echoed_request(head.headers)
         if echoed is not None and echoed != self.request.request:
             # This is a late second answer to the previous request on the connection.
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -23,6 +23,7 @@
 from poplarrelay.entry.health import note_failure, note_success, note_success_time
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest
 from poplarrelay.entry.http.pool import ConnectionPool
+from poplarrelay.entry.notices import EndpointNotice
 from poplarrelay.entry.outcomes import (
     Answered,
     AttemptResult,
@@ -337,6 +338,16 @@
         def on_limit(stated: StatedLimit, sent_at: float) -> None:
             self._permits.note_stated_limit(row, stated, sent_at)
 
+        notice = EndpointNotice()
+
+        def on_head(status: int, stated: EndpointNotice) -> None:
+            nonlocal notice
+            notice = stated
+            if not stated.readable:
+                _LOG.warning(
+                    "endpoint pause unreadable", extra={"endpoint": row.endpoint}
+                )
+
         attempt = Attempt(
             context.request,
             context.exchange,
@@ -344,6 +355,7 @@
             self._pool,
             on_begun,
             on_limit,
+            on_head,
             context.progress,
         )
         if context.streams and context.route.resumable and not last_attempt:
@@ -393,6 +405,8 @@
                 "first_event_ms": _to_milliseconds(first_event_s),
                 "load": row.load,
                 "limit_per_s": row.limit_per_s,
+                "states_leaving": notice.leaving,
+                "backoff_s": notice.backoff_s,
                 "avoided": row.health.avoided_until > sent_at,
                 "result": type(result).__name__,
                 "why": result.why,
--- a/poplarrelay/platform/headers.py
+++ b/poplarrelay/platform/headers.py
@@ -7,11 +7,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import UTC
+from email.utils import parsedate_to_datetime
+from http import HTTPStatus
 from math import isfinite
 
 from poplarrelay.entry.http.connection import Headers, header_value
 from poplarrelay.entry.http.listener import IncomingRequest
 from poplarrelay.entry.http.pool import Address
+from poplarrelay.entry.notices import EndpointNotice
 from poplarrelay.entry.rate_limits import StatedLimit
 from poplarrelay.entry.requests import CallerRequest, PromptPart
 from poplarrelay.identifiers import EndpointId, RequestId, TeamId
@@ -21,6 +25,7 @@
     "attempt_headers",
     "decode_request",
     "echoed_request",
+    "endpoint_notice",
     "not_executed",
     "response_headers",
     "stated_limit",
@@ -37,6 +42,12 @@
 _LAST_EVENT = b"Last-Event-Id"
 #: Number of requests per second that an endpoint accepts from all nodes together.
 _LIMIT = b"server-limit"
+#: Set to 1 in all answers of an endpoint that is leaving.
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
+#: Longest pause in seconds that an endpoint can ask for. Without a limit, one corrupt
+#: value would exclude the endpoint until its next run.
+MAX_BACKOFF_S = 3600.0
 #: Address of an endpoint from which the engine first fetches the prompt's KV cache.
 _FETCH_FROM = b"Kv-Fetch"
 
@@ -276,6 +287,58 @@
     return StatedLimit(min(rates))
 
 
+def endpoint_notice(status: int, headers: Headers, wall: float) -> EndpointNotice:
+    """Return what the head of a response states about new requests.
+
+    Parameters
+    ----------
+    status : int
+        Status of the response. Only a refusal with 503 or 429 can ask for a pause.
+    headers : list of tuple of bytes
+        Headers of the response.
+    wall : float
+        Seconds since the start of 1970, for pauses that end at a date. The response's
+        own date is used if it has one.
+
+    Notes
+    -----
+    If a header occurs several times, the strictest valid value applies.
+    """
+    leaving = any(
+        name.lower() == _LEAVING and value.strip() == b"1" for name, value in headers
+    )
+    if status not in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS):
+        return EndpointNotice(leaving)
+    values = [value for name, value in headers if name.lower() == _RETRY_AFTER]
+    if not values:
+        return EndpointNotice(leaving)
+    date = _date(header_value(headers, b"date") or b"")
+    pauses = [_pause_s(value, wall if date is None else date) for value in values]
+    valid = [pause_s for pause_s in pauses if pause_s is not None]
+    if not valid:
+        return EndpointNotice(leaving, readable=False)
+    return EndpointNotice(leaving, min(max(valid), MAX_BACKOFF_S))
+
+
+def _pause_s(value: bytes, wall: float) -> float | None:
+    """Return a pause, stated in seconds or as its end, in seconds; None if invalid."""
+    try:
+        pause_s = float(value.decode("ascii"))
+    except ValueError:
+        end = _date(value)
+        return None if end is None else max(0.0, end - wall)
+    return pause_s if isfinite(pause_s) and pause_s >= 0 else None
+
+
+def _date(value: bytes) -> float | None:
+    """Return an HTTP date in seconds since the start of 1970, None if it is invalid."""
+    try:
+        date = parsedate_to_datetime(value.decode("ascii"))
+        return (date if date.tzinfo else date.replace(tzinfo=UTC)).timestamp()
+    except (ValueError, TypeError, OverflowError):
+        return None
+
+
 def _rate(value: bytes) -> float | None:
     """Return a finite, non-negative number, None if the value is anything else."""
     try:
