--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -116,6 +116,8 @@
         Attempt ids of streams whose caller closed the connection before the end.
     limit : str or None
         Value of the ``Server-Limit`` header in responses, None to omit it.
+    leaving : bool
+        Whether all responses state that the endpoint is leaving.
     crash_bodies : set of bytes
         Request bodies that crash the endpoint when the request starts to run.
     on_crash : callable or None
@@ -139,6 +141,7 @@
     connections: int = 0
     active_streams: int = 0
     limit: str | None = None
+    leaving: bool = False
     crash_bodies: set[bytes] = field(default_factory=set)
     on_crash: Callable[[], None] | None = None
     bad_version: BadVersion | None = None
@@ -291,6 +294,8 @@
             ("Keep-Alive", "timeout=5"),
             *extra_headers,
         ]
+        if self.leaving:
+            headers.append(("Server-Leaving", "1"))
         if self.limit is not None and not refused:
             headers.append(("Server-Limit", self.limit))
         if refused:
