Send no requests to an endpoint that states its departure in an answer

Cause: departures were taken from the endpoints' records alone. While the store is away no record changes, and a node then even prefers endpoints that have just answered. The attempt lines of the reproduction show states_leaving=true again and again with the next choice unchanged. Class: a statement at the head of an answer that nobody reads.

Every answer's head is now read, also that of an error, a refusal, a stream that still runs and an answer to another request. A 421 comes from the present endpoint at the address, so that one is marked too. The departure is kept by run (id and start) and apart from the record: an older record, a list of a peer or a full read cannot undo it, and the next run starts without it. Choices, queues, retries, permits and sizing see it through accepts_work and departing.

--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -46,7 +46,9 @@
     slots : int
         Number of requests that the endpoint processes at the same time.
     leaving : bool
-        Whether the endpoint accepts no new requests.
+        Whether the endpoint's record says that it accepts no new requests.
+    departure_stated : bool
+        Whether this run has stated in an answer, to any node, that it leaves.
     gone : bool
         Whether its record was removed; requests in progress can still finish.
     reclaimable : bool
@@ -101,6 +103,7 @@
     domain: DomainId
     slots: int
     leaving: bool = False
+    departure_stated: bool = False
     gone: bool = False
     reclaimable: bool = False
     leaves_at: float | None = None
@@ -124,10 +127,15 @@
     last_accepting_at: float = float("-inf")
     health: Health = field(default_factory=Health)
 
+    @property
+    def departing(self) -> bool:
+        """Return whether the endpoint leaves, by its record or by an answer."""
+        return self.leaving or self.departure_stated
+
     @property
     def accepts_work(self) -> bool:
         """Return whether new requests can be sent to the endpoint."""
-        return not self.leaving and not self.gone and not self.barred
+        return not self.departing and not self.gone and not self.barred
 
     @property
     def load(self) -> int:
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -15,6 +15,7 @@
 from poplarrelay.entry.cells import Cell, CellSummary, cell_of, encoded_version
 from poplarrelay.entry.clock import ClusterClock
 from poplarrelay.entry.crashes import CrashTable
+from poplarrelay.entry.departures import DepartureTable
 from poplarrelay.entry.list_exchange import (
     ChangesReply,
     ChangesRequest,
@@ -23,7 +24,7 @@
 )
 from poplarrelay.entry.list_freshness import MAX_REPORTED_AGE_S
 from poplarrelay.entry.peer_rows import PeerRow, decode_row, encode_row
-from poplarrelay.entry.peers import PeerTable
+from poplarrelay.entry.peers import PeerTable, SeenPeer
 from poplarrelay.entry.permits import PermitBroker
 from poplarrelay.entry.rollouts.coordinator import RolloutReport
 from poplarrelay.entry.rollouts.table import RolloutTable
@@ -46,6 +47,8 @@
 CRASH_FANOUT = 4
 #: Nodes, of any cell, that get one datagram about a change of a roll-out.
 ROLLOUT_FANOUT = 4
+#: Nodes, of any cell, that get one datagram of stated departures.
+DEPARTURE_FANOUT = 4
 #: Largest datagram; larger messages are split.
 MAX_DATAGRAM_BYTES = 8_000
 #: Most rows in one datagram; the limit bounds the time to encode them.
@@ -109,6 +112,7 @@
         self._exchange: ListExchange | None = None
         self._backlog_client: BacklogClient | None = None
         self._crashes: CrashTable | None = None
+        self._departures: DepartureTable | None = None
         self._permits: PermitBroker | None = None
         self._rollouts: RolloutTable | None = None
         self._on_rollout_report: Callable[[RolloutReport], None] | None = None
@@ -146,6 +150,10 @@
         """Exchange records of crashes with other nodes."""
         self._crashes = crashes
 
+    def attach_departures(self, departures: DepartureTable) -> None:
+        """Exchange stated departures of endpoints with other nodes."""
+        self._departures = departures
+
     def attach_permits(self, permits: PermitBroker) -> None:
         """Exchange endpoint limits and permits with other nodes."""
         self._permits = permits
@@ -231,6 +239,8 @@
                 self._exchange.receive_read_notice(now)
         if self._crashes is not None:
             self._crashes.receive(message.get("crashes", ()), host, now)
+        if self._departures is not None:
+            self._departures.receive(message.get("departures", ()), host, now)
         if self._permits is not None:
             self._permits.receive(host, message.get("permits", ()))
         if self._rollouts is not None:
@@ -242,6 +252,8 @@
             before = self._table.seen.get(row.node)
             if self._table.receive(row, now):
                 self._rows_to_forward[row.node] = FORWARD_ROUNDS
+                if self._departures is not None and _has_started(row, before):
+                    self._departures.resend()
                 self._on_new_row(row)
                 if before is None or before.row.state is not row.state:
                     self.urgent = self.urgent or self._table.is_representative(now)
@@ -311,6 +323,7 @@
         if summaries and not to_all:
             self._send_to_other_cells(summaries, FANOUT_OTHER_CELLS, now)
         self.send_crashes()
+        self.send_departures()
         overdue = table.overdue(now)
         if overdue:
             own = [encode_row(table.me)]
@@ -325,18 +338,31 @@
         records = self._crashes.outgoing(now)
         if not records:
             return
-        hosts = [row.host for row in self._table.alive(now)]
-        targets = self._rng.sample(hosts, min(CRASH_FANOUT, len(hosts)))
         # Older versions reject a message without a list of rows, so send an empty one.
         data = self._encode([], self._announcement(), [], crashes=records)
-        self._send(data, targets)
+        self._send(data, self._sample_hosts(CRASH_FANOUT, now))
+
+    def send_departures(self) -> None:
+        """Send stated departures of endpoints to some nodes of any cell."""
+        if self._departures is None or self._transport is None:
+            return
+        now = self._monotonic()
+        departures = self._departures.outgoing(now)
+        if not departures:
+            return
+        data = self._encode([], self._announcement(), [], departures=departures)
+        self._send(data, self._sample_hosts(DEPARTURE_FANOUT, now))
+
+    def _sample_hosts(self, count: int, now: float) -> list[str]:
+        """Return the hosts of up to `count` random live nodes of any cell."""
+        hosts = [row.host for row in self._table.alive(now)]
+        return self._rng.sample(hosts, min(count, len(hosts)))
 
     def send_rollouts(self) -> None:
         """Send the progress of roll-outs to some nodes of any cell."""
         if self._transport is None:
             return
-        hosts = [row.host for row in self._table.alive(self._monotonic())]
-        targets = self._rng.sample(hosts, min(ROLLOUT_FANOUT, len(hosts)))
+        targets = self._sample_hosts(ROLLOUT_FANOUT, self._monotonic())
         self._send(self._encode([], self._announcement(), []), targets)
 
     def send_rollout_report(self, host: str, report: RolloutReport) -> None:
@@ -515,5 +541,10 @@
         }
 
 
+def _has_started(row: PeerRow, before: SeenPeer | None) -> bool:
+    """Return whether a row is the first one of a process that this node hears of."""
+    return before is None or before.row.incarnation != row.incarnation
+
+
 def _pack(value: dict[str, Any]) -> bytes:
     return zlib.compress(orjson.dumps(value), 1)
--- a/poplarrelay/entry/node_handlers.py
+++ b/poplarrelay/entry/node_handlers.py
@@ -144,7 +144,7 @@
                     "service": row.service,
                     "version": row.version,
                     "domain": row.domain,
-                    "leaving": row.leaving,
+                    "leaving": row.departing,
                     "running": row.running,
                     "limit_per_s": row.limit_per_s,
                     "elsewhere": row.running_at_other_nodes,
--- a/poplarrelay/entry/peer_sync.py
+++ b/poplarrelay/entry/peer_sync.py
@@ -60,6 +60,7 @@
             for change in endpoints.all()
         ],
         "rollouts": state.rollouts.all_progress(),
+        "departures": state.departures.all(monotonic()),
     }
     configuration = state.configuration
     if configuration is not None and configuration.version > known_version:
@@ -132,6 +133,7 @@
             client.close()
         # The endpoints of the list can belong to a roll-out.
         self._apply_rollouts(value.get("rollouts", ()), host)
+        self._apply_departures(value.get("departures", ()), host)
         content = value.get("configuration")
         if content is not None:
             apply_configuration(self.state, base64.b64decode(content), f"peer {host}")
@@ -143,6 +145,13 @@
         except ValueError as error:
             _LOG.warning("rollouts unreadable", extra={"peer": peer, "why": str(error)})
 
+    def _apply_departures(self, departures: Iterable[list[Any]], peer: str) -> None:
+        try:
+            self.state.departures.receive(departures, peer, monotonic())
+        except (ValueError, TypeError) as error:
+            extra = {"peer": peer, "why": str(error)}
+            _LOG.warning("departures unreadable", extra=extra)
+
     def _apply_endpoints(
         self, value: dict[str, Any], sent_at: float, peer: str
     ) -> None:
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -170,6 +170,8 @@
         )
         self._gossip.attach_list_exchange(self._exchange, self._backlog_client)
         self._gossip.attach_crashes(self._state.crashes)
+        self._gossip.attach_departures(self._state.departures)
+        self._state.departures.on_change = self._gossip.send_departures
         self._gossip.attach_permits(self._permits)
         self._state.freshness.on_confirm = self._exchange.note_confirmed
         self._within_bound = True
@@ -560,6 +562,7 @@
         peers.forget(now)
         self._endpoints.forget(now)
         state.crashes.forget(now)
+        state.departures.forget(now)
         state.sum_loads(now)
         self._backlog_client.refresh(list(state.endpoints.rows))
         self._permits.refresh()
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -343,6 +343,8 @@
         def on_head(status: int, stated: EndpointNotice) -> None:
             nonlocal notice
             notice = stated
+            if stated.leaving:
+                self._note_departure(row, status)
             if not stated.readable:
                 _LOG.warning(
                     "endpoint pause unreadable", extra={"endpoint": row.endpoint}
@@ -417,6 +419,15 @@
         )
         return result
 
+    def _note_departure(self, row: Endpoint, status: int) -> None:
+        """Record that the endpoint which answered leaves."""
+        rows = [row]
+        if status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another endpoint has the address and gives this answer.
+            listed = self._state.endpoints.rows.values()
+            rows += [other for other in listed if other.address == row.address]
+        self._state.departures.add(rows, monotonic())
+
     def _note_crash_or_answer(
         self, context: RequestContext, row: Endpoint, result: AttemptResult
     ) -> None:
@@ -429,7 +440,7 @@
                 crashes.note_answer(team, fingerprint, now)
             return
         broken = isinstance(result, Broken | StreamBroken) and result.closed
-        if not broken or row.leaving:
+        if not broken or row.departing:
             # A leaving endpoint closes connections without having crashed.
             return
         crash_count = crashes.note_crash(team, fingerprint, endpoint_run(row), now)
--- a/poplarrelay/entry/sizing.py
+++ b/poplarrelay/entry/sizing.py
@@ -179,7 +179,7 @@
     times the price.
     """
     reclaimable = [row for row in rows if row.reclaimable]
-    leaving = {row.domain for row in reclaimable if row.leaving}
+    leaving = {row.domain for row in reclaimable if row.departing}
     serving = {row.domain for row in reclaimable if row.accepts_work}
     released = {domain for domain, count in ordered.items() if count == 0}
     return leaving - serving - released
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -13,6 +13,7 @@
 from poplarrelay.entry.configuration import Configuration, ServiceName, Team
 from poplarrelay.entry.crashes import CrashTable
 from poplarrelay.entry.demand import DemandMeter
+from poplarrelay.entry.departures import DepartureTable
 from poplarrelay.entry.endpoints import EndpointTable
 from poplarrelay.entry.list_freshness import ListFreshness, ListTimes
 from poplarrelay.entry.metering import UsageCounts
@@ -57,6 +58,8 @@
         Monotonic times at which requests ended; they give the rate of freed slots.
     demand : DemandMeter
         Demand of this node's callers.
+    departures : DepartureTable
+        Runs of endpoints that have stated their departure in an answer.
     crashes : CrashTable
         Crashes of endpoints during requests.
     rollouts : RolloutTable
@@ -81,11 +84,15 @@
     buckets: dict[TeamId, Bucket] = field(default_factory=dict)
     end_times: dict[ServiceName, deque[float]] = field(default_factory=dict)
     demand: DemandMeter = field(default_factory=DemandMeter)
+    departures: DepartureTable = field(init=False)
     crashes: CrashTable = field(default_factory=CrashTable)
     stopping_at: float | None = None
     listed_nodes: Collection[NodeId] | None = None
     recent_node_counts: list[tuple[float, int]] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        self.departures = DepartureTable(self.endpoints.rows)
+
     @classmethod
     def from_settings(
         cls, settings: EntrySettings, incarnation: Incarnation, rng: Random
--- a/poplarrelay/entry/tests/test_departure_notices.py
+++ b/poplarrelay/entry/tests/test_departure_notices.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from poplarrelay.entry.http.connection import CompleteResponse
 from poplarrelay.entry.state import EntryState
 from poplarrelay.identifiers import EndpointId
 from poplarrelay.standins.users.runner import Fault, RunnerStandIn
@@ -44,7 +45,7 @@
     """Send requests to all nodes in turn, or to the given ones; return the statuses."""
     names = list(nodes or site.nodes)
     end = monotonic() + for_s
-    sent = []
+    sent: list[asyncio.Task[CompleteResponse]] = []
     while monotonic() < end:
         call = site.call(path, names[len(sent) % len(names)])
         sent.append(asyncio.create_task(call))
--- a/poplarrelay/platform/tests/test_endpoint_notices.py
+++ b/poplarrelay/platform/tests/test_endpoint_notices.py
@@ -13,7 +13,9 @@
 NOON = 1_796_299_200.0
 
 
-def _notice(*pauses: bytes, status: int = 503, leaving: bytes | None = None):
+def _notice(
+    *pauses: bytes, status: int = 503, leaving: bytes | None = None
+) -> EndpointNotice:
     headers = [(b"Retry-After", value) for value in pauses]
     if leaving is not None:
         headers.append((b"Server-Leaving", leaving))
--- a/poplarrelay/testing/network.py
+++ b/poplarrelay/testing/network.py
@@ -9,6 +9,7 @@
 
 from poplarrelay.entry.configuration import ConfigurationVersion
 from poplarrelay.entry.crashes import CrashTable
+from poplarrelay.entry.departures import DepartureTable
 from poplarrelay.entry.gossip import Gossip
 from poplarrelay.entry.peer_rows import NodeState, PeerRow
 from poplarrelay.entry.peers import PeerTable
@@ -60,8 +61,8 @@
         Fraction of the datagrams that are lost.
     now : float
         Simulated time in seconds.
-    nodes, tables, crashes : dict
-        Gossip, peer table and crash table of each node, by host.
+    nodes, tables, crashes, departures : dict
+        Gossip, peer table, crash table and departure table of each node, by host.
     dead : set of str
         Hosts of the nodes that have ended.
     drop_rounds : bool
@@ -75,6 +76,7 @@
     nodes: dict[str, Gossip] = field(default_factory=dict)
     tables: dict[str, PeerTable] = field(default_factory=dict)
     crashes: dict[str, CrashTable] = field(default_factory=dict)
+    departures: dict[str, DepartureTable] = field(default_factory=dict)
     dead: set[str] = field(default_factory=set)
     rng: Random = field(default_factory=Random)
     drop_rounds: bool = False
@@ -106,6 +108,8 @@
         self.tables[row.host] = table
         self.crashes[row.host] = CrashTable()
         node.attach_crashes(self.crashes[row.host])
+        self.departures[row.host] = DepartureTable({}, node.send_departures)
+        node.attach_departures(self.departures[row.host])
         self._next_round_at[row.host] = self.now + GOSSIP_S * self.rng.random()
         return row.host
 
--- a/poplarrelay/testing/rows.py
+++ b/poplarrelay/testing/rows.py
@@ -1,16 +1,35 @@
-"""Builders of peer rows, cell summaries and networks of nodes, for tests."""
+"""Builders of endpoint rows, peer rows, cell summaries and networks, for tests."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
 from poplarrelay.entry.cells import Cell, CellMember, CellSummary
-from poplarrelay.entry.configuration import ConfigurationVersion
+from poplarrelay.entry.configuration import ConfigurationVersion, ServiceName
+from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.peer_rows import NodeState, PeerRow
-from poplarrelay.identifiers import DomainId, Incarnation, NodeId
+from poplarrelay.identifiers import (
+    DomainId,
+    EndpointId,
+    Incarnation,
+    NodeId,
+    StartTime,
+)
 from poplarrelay.testing.network import Network
 
-__all__ = ["make_network", "make_row", "make_summary"]
+__all__ = ["make_endpoint", "make_network", "make_row", "make_summary"]
+
+
+def make_endpoint(name: str, started_ms: int | None = None) -> Endpoint:
+    """Return the row of an endpoint that runs no requests."""
+    return Endpoint(
+        endpoint=EndpointId(name),
+        service=ServiceName("desk"),
+        address=("127.0.0.1", 1),
+        domain=DomainId("d"),
+        slots=8,
+        started_ms=None if started_ms is None else StartTime(started_ms),
+    )
 
 
 def make_row(node: str, host: str = "", started: int = 1) -> PeerRow:
