--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -118,6 +118,9 @@
         Value of the ``Server-Limit`` header in responses, None to omit it.
     leaving : bool
         Whether all responses state that the endpoint is leaving.
+    pause : str or None
+        Value of the ``Retry-After`` header in refusals; while it is set, the endpoint
+        refuses all requests.
     crash_bodies : set of bytes
         Request bodies that crash the endpoint when the request starts to run.
     on_crash : callable or None
@@ -142,6 +145,7 @@
     active_streams: int = 0
     limit: str | None = None
     leaving: bool = False
+    pause: str | None = None
     crash_bodies: set[bytes] = field(default_factory=set)
     on_crash: Callable[[], None] | None = None
     bad_version: BadVersion | None = None
@@ -223,6 +227,8 @@
         assert head is not None
         headers = {k.decode().lower(): v.decode() for k, v in head.headers}
         fault = self.faults.pop(0) if self.faults else None
+        if self.pause is not None:
+            fault = Fault.SHED
         target_instance = headers.get("x-poplarrelay-target-instance", self.endpoint)
         runs = fault is not Fault.SHED and target_instance == self.endpoint
         self.received.append(
@@ -298,6 +304,8 @@
             headers.append(("Server-Leaving", "1"))
         if self.limit is not None and not refused:
             headers.append(("Server-Limit", self.limit))
+        if refused and self.pause is not None:
+            headers.append(("Retry-After", self.pause))
         if refused:
             return [*headers, ("X-Poplarrelay-Not-Executed", "1")]
         return [*headers, ("X-Poplarrelay-Response-Signature", f"sig-{self.endpoint}")]
