Test that a change applies in time after an outage under the long reads

A change ends the long reads of one and of three nodes in the same moment; 0.3 s later the store becomes silent for 2.5 or 5 s, and a version is published 0.2 s after its return.

The stand-in of the store learns that calls which wait when it becomes silent are never answered; until now they were, which hid the fault.

--- a/poplarrelay/entry/tests/test_store_troubles.py
+++ b/poplarrelay/entry/tests/test_store_troubles.py
@@ -22,6 +22,20 @@
     return site.nodes[name].state.me.configuration
 
 
+#: Seconds within which a change is in force after its acknowledgement, and after the
+#: end of an outage of the store.
+APPLIED_S, CONTACT_S = 2.0, 3.0
+
+
+async def assert_change_in_force_in_time(site, number, store_back_at):
+    """Publish a version, and check that all nodes have it in time."""
+    loop = asyncio.get_running_loop()
+    site.configure(number, routes=with_route("/new/"))
+    due_at = max(loop.time() + APPLIED_S, store_back_at + CONTACT_S)
+    await poll_until(lambda: all(version(site, name) == number for name in site.nodes))
+    assert loop.time() <= due_at
+
+
 def with_route(prefix):
     routes = entry_configuration()["routes"]
     return [*routes, {**routes[1], "name": "new", "pathPrefix": prefix}]
@@ -225,3 +239,47 @@
             assert (await site.call("/look/x")).status == 200
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("outage_s", [2.5, 5.0])
+@pytest.mark.parametrize("nodes", [1, 3])
+def test_change_after_an_outage_that_began_under_the_long_reads_applies(
+    nodes, outage_s
+):
+    # Guards against long reads that hang beyond the end of an outage at all nodes.
+    async def scenario():
+        async with run_entry_site(nodes=nodes) as site:
+            for name in site.nodes:
+                await site.ready(name)
+            site.configure(5)
+            await poll_until(lambda: all(version(site, n) == 5 for n in site.nodes))
+            await asyncio.sleep(0.3)
+            for listener in site.store_listeners.values():
+                listener.outage = Outage.SILENT
+            await asyncio.sleep(outage_s)
+            for listener in site.store_listeners.values():
+                listener.outage = Outage.NONE
+            back_at = asyncio.get_running_loop().time()
+            await asyncio.sleep(0.2)
+            await assert_change_in_force_in_time(site, 6, back_at)
+
+    run_scenario(scenario)
+
+
+def test_change_whose_answers_were_lost_applies():
+    # Guards against long reads whose answers are lost at all nodes in the same moment.
+    async def scenario():
+        async with run_entry_site(nodes=3) as site:
+            for name in site.nodes:
+                await site.ready(name)
+            await asyncio.sleep(0.5)
+            for listener in site.store_listeners.values():
+                listener.lose_answers = True
+            site.configure(5)
+            await asyncio.sleep(2.5)
+            for listener in site.store_listeners.values():
+                listener.lose_answers = False
+            back_at = asyncio.get_running_loop().time()
+            await assert_change_in_force_in_time(site, 6, back_at)
+
+    run_scenario(scenario)
--- a/poplarrelay/standins/users/store.py
+++ b/poplarrelay/standins/users/store.py
@@ -81,7 +81,8 @@
     Attributes
     ----------
     outage : Outage
-        Current outage at this address.
+        Current outage at this address. Calls that wait when a silent outage begins are
+        not answered, also after its end.
     lose_answers : bool
         Whether calls at this address are carried out but not answered.
     silent_topics : set of str
@@ -95,7 +96,8 @@
         self._store = store
         self._host = host
         self._listener = Listener(host, 0, self._handle)
-        self.outage = Outage.NONE
+        self._outage = Outage.NONE
+        self._silences = 0
         self.lose_answers = False
         self.silent_topics: set[str] = set()
         self.unanswered_reads: Counter[str] = Counter()
@@ -104,6 +106,16 @@
         """Start to listen."""
         await self._listener.start()
 
+    @property
+    def outage(self) -> Outage:
+        """Return the current outage."""
+        return self._outage
+
+    @outage.setter
+    def outage(self, outage: Outage) -> None:
+        self._silences += outage is Outage.SILENT
+        self._outage = outage
+
     def begin_outage(self, outage: Outage) -> None:
         """Begin an outage and drop all connections, with their waiting calls."""
         self.outage = outage
@@ -130,6 +142,7 @@
         if self.outage is Outage.RESET:
             exchange.abort()
             return
+        silences = self._silences
         target = incoming.target.decode()
         unanswered = any(f"topic={topic}&" in target for topic in self.silent_topics)
         for topic in [t for t, left in self.unanswered_reads.items() if left > 0]:
@@ -139,7 +152,7 @@
         if unanswered or self.outage is Outage.SILENT:
             await self._wait_until_closed()
         status, body = await self._store.call(incoming)
-        if self.lose_answers:
+        if self.lose_answers or self._silences != silences:
             await self._wait_until_closed()
         await exchange.send(status, JSON, body)
 
