Play stated departures and pauses in the soak

Two new kinds of fault: an endpoint states in its answers that it leaves, with or without a later record, and an endpoint refuses all requests and asks for pauses, some of them unreadable. Two new invariants: no request that a caller sent later than 2 s after an answer had told its node reaches the endpoint from that node, and at most two reach it in a pause from half a second after its refusal. A node is excused while it or its link to the endpoint is disrupted; disruptions are recorded.

--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -10,7 +10,13 @@
 
 import h11
 
-__all__ = ["BadVersion", "Fault", "ReceivedRequest", "RunnerStandIn"]
+__all__ = [
+    "BadVersion",
+    "Fault",
+    "ReceivedRequest",
+    "RunnerStandIn",
+    "SentNotice",
+]
 
 
 class Fault(Enum):
@@ -65,6 +71,28 @@
         return self.headers.get("x-poplarrelay-attempt-id", "")
 
 
+@dataclass(frozen=True, slots=True)
+class SentNotice:
+    """Statement about new requests at the head of a response.
+
+    Attributes
+    ----------
+    at : float
+        Monotonic time of the response.
+    attempt : str
+        Attempt id of the request that it answers.
+    leaving : bool
+        Whether the endpoint states that it leaves.
+    pause : str or None
+        Value of the ``Retry-After`` header, None if there is none.
+    """
+
+    at: float
+    attempt: str
+    leaving: bool
+    pause: str | None
+
+
 @dataclass(frozen=True, slots=True)
 class BadVersion:
     """Fault of the software that an endpoint runs.
@@ -131,6 +159,8 @@
         Monotonic times of the answers that this fault has spoiled.
     active : int
         Number of requests in progress.
+    notices : list of SentNotice
+        Statements about new requests in the responses, in order.
     """
 
     endpoint: str
@@ -151,6 +181,7 @@
     bad_version: BadVersion | None = None
     bad_answers: list[float] = field(default_factory=list)
     active: int = 0
+    notices: list[SentNotice] = field(default_factory=list)
     _server: asyncio.Server | None = None
     _port: int = 0
     _crashed: bool = False
@@ -300,12 +331,15 @@
             ("Keep-Alive", "timeout=5"),
             *extra_headers,
         ]
+        pause = self.pause if refused else None
+        if self.leaving or pause is not None:
+            self.notices.append(SentNotice(monotonic(), attempt, self.leaving, pause))
         if self.leaving:
             headers.append(("Server-Leaving", "1"))
         if self.limit is not None and not refused:
             headers.append(("Server-Limit", self.limit))
-        if refused and self.pause is not None:
-            headers.append(("Retry-After", self.pause))
+        if pause is not None:
+            headers.append(("Retry-After", pause))
         if refused:
             return [*headers, ("X-Poplarrelay-Not-Executed", "1")]
         return [*headers, ("X-Poplarrelay-Response-Signature", f"sig-{self.endpoint}")]
--- a/poplarrelay/testing/soak/callers.py
+++ b/poplarrelay/testing/soak/callers.py
@@ -99,7 +99,7 @@
             request_id, node, kind, team, repeatable, streams, custom_body=body
         )
         self._requests.append(sent)
-        sent_at = monotonic()
+        sent.sent_at = sent_at = monotonic()
         abandon_s = None
         if self._rng.random() < ABANDON_SHARE:
             abandon_s = self._rng.uniform(0, MAX_ABANDON_S)
@@ -146,6 +146,7 @@
         sent.status = response.status
         sent.body = response.body
         sent.ending = Ending.ANSWERED
+        sent.ended_at = monotonic()
         return connection.prepare_reuse(response.headers, monotonic())
 
     async def _connect(self, sent: SentRequest) -> Connection:
--- a/poplarrelay/testing/soak/ledger.py
+++ b/poplarrelay/testing/soak/ledger.py
@@ -3,23 +3,37 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 
 from poplarrelay.standins.users.cloud import AcceptedCall
-from poplarrelay.standins.users.runner import ReceivedRequest, RunnerStandIn
+from poplarrelay.standins.users.runner import (
+    ReceivedRequest,
+    RunnerStandIn,
+    SentNotice,
+)
 
 __all__ = [
     "Ending",
     "Invariant",
+    "Disruption",
     "SentRequest",
     "Violation",
     "check_duties",
+    "check_notices",
     "check_requests",
     "count_endings",
 ]
 
+#: Seconds after which a node sends no requests to an endpoint that has told it that it
+#: leaves.
+DEPARTURE_BOUND_S = 2.0
+#: Requests of a node that may reach an endpoint in a pause that it has asked for, from
+#: this many seconds after it has asked.
+MAX_REQUESTS_IN_PAUSE = 2
+PAUSE_APPLIED_S = 0.5
 #: HTTP statuses that state that a request has not run and will not run.
 NOT_RUN = frozenset((408, 421, 429, 503))
 
@@ -34,6 +48,8 @@
     ENDS_IN_TIME = "every request ends by its deadline"
     ONE_REPORT = "a window of usage is reported with one count"
     ONE_HOLDER = "a fencing token has one holder"
+    LEFT_ALONE = "an endpoint that has told a node that it leaves gets none from it"
+    PAUSE_KEPT = "an endpoint gets few requests of a node in a pause it has asked for"
     SERVES_AGAIN = "all nodes serve, by the newest configuration, after the faults"
 
 
@@ -65,6 +81,8 @@
         could not end by its deadline.
     custom_body : bytes
         Request body to send instead of the request id; empty to send the id.
+    sent_at, ended_at : float
+        Monotonic times at which the caller sent the request and got its answer.
     """
 
     request_id: str
@@ -78,6 +96,8 @@
     body: bytes = b""
     node_was_paused: bool = False
     custom_body: bytes = b""
+    sent_at: float = 0.0
+    ended_at: float = 0.0
 
     @property
     def request_body(self) -> bytes:
@@ -177,6 +197,109 @@
     return plain, b"".join(runner.event_of(i) for i in range(1, runner.events + 1))
 
 
+@dataclass(frozen=True, slots=True)
+class Disruption:
+    """Time in which a node or a link was disrupted.
+
+    Attributes
+    ----------
+    name : str
+        Name of the node, or of the endpoint to which the link leads.
+    since, until : float
+        Monotonic times of its start and end.
+    """
+
+    name: str
+    since: float
+    until: float
+
+
+def check_notices(
+    requests: Iterable[SentRequest],
+    runners: Iterable[RunnerStandIn],
+    disruptions: Collection[Disruption],
+) -> list[Violation]:
+    """Return the violations of what endpoints have told nodes about new requests.
+
+    A node is excused if it, or its link to the endpoint, was disrupted since.
+    """
+    by_id = {each.request_id: each for each in requests}
+    violations = []
+    for runner in runners:
+        for node in {sent.node for sent in by_id.values()}:
+            arrivals = [
+                received
+                for received in runner.received
+                if _node_of(received.attempt, by_id) == node
+            ]
+            notices = [
+                notice
+                for notice in runner.notices
+                if _node_of(notice.attempt, by_id) == node
+            ]
+            excused = [d for d in disruptions if d.name in (node, runner.endpoint)]
+            violations += _check_departure(runner, notices, arrivals, by_id, excused)
+            violations += _check_pauses(runner, notices, arrivals, excused)
+    return violations
+
+
+def _node_of(request_id: str, by_id: dict[str, SentRequest]) -> str | None:
+    sent = by_id.get(request_id)
+    return None if sent is None else sent.node
+
+
+def _disrupted(disruptions: Iterable[Disruption], since: float, until: float) -> bool:
+    return any(d.since <= until and d.until >= since for d in disruptions)
+
+
+def _check_departure(
+    runner: RunnerStandIn,
+    notices: Iterable[SentNotice],
+    arrivals: Iterable[ReceivedRequest],
+    by_id: dict[str, SentRequest],
+    excused: Collection[Disruption],
+) -> list[Violation]:
+    answered = [by_id[notice.attempt] for notice in notices if notice.leaving]
+    told_at = min(
+        (sent.ended_at for sent in answered if sent.ending is Ending.ANSWERED),
+        default=inf,
+    )
+    violations = []
+    for received in arrivals:
+        sent_at = by_id[received.attempt].sent_at
+        if sent_at > told_at + DEPARTURE_BOUND_S and not _disrupted(
+            excused, told_at, received.at
+        ):
+            detail = (
+                f"{received.attempt} reached {runner.endpoint} "
+                f"{sent_at - told_at:.2f} s after it had told the node"
+            )
+            violations.append(Violation(Invariant.LEFT_ALONE, detail))
+    return violations
+
+
+def _check_pauses(
+    runner: RunnerStandIn,
+    notices: Iterable[SentNotice],
+    arrivals: Iterable[ReceivedRequest],
+    excused: Collection[Disruption],
+) -> list[Violation]:
+    violations = []
+    for notice in notices:
+        try:
+            end = notice.at + float(notice.pause or 0)
+        except ValueError:
+            continue
+        since = notice.at + PAUSE_APPLIED_S
+        late = [each for each in arrivals if since < each.at < end]
+        if len(late) > MAX_REQUESTS_IN_PAUSE and not _disrupted(
+            excused, notice.at, end
+        ):
+            detail = f"{len(late)} reached {runner.endpoint} in {notice.pause} s"
+            violations.append(Violation(Invariant.PAUSE_KEPT, detail))
+    return violations
+
+
 def check_duties(calls: Iterable[AcceptedCall]) -> list[Violation]:
     """Return the violations of the invariants on duties."""
     violations = []
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "FIRST_KINDS",
+    "FOURTH_KINDS",
     "SECOND_KINDS",
     "THIRD_KINDS",
     "FaultKind",
@@ -65,6 +66,11 @@
     ROLLOUT
         Operators order that a service moves to a new version, which may be bad. When
         the roll-out is completed, the old endpoints stop at once.
+    ENDPOINT_STATES_DEPARTURE
+        An endpoint states in its answers that it leaves, and a new one replaces it. Its
+        record says so later or never.
+    ENDPOINT_PAUSES
+        An endpoint refuses all requests and asks for pauses. Some are unreadable.
     """
 
     KILL = "kill"
@@ -87,6 +93,8 @@
     REQUEST_CRASHES = "request crashes endpoints"
     ENDPOINT_LIMITS = "endpoint limits"
     ROLLOUT = "rollout"
+    ENDPOINT_STATES_DEPARTURE = "endpoint states departure"
+    ENDPOINT_PAUSES = "endpoint pauses"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
@@ -95,9 +103,11 @@
 #: Kinds before ``REQUEST_CRASHES`` and ``ENDPOINT_LIMITS`` were added, for the seeds
 #: of that time.
 SECOND_KINDS = tuple(FaultKind)[:17]
-#: Kinds before ``ROLLOUT`` was added. These tuples depend on the order of the enum:
-#: append new kinds at its end.
+#: Kinds before ``ROLLOUT`` was added.
 THIRD_KINDS = tuple(FaultKind)[:19]
+#: Kinds before ``ENDPOINT_STATES_DEPARTURE`` and ``ENDPOINT_PAUSES`` were added. These
+#: tuples depend on the order of the enum: append new kinds at its end.
+FOURTH_KINDS = tuple(FaultKind)[:20]
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import signal
 import traceback
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
@@ -36,10 +37,12 @@
     configuration_of,
 )
 from poplarrelay.testing.soak.ledger import (
+    Disruption,
     Invariant,
     SentRequest,
     Violation,
     check_duties,
+    check_notices,
     check_requests,
     count_endings,
 )
@@ -64,6 +67,10 @@
 #: ``Server-Limit`` values that endpoints state, in requests per second. The last three
 #: are unreadable.
 STATED_LIMITS = ("0", "0.5", "2", "7.5", "-1", "soon", "")
+#: ``Retry-After`` values of endpoints that pause. The last three are unreadable.
+PAUSES = ("0.4", "1", "2.5", "-1", "soon", "")
+#: Seconds for which an endpoint that leaves still serves.
+LEAVING_S = 3.0
 #: Unreadable values that other writers put among the records of the endpoints.
 FOREIGN_RECORDS: tuple[Any, ...] = (
     {"service": CALLS},
@@ -143,6 +150,8 @@
     start_locks : dict of str to asyncio.Lock
         Lock of each node or endpoint, held while it starts. It prevents two faults
         from starting the same node or endpoint twice.
+    disruptions : list of Disruption
+        Times in which nodes and links were disrupted.
     errors : list of str
         Tracebacks of faults that could not be injected: errors of the soak itself.
     crash_bodies : set of bytes
@@ -161,6 +170,7 @@
     listed: dict[str, str] = field(default_factory=dict)
     paused_until: dict[str, float] = field(default_factory=dict)
     start_locks: dict[str, asyncio.Lock] = field(default_factory=dict)
+    disruptions: list[Disruption] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)
     crash_bodies: set[bytes] = field(default_factory=set)
     recoveries: list[asyncio.Task[None]] = field(default_factory=list)
@@ -255,6 +265,8 @@
             FaultKind.REQUEST_CRASHES: self._send_crashing_requests,
             FaultKind.ENDPOINT_LIMITS: self._state_limits,
             FaultKind.ROLLOUT: self._roll_out,
+            FaultKind.ENDPOINT_STATES_DEPARTURE: self._state_departure,
+            FaultKind.ENDPOINT_PAUSES: self._ask_for_pauses,
         }
         try:
             await injectors[fault.kind](rng, fault.duration_s)
@@ -266,17 +278,28 @@
     def _choose_node(self, rng: Random) -> str:
         return rng.choice(sorted(self.site.processes))
 
+    @contextlib.contextmanager
+    def _disruption(self, name: str) -> Iterator[None]:
+        """Record that a node, or a link to an endpoint, is disrupted."""
+        since = monotonic()
+        try:
+            yield
+        finally:
+            self.disruptions.append(Disruption(name, since, monotonic()))
+
     async def _kill_node(self, rng: Random, duration_s: float) -> None:
         name = self._choose_node(rng)
-        await self.site.processes[name].kill()
-        await self.restart_ended_node(name)
+        with self._disruption(name):
+            await self.site.processes[name].kill()
+            await self.restart_ended_node(name)
 
     async def _terminate_node(self, rng: Random, duration_s: float) -> None:
         name = self._choose_node(rng)
         process = self.site.processes[name]
-        process.signal(signal.SIGTERM)
-        await process.process.wait()
-        await self.restart_ended_node(name)
+        with self._disruption(name):
+            process.signal(signal.SIGTERM)
+            await process.process.wait()
+            await self.restart_ended_node(name)
 
     async def restart_ended_node(self, name: str) -> None:
         """Start a node whose process has ended; several faults start it only once."""
@@ -290,9 +313,10 @@
         name = self._choose_node(rng)
         process = self.site.processes[name]
         self.paused_until[name] = float("inf")
-        process.signal(signal.SIGSTOP)
-        await asyncio.sleep(duration_s)
-        process.signal(signal.SIGCONT)
+        with self._disruption(name):
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(duration_s)
+            process.signal(signal.SIGCONT)
         self.paused_until[name] = monotonic()
 
     async def _reload_settings(self, rng: Random, duration_s: float) -> None:
@@ -306,12 +330,15 @@
 
     async def _disturb_link(self, name: str, rng: Random, duration_s: float) -> None:
         link = self.site.links[name]
-        link.set_state(rng.choice(_LINK_STATES))
-        await asyncio.sleep(duration_s)
-        link.set_state(LinkState.INTACT)
+        with self._disruption(name):
+            link.set_state(rng.choice(_LINK_STATES))
+            await asyncio.sleep(duration_s)
+            link.set_state(LinkState.INTACT)
 
     async def _reset_link(self, rng: Random, duration_s: float) -> None:
-        self.site.links[rng.choice(sorted(self.site.links))].reset()
+        name = rng.choice(sorted(self.site.links))
+        with self._disruption(name):
+            self.site.links[name].reset()
 
     async def _fail_store_listeners(self, rng: Random, duration_s: float) -> None:
         store_listeners = sorted(self.site.store_listeners)
@@ -378,6 +405,24 @@
             await asyncio.sleep(duration_s / 3)
         runner.limit = None
 
+    async def _state_departure(self, rng: Random, duration_s: float) -> None:
+        name = rng.choice(sorted(self.listed))
+        service = self.listed.pop(name)
+        await self.add_endpoint(service)
+        self.site.runners[name].leaving = True
+        await asyncio.sleep(duration_s)
+        if rng.random() < 0.5:
+            self.site.list_runner(name, service, state="draining")
+        await asyncio.sleep(LEAVING_S)
+        self.site.store.put("keyed.servers", name, None)
+
+    async def _ask_for_pauses(self, rng: Random, duration_s: float) -> None:
+        runner = self.site.runners[rng.choice(sorted(self.listed))]
+        for pause in rng.choices(PAUSES, k=2):
+            runner.pause = pause
+            await asyncio.sleep(duration_s / 2)
+        runner.pause = None
+
     async def _roll_out(self, rng: Random, duration_s: float) -> None:
         service = rng.choice((CALLS, STREAMS))
         version = f"v{rng.randrange(1_000_000)}"
@@ -425,6 +470,7 @@
             runner.faults.clear()
             runner.break_after = None
             runner.limit = None
+            runner.pause = None
             runner.bad_version = None
         end = monotonic() + RECOVERY_S
         waiting = set(self.site.processes)
@@ -502,6 +548,7 @@
     if run.errors:
         raise RuntimeError("\n".join(run.errors))
     violations += check_requests(run.requests, run.runners, KEYS.values())
+    violations += check_notices(run.requests, run.runners, run.disruptions)
     violations += check_duties(site.cloud.accepted)
     faults = Counter(fault.kind.value for fault in plan)
     return SoakReport(seed, faults, count_endings(run.requests), violations)
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -7,17 +7,20 @@
 
 from poplarrelay.commands.soak import parse_seeds
 from poplarrelay.standins.users.cloud import AcceptedCall
-from poplarrelay.standins.users.runner import ReceivedRequest, RunnerStandIn
+from poplarrelay.standins.users.runner import ReceivedRequest, RunnerStandIn, SentNotice
 from poplarrelay.testing.entry_site import run_entry_site, run_scenario
 from poplarrelay.testing.soak.ledger import (
+    Disruption,
     Ending,
     Invariant,
     SentRequest,
     check_duties,
+    check_notices,
     check_requests,
 )
 from poplarrelay.testing.soak.plan import (
     FIRST_KINDS,
+    FOURTH_KINDS,
     SECOND_KINDS,
     THIRD_KINDS,
     FaultKind,
@@ -38,7 +41,9 @@
 #: A seed whose plan has requests that crash endpoints and stated limits.
 SEED_OF_CRASHES_AND_LIMITS = 3
 #: A seed whose plan has a roll-out.
-SEED_OF_ALL_KINDS = 29
+SEED_OF_ROLLOUTS = 29
+#: A seed whose plan has stated departures and pauses.
+SEED_OF_ALL_KINDS = 44
 
 
 def make_runner(name="r1", *request_ids, **headers):
@@ -119,6 +124,43 @@
         assert broken_invariants([open_request], []) == set()
 
 
+class TestNotices:
+    def broken(self, notices, arrivals, disruptions=()):
+        requests = [
+            make_request(f"q{at}", sent_at=at, ended_at=at + 0.1)
+            for at in {notice.at for notice in notices} | set(arrivals)
+        ]
+        runner = RunnerStandIn("r1", "127.0.0.1", notices=notices)
+        for at in arrivals:
+            received = ReceivedRequest(
+                at, "POST", "/", {"x-poplarrelay-attempt-id": f"q{at}"}, b"", True
+            )
+            runner.received.append(received)
+        found = check_notices(requests, [runner], disruptions)
+        return {violation.invariant for violation in found}
+
+    def test_detects_request_to_an_endpoint_that_has_told_its_departure(self):
+        notices = [SentNotice(10.0, "q10.0", True, None)]
+        assert self.broken(notices, [11.0, 12.0]) == set()
+        assert self.broken(notices, [11.0, 12.2]) == {Invariant.LEFT_ALONE}
+
+    def test_detects_more_than_two_requests_in_a_pause(self):
+        notices = [SentNotice(10.0, "q10.0", False, "3")]
+        assert self.broken(notices, [10.2, 10.4, 11.0, 12.0, 13.5]) == set()
+        assert self.broken(notices, [11.0, 12.0, 12.9]) == {Invariant.PAUSE_KEPT}
+        unreadable = [SentNotice(10.0, "q10.0", False, "soon")]
+        assert self.broken(unreadable, [11.0, 12.0, 12.9]) == set()
+
+    @pytest.mark.parametrize(
+        ("name", "excused"), [("a", True), ("r1", True), ("b", False)]
+    )
+    def test_excuses_disrupted_nodes_and_links(self, name, excused):
+        notices = [SentNotice(10.0, "q10.0", True, "3")]
+        disruptions = [Disruption(name, 10.5, 10.6)]
+        found = self.broken(notices, [11.0, 12.0, 12.9], disruptions)
+        assert (found == set()) is excused
+
+
 class TestDuties:
     def test_detects_two_different_counts_of_a_usage_window(self):
         calls = [usage(7, {"alpha": 1}), usage(7, {"alpha": 1}), usage(8, {})]
@@ -173,6 +215,7 @@
         *((seed, FIRST_KINDS) for seed in SEEDS),
         (SEED_OF_LATER_KINDS, SECOND_KINDS),
         (SEED_OF_CRASHES_AND_LIMITS, THIRD_KINDS),
+        (SEED_OF_ROLLOUTS, FOURTH_KINDS),
         (SEED_OF_ALL_KINDS, tuple(FaultKind)),
     ],
 )
