Log the era of the store and what a new holder reads of the ledger

Each answer of the store states its era, which nobody read: a change of it is now a log line, and a new holder logs the windows that it has read. Nothing is decided by the era yet.

--- a/poplarrelay/entry/duty_worker.py
+++ b/poplarrelay/entry/duty_worker.py
@@ -275,7 +275,16 @@
                 self._ledger.add_record(record)
             self._ledger_next = page.next
             if not page.records or page.next >= page.end:
-                return
+                break
+        _LOG.info(
+            "ledger read",
+            extra={
+                "next": self._ledger_next,
+                "windows": sorted(self._ledger.decided),
+                "token": self._lease.token,
+                "era": self._store.era,
+            },
+        )
 
     async def _report_usage(self) -> None:
         window_s = self._state.usage.window_s
--- a/poplarrelay/identifiers.py
+++ b/poplarrelay/identifiers.py
@@ -18,6 +18,7 @@
     "RequestId",
     "SoftwareVersion",
     "StartTime",
+    "StoreEra",
     "StreamName",
     "TeamId",
 ]
@@ -53,5 +54,8 @@
 StreamName = NewType("StreamName", str)
 #: Position of a record in its stream, counted from 0.
 Offset = NewType("Offset", int)
+#: Number of times that the platform's store was restored from an older copy. Offsets
+#: of different eras cannot be compared.
+StoreEra = NewType("StoreEra", int)
 #: Value of a caller's ``Idempotency-Key`` header.
 IdempotencyKey = NewType("IdempotencyKey", str)
--- a/poplarrelay/platform/store.py
+++ b/poplarrelay/platform/store.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from poplarrelay.entry.http.connection import CompleteResponse
+from poplarrelay.entry.http.connection import CompleteResponse, header_value
 from poplarrelay.entry.http.pool import Address, JsonClient
 from poplarrelay.entry.timeouts import within
 from poplarrelay.exception import (
@@ -22,7 +22,7 @@
     PlatformRecordMalformed,
     PlatformUnavailable,
 )
-from poplarrelay.identifiers import Offset
+from poplarrelay.identifiers import Offset, StoreEra
 
 __all__ = [
     "ANSWER_TIMEOUT_S",
@@ -55,6 +55,9 @@
 #: appends beyond its size while it works.
 _FAILURE_STATUSES = frozenset((500, 502, 503, 504))
 
+#: Header with the number of times that the store was restored from an older copy.
+_ERA = b"store-era"
+
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 
@@ -157,6 +160,7 @@
     def __init__(self, address: Address, observer: CallObserver | None = None) -> None:
         self._client = JsonClient(address, CONNECT_TIMEOUT_S, MAX_ANSWER_BYTES)
         self._observer = observer
+        self._era: StoreEra | None = None
         self._calls: Counter[str] = Counter()
 
     @property
@@ -169,6 +173,11 @@
         """Return the number of calls made so far, by call name and topic."""
         return dict(self._calls)
 
+    @property
+    def era(self) -> StoreEra | None:
+        """Return the latest era that an answer has stated, None if none has."""
+        return self._era
+
     async def _call(
         self,
         name: str,
@@ -186,10 +195,17 @@
             self._notify(answered=False)
             raise PlatformUnavailable(name, None, str(error)) from error
         self._notify(answered=response.status not in _FAILURE_STATUSES)
+        self._note_era(_stated_era(response))
         if response.status in (429, 500, 502, 503, 504, 507):
             raise PlatformUnavailable(name, response.status)
         return response
 
+    def _note_era(self, era: StoreEra | None) -> None:
+        if era is None or era == self._era:
+            return
+        _LOG.warning("store era", extra={"era": era, "before": self._era})
+        self._era = era
+
     def _notify(self, answered: bool) -> None:
         if self._observer is None:
             return
@@ -440,5 +456,13 @@
     return value if isinstance(value, dict) else {}
 
 
+def _stated_era(response: CompleteResponse) -> StoreEra | None:
+    """Return the era stated in an answer, None if there is no valid one."""
+    value = header_value(response.headers, _ERA)
+    if value is None or not value.isdigit():
+        return None
+    return StoreEra(int(value))
+
+
 def _body_text(response: CompleteResponse) -> str:
     return response.body[:200].decode("utf-8", "replace")
