Test that a restored store brings no second report and hides no change

The stand-in of the store learns to be restored from a copy, to state its era, and to answer 410 to a read beyond its end.

--- a/poplarrelay/standins/users/store.py
+++ b/poplarrelay/standins/users/store.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import base64
+import contextlib
 import struct
 from bisect import bisect_right
 from collections import Counter
+from copy import deepcopy
 from dataclasses import dataclass, field
 from enum import Enum
 from time import monotonic
@@ -15,13 +17,13 @@
 
 import orjson
 
+from poplarrelay.entry.http.connection import Headers
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest, Listener
 
-__all__ = ["Outage", "StoreListener", "StoreStandIn"]
+__all__ = ["Outage", "StoreCopy", "StoreListener", "StoreStandIn"]
 
 #: Number of partitions of every topic.
 PARTITIONS = 12
-JSON = [(b"Content-Type", b"application/json")]
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 
@@ -75,6 +77,14 @@
     owners: dict[int, str] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Copy of everything that the store keeps."""
+
+    partitions: dict[tuple[str, int], _Partition]
+    groups: dict[str, _Group]
+
+
 class StoreListener:
     """Address of the store with its own faults.
 
@@ -137,7 +147,7 @@
 
     async def _handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
         if self.outage is Outage.BUSY:
-            await exchange.send(503, [], b"")
+            await exchange.send(503, self._store.headers, b"")
             return
         if self.outage is Outage.RESET:
             exchange.abort()
@@ -154,7 +164,7 @@
         status, body = await self._store.call(incoming)
         if self.lose_answers or self._silences != silences:
             await self._wait_until_closed()
-        await exchange.send(status, JSON, body)
+        await exchange.send(status, self._store.headers, body)
 
     async def _wait_until_closed(self) -> None:
         # The listener cancels this wait when the caller closes the connection.
@@ -169,9 +179,30 @@
         self._groups: dict[str, _Group] = {}
         self._appended = asyncio.Event()
         self.calls: dict[str, int] = {}
+        #: Number of restores, None to state no era.
+        self.era: int | None = None
         #: Number of reads by topic.
         self.reads: Counter[str] = Counter()
 
+    @property
+    def headers(self) -> Headers:
+        """Return the headers of all answers."""
+        headers: Headers = [(b"Content-Type", b"application/json")]
+        if self.era is not None:
+            headers.append((b"Store-Era", str(self.era).encode()))
+        return headers
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present records and groups."""
+        return StoreCopy(deepcopy(self._partitions), deepcopy(self._groups))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace all records and groups by those of a copy, and begin an era."""
+        self._partitions = deepcopy(copy.partitions)
+        self._groups = deepcopy(copy.groups)
+        self.era = (self.era or 0) + 1
+        self._wake()
+
     def _partition(self, topic: str, part: int) -> _Partition:
         return self._partitions.setdefault((topic, part), _Partition())
 
@@ -201,6 +232,14 @@
         """Return the records that a partition holds."""
         return list(self._partition(topic, part).records)
 
+    def newest_values(self, topic: str) -> dict[str, Any]:
+        """Return the newest readable value of each key of a keyed topic."""
+        values = {}
+        for key, (content, _) in self._partition(topic, 0).newest.items():
+            with contextlib.suppress(orjson.JSONDecodeError):
+                values[key] = orjson.loads(content)
+        return values
+
     def rebalance(self, group: str) -> None:
         """Reassign the partitions of a group, as the store can do without a request.
 
@@ -268,18 +307,20 @@
         return 200, orjson.dumps(answer)
 
     async def _read(self, query: dict[str, str], body: bytes) -> tuple[int, bytes]:
-        partition = self._partition(query["topic"], int(query["part"]))
-        self.reads[query["topic"]] += 1
+        topic, part = query["topic"], int(query["part"])
+        partition = self._partition(topic, part)
+        self.reads[topic] += 1
         source = int(query["source"])
         deadline = monotonic() + int(query.get("waitMs", 0)) / 1000
-        while source >= partition.end and monotonic() < deadline:
+        while source == partition.end and monotonic() < deadline:
             appended = self._appended
             try:
                 async with asyncio.timeout(deadline - monotonic()):
                     await appended.wait()
             except TimeoutError:
                 break
-        if source < partition.start:
+            partition = self._partition(topic, part)
+        if not partition.start <= source <= partition.end:
             return 410, orjson.dumps({"startOffset": partition.start})
         selected = partition.records[source - partition.start :]
         selected = selected[: int(query.get("maxFetch", 1024))]
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -26,7 +26,12 @@
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.standins.users.cloud import CloudStandIn
 from poplarrelay.standins.users.runner import RunnerStandIn
-from poplarrelay.standins.users.store import StoreListener, StoreStandIn
+from poplarrelay.standins.users.store import (
+    Outage,
+    StoreCopy,
+    StoreListener,
+    StoreStandIn,
+)
 from poplarrelay.testing.links import Link
 from poplarrelay.testing.site import free_address, loopback_host
 
@@ -406,6 +411,40 @@
 
         runner.on_crash = start_recovery
 
+    async def restore_store(
+        self, copy: StoreCopy, away_s: float = 0.3, rewrite_s: float = 0.3
+    ) -> None:
+        """Restore the store from a copy; operators and endpoints write again later.
+
+        Parameters
+        ----------
+        copy : StoreCopy
+            Earlier state of the store.
+        away_s : float
+            Seconds for which the store answers nobody.
+        rewrite_s : float
+            Seconds from the restore until the newest records of operators and
+            endpoints are written again.
+        """
+        newest = {
+            topic: self.store.newest_values(topic)
+            for topic in ("keyed.op", "keyed.servers")
+        }
+        for listener in self.store_listeners.values():
+            listener.begin_outage(Outage.RESET)
+        await asyncio.sleep(away_s)
+        self.store.restore(copy)
+        for listener in self.store_listeners.values():
+            listener.outage = Outage.NONE
+        await asyncio.sleep(rewrite_s)
+        for topic, values in newest.items():
+            restored = self.store.newest_values(topic)
+            for key in restored.keys() - values.keys():
+                self.store.put(topic, key, None)
+            for key, value in values.items():
+                if restored.get(key) != value:
+                    self.store.put(topic, key, value)
+
     def order_rollout(self, service: str, target: str, duration_s: float) -> None:
         """Order that a service's traffic moves to a version."""
         order = {"service": service, "target": target, "durationS": duration_s}
