Compare offsets, tokens and windows of a restored store by era

Cause: the store came back from a copy that was older than the append of 60.8 s. Class: a position in a log that is compared without the log that it belongs to.

Store-Era of each answer is now read. An answer of another era than its call's is discarded, and configuration, endpoints, roll-outs, directory and duties are read again. Messages between nodes state the era of their offsets; earlier ones are ignored, later ones taken over; nodes of the version before ignore the field.

- Usage: the first holder of an era appends a record that excludes all windows that had ended when it heard of the era.
Price: a window that was then undecided is not reported, about one in an outage of 2.5 s.
Windows whose counts are gone are not decided; counts are kept for 20 s.
- Tokens: era, then generation.
A holder gives up the duties with the era.
- Endpoints: a known departure stays known against the older record; a record that is missing keeps its endpoint for 5 s.
- Roll-outs: era, then offset.
The same order in a later era is no new one, so `reverted` stays; states are written again.
The directory of nodes is checked.

--- a/poplarrelay/entry/configuration_follower.py
+++ b/poplarrelay/entry/configuration_follower.py
@@ -11,6 +11,7 @@
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.store_contact import StoreContact
+from poplarrelay.entry.store_era import ordered_offset
 from poplarrelay.exception import (
     HistoryTrimmed,
     PlatformRecordMalformed,
@@ -218,7 +219,8 @@
         self, service: ServiceName, content: bytes, offset: Offset
     ) -> None:
         try:
-            order = decode_rollout_order(service, content, offset)
+            position = ordered_offset(self._state.eras.latest, offset)
+            order = decode_rollout_order(service, content, position)
         except PlatformRecordMalformed as error:
             _LOG.error("rollout order unreadable", extra={"why": str(error)})
             return
--- a/poplarrelay/entry/duty_lease.py
+++ b/poplarrelay/entry/duty_lease.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from poplarrelay.identifiers import NodeId
+from poplarrelay.entry.store_era import FIRST_ERA
+from poplarrelay.identifiers import NodeId, StoreEra
 
 __all__ = ["CANDIDATES", "DutyLease", "LeaseChange", "is_candidate"]
 
@@ -24,6 +25,8 @@
 #: unreachable, all nine candidates are among them with a probability of one in five
 #: hundred.
 CANDIDATES = 9
+#: Bits of a fencing token that hold the group's generation; the era is above them.
+GENERATION_BITS = 32
 
 
 def is_candidate(node: NodeId, others: Iterable[NodeId]) -> bool:
@@ -84,10 +87,10 @@
     generation : int
         Generation of the group in the last answer of the store.
     token : int
-        Fencing token of the lease term: the group's generation in which the term
-        began. Generations only increase, and the duty cannot move to another member
-        without a new one. Therefore two terms never have the same token, and later
-        terms have larger ones.
+        Fencing token of the lease term: the store's era, and the group's generation in
+        which the term began. Within an era generations only increase, and the duty
+        cannot move to another member without a new one. Therefore two terms never have
+        the same token, and later terms have larger ones.
     held : bool
         Whether the last answer of the store gave the duty to this node, and the node
         has not relinquished it since.
@@ -98,6 +101,8 @@
         Monotonic time from which this node can act in its lease term.
     renewed_at : float
         Monotonic time at which the last answered renewal was sent.
+    era : StoreEra
+        Era of the store in which the generation counts.
     """
 
     ttl_s: float
@@ -108,6 +113,7 @@
     last_action_at: float = 0.0
     earliest_action_at: float = 0.0
     renewed_at: float = float("-inf")
+    era: StoreEra = FIRST_ERA
 
     def renew(self, holds: bool, generation: int, sent_at: float) -> LeaseChange:
         """Update the lease by the store's answer to a renewal.
@@ -135,7 +141,7 @@
         # After the lease has expired, another node can have held the duty in between.
         self.held = True
         self.earliest_action_at = self.last_action_at + self.wait_s + WAIT_MARGIN_S
-        self.token = generation
+        self.token = (self.era << GENERATION_BITS) | generation
         return LeaseChange.TAKEN
 
     def may_act(self, now: float) -> bool:
@@ -150,6 +156,12 @@
         """Record that this node acts on the duty."""
         self.last_action_at = now
 
+    def begin_era(self, era: StoreEra) -> None:
+        """Stop holding the duty, as the store has forgotten newer lease terms."""
+        self.relinquish()
+        self.era = era
+        self.generation = 0
+
     def relinquish(self) -> None:
         """Stop holding the duty, for example after a pause of the process.
 
--- a/poplarrelay/entry/duty_worker.py
+++ b/poplarrelay/entry/duty_worker.py
@@ -15,8 +15,9 @@
 from poplarrelay.entry.rollouts.worker import DECISION_INTERVAL_S, RolloutWorker
 from poplarrelay.entry.scaling import SCALING_INTERVAL_S, EndpointScaler
 from poplarrelay.entry.state import EntryState
+from poplarrelay.entry.store_era import FIRST_ERA
 from poplarrelay.exception import AppendRefused, HistoryTrimmed, PlatformUnavailable
-from poplarrelay.identifiers import NodeId, Offset, TeamId
+from poplarrelay.identifiers import NodeId, Offset, StoreEra, TeamId
 from poplarrelay.platform.cloud import (
     CloudClient,
     CloudOutcome,
@@ -63,6 +64,11 @@
         Counts by window, from the first record of each window.
     acknowledged : set of int
         Windows whose report from this node the platform has accepted.
+    eras : set of StoreEra
+        Eras in which the records that were read have been written.
+    decided_through : int
+        Latest window that holders of earlier eras may have decided, whose counts a
+        restore of the store can have lost. These windows are not decided again.
 
     Notes
     -----
@@ -70,21 +76,44 @@
     report can be accepted although its response is lost. Therefore the holder appends
     the counts to the store before the first report, and all later reports of the window
     from any node repeat these counts. The fencing token of the duties protects the
-    ledger: a holder that was replaced cannot append to it.
+    ledger: a holder that was replaced cannot append to it. A restored store has lost
+    the newest records. The first holder of an era therefore excludes all windows that
+    had ended when it heard of the era: a window without a report is better than one
+    with two.
     """
 
     decided: dict[WindowNumber, dict[TeamId, int]] = field(default_factory=dict)
     acknowledged: set[WindowNumber] = field(default_factory=set)
+    eras: set[StoreEra] = field(default_factory=set)
+    decided_through: WindowNumber = -1
 
     def add_record(self, record: bytes) -> None:
         """Add a record of the ledger unless its window is known already."""
         value = orjson.loads(record)
+        if "era" in value:
+            self.eras.add(StoreEra(int(value["era"])))
+        through = value.get("decided_through")
+        if through is not None:
+            self.decided_through = max(self.decided_through, int(through))
+            return
         self.decided.setdefault(int(value["window"]), value["counts"])
 
     @staticmethod
-    def encode(window: WindowNumber, counts: dict[TeamId, int]) -> bytes:
+    def encode(
+        window: WindowNumber, counts: dict[TeamId, int], era: StoreEra = FIRST_ERA
+    ) -> bytes:
         """Return the ledger record of a window."""
-        return orjson.dumps({"window": window, "counts": counts})
+        return orjson.dumps({"window": window, "counts": counts, "era": era})
+
+    @staticmethod
+    def encode_era(era: StoreEra, through: WindowNumber) -> bytes:
+        """Return the first ledger record of an era, which excludes earlier windows.
+
+        Older versions read it as the counts of a window that is never reported.
+        """
+        return orjson.dumps(
+            {"window": -1, "counts": {}, "era": era, "decided_through": through}
+        )
 
     def drop_before(self, before: WindowNumber) -> None:
         """Drop all windows before the given one."""
@@ -167,6 +196,8 @@
         except PlatformUnavailable as error:
             _LOG.debug("duty renewal failed", extra={"why": str(error)})
             return
+        if self._lease.era != self._state.eras.latest:
+            self._lease.begin_era(self._state.eras.latest)
         holds = DUTY_PARTITION in share.partitions
         change = self._lease.renew(holds, share.generation, sent_at)
         if change is not LeaseChange.NONE:
@@ -194,6 +225,14 @@
                 _LOG.warning("leaving duty group failed", extra={"why": str(error)})
                 await asyncio.sleep(RENEWAL_INTERVAL_S)
 
+    def note_restore(self) -> None:
+        """Begin again after the store was restored from an older copy."""
+        self._lease.begin_era(self._state.eras.latest)
+        self._ledger_next = Offset(0)
+        self._ledger.eras.clear()
+        self._prepared_token = -1
+        self._rollouts.note_restore()
+
     async def report_forever(self) -> None:
         """Report usage while this node holds the duties, until cancelled."""
         while True:
@@ -262,8 +301,24 @@
             return
         await self._ledger_topic.prepare(token)
         await self._read_ledger()
+        await self._begin_era()
         self._prepared_token = token
 
+    async def _begin_era(self) -> None:
+        """Exclude the windows that a restored ledger may have lost, once per era."""
+        eras = self._state.eras
+        if not eras.stated or eras.latest in self._ledger.eras:
+            return
+        era, through = eras.latest, self._state.usage.window_of(eras.seen_at) - 1
+
+        def note_begun() -> None:
+            self._ledger.eras.add(era)
+            self._ledger.decided_through = max(self._ledger.decided_through, through)
+            _LOG.info("usage era", extra={"era": era, "decided_through": through})
+
+        record = UsageLedger.encode_era(era, through)
+        await self._ledger_topic.append([record], note_begun)
+
     async def _read_ledger(self) -> None:
         while True:
             try:
@@ -282,7 +337,8 @@
                 "next": self._ledger_next,
                 "windows": sorted(self._ledger.decided),
                 "token": self._lease.token,
-                "era": self._store.era,
+                "era": self._state.eras.latest,
+                "decided_through": self._ledger.decided_through,
             },
         )
 
@@ -294,7 +350,7 @@
         await self._ledger_topic.flush()
         for window in range(oldest, newest + 1):
             if window not in self._ledger.decided:
-                if (window + 1) * window_s <= self._state.peers.earliest_start():
+                if not self._may_decide(window, wall):
                     continue
                 await self._decide_window(window)
             if window not in self._ledger.acknowledged:
@@ -303,6 +359,13 @@
                 return
         self._ledger.drop_before(oldest)
 
+    def _may_decide(self, window: WindowNumber, wall: float) -> bool:
+        """Return whether the counts of a window are complete and were never decided."""
+        usage, peers = self._state.usage, self._state.peers
+        began = (window + 1) * usage.window_s > peers.earliest_start()
+        kept = window >= usage.oldest_kept(wall)
+        return began and kept and window > self._ledger.decided_through
+
     async def _decide_window(self, window: WindowNumber) -> None:
         counts = merge_counts(self._state.peers.usage_reports(), window)
 
@@ -310,7 +373,7 @@
             self._ledger.decided[window] = counts
             _LOG.info("usage decided", extra={"window": window, "counts": counts})
 
-        record = UsageLedger.encode(window, counts)
+        record = UsageLedger.encode(window, counts, self._state.eras.latest)
         await self._ledger_topic.append([record], note_decided)
 
     async def _report_window(self, window: WindowNumber) -> None:
--- a/poplarrelay/entry/endpoint_list.py
+++ b/poplarrelay/entry/endpoint_list.py
@@ -22,6 +22,8 @@
 #: Seconds for which an endpoint stays in use after its record lapsed in an outage. A
 #: live endpoint writes its record again within two seconds of the end of the outage.
 LAPSE_GRACE_S = 2.3
+#: The same after a restore of the store, which can have lost the record.
+RESTORE_GRACE_S = 5.0
 #: Seconds for which the removal of a record is kept. A peer's list can bring an older
 #: record of the endpoint after the removal, as its transfer takes a second or two.
 REMOVAL_MEMORY_S = 60.0
@@ -76,6 +78,9 @@
         Start time of the endpoint's latest known run.
     fault : str
         Reason why the record cannot be decoded, empty if it can.
+    restored : bool
+        Whether the store was restored since the record was read, and no record of the
+        endpoint has been read from the restored store.
     """
 
     offset: Offset
@@ -86,6 +91,7 @@
     learned_at: float
     started_ms: StartTime | None
     fault: str
+    restored: bool = False
 
 
 def digest_of(rows: Iterable[Endpoint]) -> str:
@@ -253,7 +259,9 @@
             if known.content is None or endpoint in listed:
                 continue
             # `_apply` ignores this change if a record later than the list is known.
-            removal_change = EndpointChange(endpoint, Offset(as_of - 1), None, lapsed)
+            removal_change = EndpointChange(
+                endpoint, Offset(as_of - 1), None, lapsed or known.restored
+            )
             self._apply(removal_change, why, now)
 
     # changes from peers
@@ -289,10 +297,18 @@
         if known is not None and not _supersedes(change, known):
             return
         record, fault = self._decode(change, known)
+        if known is not None and known.restored and _revives(record, known):
+            # The restored store has an older record, until the departure is written
+            # again. A record that follows is a new one.
+            known.offset = known.change_offset = change.offset
+            known.restored = False
+            return
         if known is not None and _is_redundant(record, known):
             # There is nothing to send to peers. The later offset prevents an older list
             # from removing the endpoint.
             known.offset = change.offset
+            if known.restored:
+                known.change_offset, known.restored = change.offset, False
             return
         self._known[change.endpoint] = _KnownRecord(
             offset=change.offset,
@@ -307,7 +323,9 @@
         if record is not None:
             self._put(record, change.offset, why)
         elif change.lapsed:
-            self._suspend(change, now)
+            restored = known is not None and known.restored
+            grace_s = RESTORE_GRACE_S if restored else LAPSE_GRACE_S
+            self._suspend(change, now, grace_s)
         else:
             self._drop(change, why if change.removal else "record unreadable")
 
@@ -364,11 +382,11 @@
         if departs:
             self._on_departure(record.endpoint)
 
-    def _suspend(self, change: EndpointChange, now: float) -> None:
+    def _suspend(self, change: EndpointChange, now: float, grace_s: float) -> None:
         row = self._state.endpoints.rows.get(change.endpoint)
         if row is None or row.suspended_until is not None:
             return
-        row.suspended_until = now + LAPSE_GRACE_S
+        row.suspended_until = now + grace_s
         self._log(row, "kept", change.offset, "record went while the store was away")
 
     def _drop(self, change: EndpointChange, why: str) -> None:
@@ -442,6 +460,23 @@
         self._state.freshness.known_offset = Offset(0)
         self._state.freshness.invalidate()
 
+    def note_restore(self) -> None:
+        """Reset all offsets after the store was restored from an older copy.
+
+        Notes
+        -----
+        The restored store can lack the newest records and removals until they are
+        written again. Until then, a record that is missing does not remove its
+        endpoint, and an older one does not make a departed endpoint usable.
+        """
+        for known in self._known.values():
+            known.restored = True
+        rows = self._state.endpoints.rows.values()
+        # Also for nodes that start before the departures are written again.
+        leaving = [row for row in rows if row.leaving]
+        self._state.departures.add(leaving, self._clock())
+        self.resync()
+
     def _finish_update(self) -> None:
         self.digest = digest_of(self._state.endpoints.rows.values())
         self._on_change()
@@ -460,6 +495,13 @@
     return change.removal and not change.lapsed and known.lapsed
 
 
+def _revives(record: EndpointRecord | None, known: _KnownRecord) -> bool:
+    """Return whether a record makes a run usable that is known to have departed."""
+    if record is None or record.leaving or record.started_ms != known.started_ms:
+        return False
+    return known.record.leaving if known.record else not known.lapsed
+
+
 def _is_redundant(record: EndpointRecord | None, known: _KnownRecord) -> bool:
     """Return whether a record is a heartbeat or belongs to an earlier run."""
     if record is None:
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -28,6 +28,7 @@
 from poplarrelay.entry.permits import PermitBroker
 from poplarrelay.entry.rollouts.coordinator import RolloutReport
 from poplarrelay.entry.rollouts.table import RolloutTable
+from poplarrelay.entry.store_era import EraTracker
 from poplarrelay.identifiers import NodeId, Offset
 
 __all__ = ["FANOUT", "Gossip", "pick_targets"]
@@ -113,6 +114,7 @@
         self._backlog_client: BacklogClient | None = None
         self._crashes: CrashTable | None = None
         self._departures: DepartureTable | None = None
+        self._eras = EraTracker()
         self._permits: PermitBroker | None = None
         self._rollouts: RolloutTable | None = None
         self._on_rollout_report: Callable[[RolloutReport], None] | None = None
@@ -154,6 +156,10 @@
         """Exchange stated departures of endpoints with other nodes."""
         self._departures = departures
 
+    def attach_eras(self, eras: EraTracker) -> None:
+        """Exchange the era of the store, and ignore offsets of earlier eras."""
+        self._eras = eras
+
     def attach_permits(self, permits: PermitBroker) -> None:
         """Exchange endpoint limits and permits with other nodes."""
         self._permits = permits
@@ -208,21 +214,25 @@
     def _dispatch(self, message: dict[str, Any], host: str) -> None:
         now = self._monotonic()
         exchange = self._exchange
+        if "backlog" in message:
+            if self._backlog_client is not None:
+                self._backlog_client.receive(host, message["backlog"])
+            return
+        same_era = self._eras.accepts(message.get("era"), host)
         if "question" in message:
             request = ChangesRequest.decode(message["question"])
-            if exchange is not None:
+            if exchange is not None and same_era:
                 exchange.receive_changes_request(host, request, now)
         elif "answer" in message:
             reply = ChangesReply.decode(message["answer"])
-            if exchange is not None:
+            if exchange is not None and same_era:
                 exchange.receive_changes_reply(host, reply, now)
-        elif "backlog" in message:
-            if self._backlog_client is not None:
-                self._backlog_client.receive(host, message["backlog"])
         else:
-            self._receive_rows(message, host, now)
+            self._receive_rows(message, host, now, same_era)
 
-    def _receive_rows(self, message: dict[str, Any], host: str, now: float) -> None:
+    def _receive_rows(
+        self, message: dict[str, Any], host: str, now: float, same_era: bool
+    ) -> None:
         raw_rows, table = message["rows"], self._table
         rows = [decode_row(raw) for raw in raw_rows if table.is_newer_row(*raw[:3])]
         # Nodes of versions without cells send no summaries.
@@ -233,7 +243,7 @@
         ]
         announcement = ListAnnouncement.decode(message["hint"])
         self._clock.receive(message["from"], message["wall"], now)
-        if self._exchange is not None:
+        if self._exchange is not None and same_era:
             self._exchange.receive_announcement(host, announcement, now)
             if "reading" in message:
                 self._exchange.receive_read_notice(now)
@@ -403,11 +413,11 @@
         self, hosts: Sequence[str], request: ChangesRequest
     ) -> None:
         """Ask some nodes for the changes that are missing from this node's list."""
-        self._send(_pack({"question": request.encode()}), hosts)
+        self._send(_pack(self._with_era({"question": request.encode()})), hosts)
 
     def send_changes_reply(self, host: str, reply: ChangesReply) -> None:
         """Reply to a node's request for changes."""
-        self._send(_pack({"answer": reply.encode()}), [host])
+        self._send(_pack(self._with_era({"answer": reply.encode()})), [host])
 
     def send_backlog(self, host: str, message: list[Any]) -> None:
         """Send a node an uncompressed message about queued prompts.
@@ -531,14 +541,22 @@
         rollouts = [] if self._rollouts is None else self._rollouts.outgoing()
         if rollouts:
             fields["rollouts"] = rollouts
-        return {
-            "from": self._table.me.node,
-            "wall": self._clock.own,
-            "hint": announcement.encode(),
-            "rows": rows,
-            "cells": summaries,
-            **fields,
-        }
+        return self._with_era(
+            {
+                "from": self._table.me.node,
+                "wall": self._clock.own,
+                "hint": announcement.encode(),
+                "rows": rows,
+                "cells": summaries,
+                **fields,
+            }
+        )
+
+    def _with_era(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Return a message with the era that its offsets belong to, if it is stated."""
+        if not self._eras.stated:
+            return message
+        return {**message, "era": self._eras.latest}
 
 
 def _has_started(row: PeerRow, before: SeenPeer | None) -> bool:
--- a/poplarrelay/entry/host_directory.py
+++ b/poplarrelay/entry/host_directory.py
@@ -31,6 +31,8 @@
 #: second.
 COMPLETE_INTERVAL_S = 60.0
 INTERVAL_PER_NODE_S = 0.25
+#: Seconds over which the nodes spread their reads after a restore of the store.
+CHECK_SPREAD_S = 2.0
 
 
 class HostDirectory:
@@ -55,8 +57,13 @@
         self._state = state
         self._store = store
         self._host_published = False
+        self._check = asyncio.Event()
         self.hosts: dict[NodeId, str] = {}
 
+    def check_soon(self) -> None:
+        """Read the records soon, since a restore can have lost this node's."""
+        self._check.set()
+
     async def run(self) -> None:
         """Write this node's host, then read the hosts of other nodes periodically."""
         reads = 0
@@ -67,9 +74,18 @@
                 _LOG.debug("directory unreachable", extra={"why": str(error)})
                 await asyncio.sleep(1.0)
                 continue
-            await asyncio.sleep(self._read_interval_s(reads))
+            await self._wait(self._read_interval_s(reads))
             reads += 1
 
+    async def _wait(self, interval_s: float) -> None:
+        try:
+            async with asyncio.timeout(interval_s):
+                await self._check.wait()
+        except TimeoutError:
+            return
+        self._check.clear()
+        await asyncio.sleep(CHECK_SPREAD_S * self._state.rng.random())
+
     def _read_interval_s(self, reads: int) -> float:
         """Return the seconds until the next read.
 
@@ -90,6 +106,9 @@
             await self._store.put(TOPIC, me.node, value)
             self._host_published = True
         records, _ = await self._store.newest(TOPIC)
+        if me.node not in {record.key for record in records}:
+            self._host_published = False
+            self._check.set()
         hosts = {NodeId(r.key): _decode_host(r) for r in records if r.key != me.node}
         self.hosts = {node: host for node, host in hosts.items() if host is not None}
         self._state.listed_nodes = self.hosts.keys()
--- a/poplarrelay/entry/metering.py
+++ b/poplarrelay/entry/metering.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
+from math import ceil
 
 from poplarrelay.identifiers import TeamId
 
@@ -11,8 +12,12 @@
 
 WindowNumber = int
 
-#: Number of windows that are kept and sent to the other nodes.
-KEPT_WINDOWS = 4
+#: Number of windows that are kept and sent to the other nodes: at least this many, and
+#: as many as this many seconds have.
+MIN_KEPT_WINDOWS = 4
+MIN_KEPT_S = 20.0
+#: Margin in seconds for differences of the nodes' clocks and for the age of their rows.
+COUNTS_MARGIN_S = 1.0
 
 
 @dataclass(slots=True)
@@ -31,16 +36,29 @@
     window_s: float
     windows: dict[WindowNumber, dict[TeamId, int]] = field(default_factory=dict)
 
+    @property
+    def kept_windows(self) -> int:
+        """Return the number of windows that are kept, including the present one."""
+        return max(MIN_KEPT_WINDOWS, ceil(MIN_KEPT_S / self.window_s))
+
     def window_of(self, wall: float) -> WindowNumber:
         """Return the number of the window that contains a wall-clock time."""
         return int(wall // self.window_s)
 
+    def oldest_kept(self, wall: float) -> WindowNumber:
+        """Return the oldest window of which all nodes still have the counts.
+
+        Nodes whose clock is ahead drop a window earlier, and their rows take some time
+        to arrive.
+        """
+        return self.window_of(wall + COUNTS_MARGIN_S) - self.kept_windows + 1
+
     def note(self, team: TeamId, wall: float) -> None:
         """Count a request that began to run."""
         window = self.window_of(wall)
         counts = self.windows.setdefault(window, {})
         counts[team] = counts.get(team, 0) + 1
-        for old in [w for w in self.windows if w <= window - KEPT_WINDOWS]:
+        for old in [w for w in self.windows if w <= window - self.kept_windows]:
             del self.windows[old]
 
 
--- a/poplarrelay/entry/peer_sync.py
+++ b/poplarrelay/entry/peer_sync.py
@@ -62,6 +62,8 @@
         "rollouts": state.rollouts.all_progress(),
         "departures": state.departures.all(monotonic()),
     }
+    if state.eras.stated:
+        value["era"] = state.eras.latest
     configuration = state.configuration
     if configuration is not None and configuration.version > known_version:
         value["configuration"] = base64.b64encode(state.configuration_record).decode()
@@ -137,7 +139,9 @@
         content = value.get("configuration")
         if content is not None:
             apply_configuration(self.state, base64.b64decode(content), f"peer {host}")
-        self._apply_endpoints(value, sent_at, host)
+        self.endpoints_read_at = monotonic()
+        if self._has_latest_era(value.get("era"), host):
+            self._apply_endpoints(value, sent_at, host)
 
     def _apply_rollouts(self, records: Iterable[list[Any]], peer: str) -> None:
         try:
@@ -145,6 +149,13 @@
         except ValueError as error:
             _LOG.warning("rollouts unreadable", extra={"peer": peer, "why": str(error)})
 
+    def _has_latest_era(self, era: object, peer: str) -> bool:
+        try:
+            return self.state.eras.accepts(era, peer)
+        except ValueError as error:
+            _LOG.warning("era unreadable", extra={"peer": peer, "why": str(error)})
+            return False
+
     def _apply_departures(self, departures: Iterable[list[Any]], peer: str) -> None:
         try:
             self.state.departures.receive(departures, peer, monotonic())
@@ -155,7 +166,6 @@
     def _apply_endpoints(
         self, value: dict[str, Any], sent_at: float, peer: str
     ) -> None:
-        self.endpoints_read_at = monotonic()
         listed_at = sent_at - value["endpoints_age_s"]
         if listed_at <= self.state.freshness.confirmed_at:
             return
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -108,7 +108,11 @@
         incarnation = Incarnation(f"{int(time.time() * 1000):013d}-{seed % 10**6:06d}")
         self._state = EntryState.from_settings(settings, incarnation, self._rng)
         self._store_contact = StoreContact()
-        self._store = Store(parse_address(settings.platform.store), self._store_contact)
+        self._store = Store(
+            parse_address(settings.platform.store),
+            self._store_contact,
+            self._state.eras,
+        )
         self._metrics = EntryMetrics()
         self._pool = ConnectionPool(ENDPOINT_CONNECT_S)
         self._endpoints_dependency = DependencyLog("store: endpoints")
@@ -175,6 +179,7 @@
         self._gossip.attach_list_exchange(self._exchange, self._backlog_client)
         self._gossip.attach_crashes(self._state.crashes)
         self._gossip.attach_departures(self._state.departures)
+        self._gossip.attach_eras(self._state.eras)
         self._state.departures.on_change = self._gossip.send_departures
         self._gossip.attach_permits(self._permits)
         self._state.freshness.on_confirm = self._exchange.note_confirmed
@@ -188,6 +193,7 @@
         on_report = None if self._duties is None else self._duties.rollouts.receive
         self._gossip.attach_rollouts(self._state.rollouts, on_report)
         self._state.rollouts.on_change = self._on_change
+        self._state.eras.on_restore = self._on_store_restored
         self._rollout_follower = RolloutFollower(
             self._state, self._store, self._store_contact, self._rng
         )
@@ -546,6 +552,17 @@
     def _alive_hosts(self, now: float) -> list[str]:
         return [row.host for row in self._state.peers.alive(now)]
 
+    def _on_store_restored(self) -> None:
+        """Read everything again: offsets of an earlier era mean other records now."""
+        self._follower.resync()
+        self._endpoints.note_restore()
+        self._reader.resync()
+        self._rollout_follower.resync()
+        self._directory.check_soon()
+        if self._duties is not None:
+            self._duties.note_restore()
+        self._store_contact.interrupt()
+
     def _on_departure(self, endpoint: EndpointId) -> None:
         self._exchange.note_departure(endpoint)
 
--- a/poplarrelay/entry/rollouts/records.py
+++ b/poplarrelay/entry/rollouts/records.py
@@ -10,6 +10,7 @@
 import orjson
 
 from poplarrelay.entry.configuration import ServiceName
+from poplarrelay.entry.store_era import same_era
 from poplarrelay.identifiers import Offset, SoftwareVersion
 
 __all__ = [
@@ -70,8 +71,8 @@
     Attributes
     ----------
     offset : Offset
-        Position of the order in the store. Of two orders for one service, the later
-        one is in force.
+        Position of the order in the store, ordered over its eras. Of two orders for one
+        service, the later one is in force.
     """
 
     service: ServiceName
@@ -79,6 +80,18 @@
     duration_s: float
     offset: Offset
 
+    def repeats(self, other: RolloutOrder) -> bool:
+        """Return whether this is the same order, in another era of the store.
+
+        Notes
+        -----
+        After a restore of the store, operators write their newest order again. That
+        must not begin a roll-out again that has ended.
+        """
+        content = self.service, self.target, self.duration_s
+        same = content == (other.service, other.target, other.duration_s)
+        return same and not same_era(self.offset, other.offset)
+
 
 @dataclass(frozen=True, slots=True)
 class RolloutProgress:
@@ -139,12 +152,16 @@
     phase applies. `COMPLETED` comes after `REVERTED`: once the endpoints of the other
     versions are stopped, their traffic cannot return.
     """
-    if known.order.offset != other.order.offset:
-        return max(known, other, key=lambda each: each.order.offset)
+    latest = max(known, other, key=lambda each: each.order.offset)
+    if known.order.offset != other.order.offset and not known.order.repeats(
+        other.order
+    ):
+        return latest
     later = max(known, other, key=lambda each: (each.phase.value, -each.since))
     latest_writer = max(known, other, key=lambda each: (each.token, each.coordinator))
     return replace(
         later,
+        order=latest.order,
         ordered_at=min(known.ordered_at, other.ordered_at),
         barred=known.barred | other.barred,
         token=latest_writer.token,
--- a/poplarrelay/entry/rollouts/table.py
+++ b/poplarrelay/entry/rollouts/table.py
@@ -33,6 +33,7 @@
     merge_progress,
 )
 from poplarrelay.entry.rollouts.verdict import SequentialTest, VersionTest
+from poplarrelay.entry.store_era import same_position
 from poplarrelay.identifiers import (
     EndpointId,
     Incarnation,
@@ -79,6 +80,8 @@
         answers again, it has not crashed, and the failures count.
     streams : dict of int to callable
         Functions that move resumable streams away from other versions.
+    replaced : frozenset of RolloutOrder
+        Earlier orders for the service.
     """
 
     progress: RolloutProgress
@@ -89,12 +92,20 @@
         default_factory=dict
     )
     streams: dict[int, Callable[[], None]] = field(default_factory=dict)
+    replaced: frozenset[RolloutOrder] = frozenset()
 
     @property
     def is_open(self) -> bool:
         """Return whether the roll-out has not ended."""
         return not self.progress.phase.is_final
 
+    def has_replaced(self, order: RolloutOrder) -> bool:
+        """Return whether an order is an earlier one that a restored store has again."""
+        return any(
+            order.repeats(other) and same_position(order.offset, other.offset)
+            for other in self.replaced
+        )
+
     def is_target(self, row: Endpoint) -> bool:
         """Return whether an endpoint runs the target version."""
         return row.version == self.progress.order.target
@@ -193,7 +204,9 @@
     def receive_order(self, order: RolloutOrder) -> None:
         """Start the roll-out of an order that was read from the store."""
         known = self._local.get(order.service)
-        if known is not None and known.progress.order.offset >= order.offset:
+        if known is not None and (
+            known.progress.order.offset >= order.offset or known.has_replaced(order)
+        ):
             return
         now = self._time_of_day()
         _LOG.info(
@@ -211,7 +224,9 @@
         """Merge the progress of a roll-out that the store or a peer reports."""
         service = progress.order.service
         local = self._local.get(service)
-        if local is None or local.progress.order.offset < progress.order.offset:
+        if local is not None and local.has_replaced(progress.order):
+            return
+        if local is None or _replaces(progress.order, local.progress.order):
             self._local[service] = self._follow(local, progress)
             self._log_phase(self._local[service], source)
             self.urgent = True
@@ -231,13 +246,14 @@
         local = LocalRollout(progress, ShareCredit(self._rng.random()))
         if before is None:
             return local
+        local.replaced = before.replaced | {before.progress.order}
         earlier, target = before.progress, progress.order.target
         barred = set(earlier.barred)
         if earlier.phase is not RolloutPhase.COMPLETED:
             barred.add(earlier.order.target)
         if before.is_open and earlier.order.target == target:
             # The same roll-out with a new deadline: what is known still applies.
-            local = replace(before, progress=progress)
+            local = replace(before, progress=progress, replaced=local.replaced)
         local.progress = replace(
             progress, barred=progress.barred | frozenset(barred - {target})
         )
@@ -503,3 +519,8 @@
                 for key, move in list(local.streams.items()):
                     del local.streams[key]
                     move()
+
+
+def _replaces(order: RolloutOrder, known: RolloutOrder) -> bool:
+    """Return whether an order is a later one, and not the known one in a later era."""
+    return order.offset > known.offset and not order.repeats(known)
--- a/poplarrelay/entry/rollouts/worker.py
+++ b/poplarrelay/entry/rollouts/worker.py
@@ -87,6 +87,10 @@
         self._rng = rng
         self._next: Offset | None = None
 
+    def resync(self) -> None:
+        """Make the next read fetch the newest record of every service."""
+        self._next = None
+
     async def run(self) -> None:
         """Follow the progress until cancelled."""
         while True:
@@ -112,6 +116,8 @@
             page = await self._contact.wait_for(
                 self._store.read(PROGRESS_TOPIC, 0, start, PROGRESS_WAIT_S)
             )
+            if self._next != start:
+                return
             records = parse_page(page, start)
             self._next = page.next if page.end >= start else None
         apply_progress_records(self._state, records)
@@ -163,6 +169,12 @@
         self._asked_at = float("inf")
         self._stated: dict[ServiceName, tuple[SoftwareVersion, RolloutState]] = {}
 
+    def note_restore(self) -> None:
+        """Read and write the progress and the states again after a restore."""
+        self._prepared_token = -1
+        self._stated = {}
+        self._written = {}
+
     def receive(self, report: RolloutReport) -> None:
         """Store a node's report on an order that is in force."""
         local = self._state.rollouts.get(report.service)
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -24,6 +24,7 @@
 from poplarrelay.entry.rollouts.table import RolloutTable
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.entry.slot_limits import max_slots_per_node
+from poplarrelay.entry.store_era import EraTracker
 from poplarrelay.identifiers import DomainId, Incarnation, NodeId, TeamId
 
 __all__ = ["EntryState"]
@@ -59,6 +60,8 @@
         Monotonic times at which requests ended; they give the rate of freed slots.
     demand : DemandMeter
         Demand of this node's callers.
+    eras : EraTracker
+        Latest era of the store.
     departures : DepartureTable
         Runs of endpoints that have stated their departure in an answer.
     backoffs : BackoffTable
@@ -87,6 +90,7 @@
     buckets: dict[TeamId, Bucket] = field(default_factory=dict)
     end_times: dict[ServiceName, deque[float]] = field(default_factory=dict)
     demand: DemandMeter = field(default_factory=DemandMeter)
+    eras: EraTracker = field(init=False)
     departures: DepartureTable = field(init=False)
     backoffs: BackoffTable = field(init=False)
     crashes: CrashTable = field(default_factory=CrashTable)
@@ -95,6 +99,7 @@
     recent_node_counts: list[tuple[float, int]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
+        self.eras = EraTracker(self.clock.now)
         self.departures = DepartureTable(self.endpoints.rows)
         self.backoffs = BackoffTable(self.endpoints.rows)
 
--- a/poplarrelay/entry/store_contact.py
+++ b/poplarrelay/entry/store_contact.py
@@ -48,9 +48,12 @@
 
     def note_answer(self) -> None:
         """Record an answer; the first one after a failure interrupts the long reads."""
-        if not self._has_failed:
-            return
-        self._has_failed = False
+        if self._has_failed:
+            self._has_failed = False
+            self.interrupt()
+
+    def interrupt(self) -> None:
+        """End the long reads that wait, so that they are sent again."""
         for interrupted in self._waiting:
             if not interrupted.done():
                 interrupted.set_result(None)
--- a/poplarrelay/entry/tests/test_store_restores.py
+++ b/poplarrelay/entry/tests/test_store_restores.py
@@ -222,3 +222,75 @@
             await poll_until(lambda: set(site.store.newest_values(hosts)) == {"a", "b"})
 
     run_scenario(scenario)
+
+
+def test_two_restores_in_a_row_bring_no_second_report():
+    # Guards against a holder that trusts the ledger of the restore before.
+    async def scenario():
+        async with run_entry_site(nodes=3) as site:
+            await start(site)
+            calling = asyncio.create_task(keep_calling(site))
+            await poll_until(lambda: len(site.cloud.windows()) >= 2)
+            copy = site.store.copy()
+            for pause_s in (3.0, 1.5):
+                await asyncio.sleep(pause_s)
+                await site.restore_store(copy)
+            known = max(site.cloud.windows())
+            await poll_until(lambda: max(site.cloud.windows()) >= known + 5)
+            calling.cancel()
+            assert check_duties(site.cloud.accepted) == []
+
+    run_scenario(scenario)
+
+
+def test_node_that_the_store_refuses_during_a_restore_follows_its_peers():
+    # Guards against a node that keeps the earlier era and tells others of its offsets.
+    async def scenario():
+        async with run_entry_site(nodes=3) as site:
+            await start(site)
+            copy = site.store.copy()
+            for number in range(3, 9):
+                site.list_runner("r2", CALLS, slots=number)
+            states = [node.state for node in site.nodes.values()]
+            await poll_until(
+                lambda: all(
+                    s.endpoints.rows[EndpointId("r2")].slots == 8 for s in states
+                )
+            )
+            site.store_listeners["c"].silent_topics |= {"keyed.servers", "keyed.op"}
+            await site.restore_store(copy)
+            await poll_until(lambda: len({s.eras.latest for s in states}) == 1)
+            site.configure(9)
+            site.list_runner("r1", CALLS, state="draining")
+            start_at = monotonic()
+            await poll_until(lambda: all(s.me.configuration == 9 for s in states))
+            await poll_until(
+                lambda: not any(s.endpoints.rows[R1].accepts_work for s in states)
+            )
+            assert monotonic() - start_at < 2.0
+
+    run_scenario(scenario)
+
+
+def test_node_that_starts_before_a_departure_is_written_again_learns_of_it():
+    # Guards against a new node that knows only the older records.
+    async def scenario():
+        async with run_entry_site(nodes=2) as site:
+            await start(site)
+            copy = site.store.copy()
+            site.configure(5)
+            site.list_runner("r1", CALLS, state="draining")
+            states = [node.state for node in site.nodes.values()]
+            await poll_until(lambda: all(s.me.configuration == 5 for s in states))
+            await poll_until(lambda: all(s.endpoints.rows[R1].leaving for s in states))
+            restoring = asyncio.create_task(site.restore_store(copy, rewrite_s=6.0))
+            await poll_until(lambda: all(s.eras.latest == 2 for s in states))
+            seed = states[0].settings.listeners.control
+            late = await site.add_node("late", seed)
+            await site.ready("late", endpoints=2)
+            await poll_until(lambda: late.state.me.configuration == 5)
+            await poll_until(lambda: not late.state.endpoints.rows[R1].accepts_work)
+            assert not restoring.done()
+            restoring.cancel()
+
+    run_scenario(scenario)
--- a/poplarrelay/exception.py
+++ b/poplarrelay/exception.py
@@ -39,6 +39,7 @@
     "ReadInterrupted",
     "RequestNotFound",
     "SettingsError",
+    "StoreRestored",
     "UnknownModel",
     "UnknownService",
 ]
@@ -188,6 +189,13 @@
     """A read that waited for new records may have been lost, and is to be repeated."""
 
 
+class StoreRestored(PlatformUnavailable):
+    """The store was restored from an older copy while a call was in progress.
+
+    The call may have been executed before the restore, or after it.
+    """
+
+
 class HistoryTrimmed(PlatformError):
     """The platform's store no longer keeps the requested records.
 
--- a/poplarrelay/platform/store.py
+++ b/poplarrelay/platform/store.py
@@ -14,6 +14,7 @@
 
 from poplarrelay.entry.http.connection import CompleteResponse, header_value
 from poplarrelay.entry.http.pool import Address, JsonClient
+from poplarrelay.entry.store_era import EraTracker
 from poplarrelay.entry.timeouts import within
 from poplarrelay.exception import (
     AppendRefused,
@@ -21,6 +22,7 @@
     HistoryTrimmed,
     PlatformRecordMalformed,
     PlatformUnavailable,
+    StoreRestored,
 )
 from poplarrelay.identifiers import Offset, StoreEra
 
@@ -149,18 +151,26 @@
         Address of the store.
     observer : CallObserver or None
         Called with the result of each call.
+    eras : EraTracker or None
+        Tracker of the eras that the answers state.
 
     Notes
     -----
+    A call whose arguments or answer are of an earlier era raises `StoreRestored`.
     If a call raises `PlatformUnavailable` without a status, the store may have executed
     it, or may execute it seconds later. Reads and joins can be repeated. Appends carry
     a `Producer`, so that the store recognises a repeated append.
     """
 
-    def __init__(self, address: Address, observer: CallObserver | None = None) -> None:
+    def __init__(
+        self,
+        address: Address,
+        observer: CallObserver | None = None,
+        eras: EraTracker | None = None,
+    ) -> None:
         self._client = JsonClient(address, CONNECT_TIMEOUT_S, MAX_ANSWER_BYTES)
         self._observer = observer
-        self._era: StoreEra | None = None
+        self._eras = eras or EraTracker()
         self._calls: Counter[str] = Counter()
 
     @property
@@ -173,11 +183,6 @@
         """Return the number of calls made so far, by call name and topic."""
         return dict(self._calls)
 
-    @property
-    def era(self) -> StoreEra | None:
-        """Return the latest era that an answer has stated, None if none has."""
-        return self._era
-
     async def _call(
         self,
         name: str,
@@ -188,23 +193,25 @@
         topic: str = "",
     ) -> CompleteResponse:
         self._calls[f"{name} {topic}".strip()] += 1
+        stated, era = self._eras.stated, self._eras.latest
         try:
             call = self._client.call(method, target, [], body)
             response = await within(timeout_s, call)
         except (ExchangeFailed, TimeoutError) as error:
             self._notify(answered=False)
             raise PlatformUnavailable(name, None, str(error)) from error
+        current = self._observe_era(response)
         self._notify(answered=response.status not in _FAILURE_STATUSES)
-        self._note_era(_stated_era(response))
+        if not current or (stated and self._eras.latest != era):
+            raise StoreRestored(name, None, "the store was restored meanwhile")
         if response.status in (429, 500, 502, 503, 504, 507):
             raise PlatformUnavailable(name, response.status)
         return response
 
-    def _note_era(self, era: StoreEra | None) -> None:
-        if era is None or era == self._era:
-            return
-        _LOG.warning("store era", extra={"era": era, "before": self._era})
-        self._era = era
+    def _observe_era(self, response: CompleteResponse) -> bool:
+        """Return whether an answer is of the latest era, or states none."""
+        era = _stated_era(response)
+        return era is None or self._eras.observe(era, "store")
 
     def _notify(self, answered: bool) -> None:
         if self._observer is None:
@@ -273,6 +280,7 @@
         change made while later pages were read.
         """
         records: list[KeyedRecord] = []
+        era = self._eras.latest
         after: str | None = None
         resume_offset: int | None = None
         while True:
@@ -285,6 +293,8 @@
                 raise PlatformUnavailable(
                     "newest", response.status, _body_text(response)
                 )
+            if after is not None and self._eras.latest != era:
+                raise StoreRestored("newest", None, "restored between two pages")
             page = _decode_json(response)
             resume_offset = (
                 int(page["endOffset"]) if resume_offset is None else resume_offset
