Play restores of the store in the soak

The stand-in keeps what they have written apart from its records, so that restores may overlap with each other and with changes. All runs state an era from the start.

--- a/poplarrelay/standins/users/store.py
+++ b/poplarrelay/standins/users/store.py
@@ -179,6 +179,8 @@
         self._groups: dict[str, _Group] = {}
         self._appended = asyncio.Event()
         self.calls: dict[str, int] = {}
+        #: Newest value of each key that operators and endpoints have written, by topic.
+        self._written: dict[str, dict[str, Any]] = {}
         #: Number of restores, None to state no era.
         self.era: int | None = None
         #: Number of reads by topic.
@@ -203,6 +205,13 @@
         self.era = (self.era or 0) + 1
         self._wake()
 
+    def write_again(self) -> None:
+        """Write what operators and endpoints have written, where a restore lost it."""
+        for topic, values in self._written.items():
+            for key, value in list(values.items()):
+                if self.newest_values(topic).get(key) != value:
+                    self.put(topic, key, value)
+
     def _partition(self, topic: str, part: int) -> _Partition:
         return self._partitions.setdefault((topic, part), _Partition())
 
@@ -210,6 +219,7 @@
 
     def put(self, topic: str, key: str, value: Any) -> None:
         """Write the newest value of a key; None removes the key."""
+        self._written.setdefault(topic, {})[key] = value
         name = key.encode()
         content = b"" if value is None else orjson.dumps(value)
         record = bytes((len(name),)) + name + content
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -426,10 +426,6 @@
             Seconds from the restore until the newest records of operators and
             endpoints are written again.
         """
-        newest = {
-            topic: self.store.newest_values(topic)
-            for topic in ("keyed.op", "keyed.servers")
-        }
         for listener in self.store_listeners.values():
             listener.begin_outage(Outage.RESET)
         await asyncio.sleep(away_s)
@@ -437,13 +433,7 @@
         for listener in self.store_listeners.values():
             listener.outage = Outage.NONE
         await asyncio.sleep(rewrite_s)
-        for topic, values in newest.items():
-            restored = self.store.newest_values(topic)
-            for key in restored.keys() - values.keys():
-                self.store.put(topic, key, None)
-            for key, value in values.items():
-                if restored.get(key) != value:
-                    self.store.put(topic, key, value)
+        self.store.write_again()
 
     def order_rollout(self, service: str, target: str, duration_s: float) -> None:
         """Order that a service's traffic moves to a version."""
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -8,6 +8,7 @@
 from random import Random
 
 __all__ = [
+    "FIFTH_KINDS",
     "FIRST_KINDS",
     "FOURTH_KINDS",
     "SECOND_KINDS",
@@ -71,6 +72,9 @@
         record says so later or never.
     ENDPOINT_PAUSES
         An endpoint refuses all requests and asks for pauses. Some are unreadable.
+    STORE_RESTORED
+        The store is away for a moment and comes back from a copy some seconds old.
+        Operators and endpoints write their records again later.
     """
 
     KILL = "kill"
@@ -95,6 +99,7 @@
     ROLLOUT = "rollout"
     ENDPOINT_STATES_DEPARTURE = "endpoint states departure"
     ENDPOINT_PAUSES = "endpoint pauses"
+    STORE_RESTORED = "store restored"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
@@ -105,9 +110,11 @@
 SECOND_KINDS = tuple(FaultKind)[:17]
 #: Kinds before ``ROLLOUT`` was added.
 THIRD_KINDS = tuple(FaultKind)[:19]
-#: Kinds before ``ENDPOINT_STATES_DEPARTURE`` and ``ENDPOINT_PAUSES`` were added. These
-#: tuples depend on the order of the enum: append new kinds at its end.
+#: Kinds before ``ENDPOINT_STATES_DEPARTURE`` and ``ENDPOINT_PAUSES`` were added.
 FOURTH_KINDS = tuple(FaultKind)[:20]
+#: Kinds before ``STORE_RESTORED`` was added. These tuples depend on the order of the
+#: enum: append new kinds at its end.
+FIFTH_KINDS = tuple(FaultKind)[:22]
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -71,6 +71,10 @@
 PAUSES = ("0.4", "1", "2.5", "-1", "soon", "")
 #: Seconds for which an endpoint that leaves still serves.
 LEAVING_S = 3.0
+#: Shortest and longest time in seconds for which the store is away before a restore,
+#: and longest time until lost records are written again.
+STORE_AWAY_S = (0.05, 1.5)
+MAX_REWRITE_S = 2.0
 #: Unreadable values that other writers put among the records of the endpoints.
 FOREIGN_RECORDS: tuple[Any, ...] = (
     {"service": CALLS},
@@ -191,6 +195,7 @@
 
     async def start(self) -> None:
         """Start endpoints and nodes, and wait until the nodes serve."""
+        self.site.store.era = 1
         self.publish()
         for _ in range(self.size.endpoints):
             await self.add_endpoint(CALLS)
@@ -267,6 +272,7 @@
             FaultKind.ROLLOUT: self._roll_out,
             FaultKind.ENDPOINT_STATES_DEPARTURE: self._state_departure,
             FaultKind.ENDPOINT_PAUSES: self._ask_for_pauses,
+            FaultKind.STORE_RESTORED: self._restore_store,
         }
         try:
             await injectors[fault.kind](rng, fault.duration_s)
@@ -423,6 +429,12 @@
             await asyncio.sleep(duration_s / 2)
         runner.pause = None
 
+    async def _restore_store(self, rng: Random, duration_s: float) -> None:
+        copy = self.site.store.copy()
+        await asyncio.sleep(duration_s)
+        away_s = rng.uniform(*STORE_AWAY_S)
+        await self.site.restore_store(copy, away_s, rng.uniform(0, MAX_REWRITE_S))
+
     async def _roll_out(self, rng: Random, duration_s: float) -> None:
         service = rng.choice((CALLS, STREAMS))
         version = f"v{rng.randrange(1_000_000)}"
@@ -459,6 +471,7 @@
 
     async def recover(self) -> list[Violation]:
         """End all faults, and return the nodes that do not serve again in time."""
+        self.site.store.write_again()
         self.crash_bodies.clear()
         await asyncio.gather(*self.recoveries)
         for link in self.site.links.values():
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -19,6 +19,7 @@
     check_requests,
 )
 from poplarrelay.testing.soak.plan import (
+    FIFTH_KINDS,
     FIRST_KINDS,
     FOURTH_KINDS,
     SECOND_KINDS,
@@ -43,7 +44,9 @@
 #: A seed whose plan has a roll-out.
 SEED_OF_ROLLOUTS = 29
 #: A seed whose plan has stated departures and pauses.
-SEED_OF_ALL_KINDS = 44
+SEED_OF_NOTICES = 44
+#: A seed whose plan has two restores of the store.
+SEED_OF_ALL_KINDS = 17
 
 
 def make_runner(name="r1", *request_ids, **headers):
@@ -216,6 +219,7 @@
         (SEED_OF_LATER_KINDS, SECOND_KINDS),
         (SEED_OF_CRASHES_AND_LIMITS, THIRD_KINDS),
         (SEED_OF_ROLLOUTS, FOURTH_KINDS),
+        (SEED_OF_NOTICES, FIFTH_KINDS),
         (SEED_OF_ALL_KINDS, tuple(FaultKind)),
     ],
 )
