Ignore eras of the store that are no plausible number

One corrupt Store-Era, of the store or of a peer, would have made all later eras look older for the life of the nodes, and a huge one overflows the fencing token. Eras above 2^20 are logged and ignored.

--- a/poplarrelay/entry/store_era.py
+++ b/poplarrelay/entry/store_era.py
@@ -14,12 +14,22 @@
 
 from poplarrelay.identifiers import Offset, StoreEra
 
-__all__ = ["FIRST_ERA", "EraTracker", "ordered_offset", "same_era", "same_position"]
+__all__ = [
+    "FIRST_ERA",
+    "MAX_ERA",
+    "EraTracker",
+    "ordered_offset",
+    "same_era",
+    "same_position",
+]
 
 _LOG = logging.getLogger("poplarrelay.entry.era")
 
 #: Era of a store that states none.
 FIRST_ERA = StoreEra(0)
+#: Largest valid era. It keeps tokens and ordered offsets within 64 bits, and a corrupt
+#: value must not make all later eras look older.
+MAX_ERA = 1 << 20
 #: Bits of an ordered offset that hold the offset within its era.
 OFFSET_BITS = 40
 _OFFSET_MASK = (1 << OFFSET_BITS) - 1
@@ -130,6 +140,8 @@
         """
         if era is None:
             return self.latest == FIRST_ERA
-        if not isinstance(era, int) or isinstance(era, bool) or era < 0:
+        if isinstance(era, bool) or not isinstance(era, int):
+            raise ValueError(f"invalid era: {era!r}")
+        if not 0 <= era <= MAX_ERA:
             raise ValueError(f"invalid era: {era!r}")
         return self.observe(StoreEra(era), f"peer {source}")
--- a/poplarrelay/entry/tests/test_store_era.py
+++ b/poplarrelay/entry/tests/test_store_era.py
@@ -16,7 +16,7 @@
     RolloutProgress,
 )
 from poplarrelay.entry.rollouts.table import RolloutTable
-from poplarrelay.entry.store_era import EraTracker, ordered_offset
+from poplarrelay.entry.store_era import MAX_ERA, EraTracker, ordered_offset
 from poplarrelay.identifiers import Offset, SoftwareVersion, StoreEra, TeamId
 from poplarrelay.testing.rows import make_network
 
@@ -50,7 +50,7 @@
         assert not tracker.accepts(None, "a")
         assert not tracker.accepts(1, "a")
 
-    @pytest.mark.parametrize("era", [-1, True, "2", 1.5, [1]])
+    @pytest.mark.parametrize("era", [-1, True, "2", 1.5, [1], MAX_ERA + 1])
     def test_malformed_era_is_rejected(self, era):
         with pytest.raises(ValueError, match="invalid era"):
             EraTracker().accepts(era, "a")
--- a/poplarrelay/platform/store.py
+++ b/poplarrelay/platform/store.py
@@ -14,7 +14,7 @@
 
 from poplarrelay.entry.http.connection import CompleteResponse, header_value
 from poplarrelay.entry.http.pool import Address, JsonClient
-from poplarrelay.entry.store_era import EraTracker
+from poplarrelay.entry.store_era import MAX_ERA, EraTracker
 from poplarrelay.entry.timeouts import within
 from poplarrelay.exception import (
     AppendRefused,
@@ -469,7 +469,10 @@
 def _stated_era(response: CompleteResponse) -> StoreEra | None:
     """Return the era stated in an answer, None if there is no valid one."""
     value = header_value(response.headers, _ERA)
-    if value is None or not value.isdigit():
+    if value is None:
+        return None
+    if not value.isdigit() or int(value) > MAX_ERA:
+        _LOG.error("store era unreadable", extra={"value": value.decode("latin-1")})
         return None
     return StoreEra(int(value))
 
