--- a/poplarrelay/entry/tests/test_store_restores.py
+++ b/poplarrelay/entry/tests/test_store_restores.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections import defaultdict
+from collections.abc import AsyncIterator
 from time import monotonic
 
 import pytest
@@ -52,6 +53,22 @@
             await asyncio.sleep(0.02)
 
 
+@contextlib.asynccontextmanager
+async def run_calls(site: EntrySite) -> AsyncIterator[None]:
+    """Send calls in the background, from the second report of usage on."""
+    calling = asyncio.create_task(keep_calling(site))
+    await poll_until(lambda: len(site.cloud.windows()) >= 2)
+    try:
+        yield
+    finally:
+        calling.cancel()
+
+
+async def wait_for_reports(site: EntrySite, count: int, known: int) -> None:
+    """Wait until a window is reported that comes `count` windows after a known one."""
+    await poll_until(lambda: max(site.cloud.windows()) >= known + count)
+
+
 @pytest.mark.parametrize("killed", [False, True], ids=["holder lives", "holder dies"])
 @pytest.mark.parametrize("age_s", [2.0, 6.0])
 def test_window_is_not_reported_with_other_counts_after_a_restore(age_s, killed):
@@ -59,17 +76,15 @@
     async def scenario():
         async with run_entry_site(nodes=3) as site:
             await start(site)
-            calling = asyncio.create_task(keep_calling(site))
-            await poll_until(lambda: len(site.cloud.windows()) >= 2)
-            copy = site.store.copy()
-            await asyncio.sleep(age_s)
-            before = holder(site)
-            if killed and before is not None:
-                await site.kill_node(before)
-            known = max(site.cloud.windows())
-            await site.restore_store(copy)
-            await poll_until(lambda: max(site.cloud.windows()) >= known + 5)
-            calling.cancel()
+            async with run_calls(site):
+                copy = site.store.copy()
+                await asyncio.sleep(age_s)
+                before = holder(site)
+                if killed and before is not None:
+                    await site.kill_node(before)
+                known = max(site.cloud.windows())
+                await site.restore_store(copy)
+                await wait_for_reports(site, 5, known)
             assert check_duties(site.cloud.accepted) == []
 
     run_scenario(scenario)
@@ -80,16 +95,14 @@
     async def scenario():
         async with run_entry_site(nodes=3) as site:
             await start(site)
-            calling = asyncio.create_task(keep_calling(site))
-            await poll_until(lambda: len(site.cloud.windows()) >= 2)
-            for listener in site.store_listeners.values():
-                listener.begin_outage(Outage.RESET)
-            await asyncio.sleep(8.0)
-            for listener in site.store_listeners.values():
-                listener.outage = Outage.NONE
-            known = max(site.cloud.windows())
-            await poll_until(lambda: max(site.cloud.windows()) >= known + 9)
-            calling.cancel()
+            async with run_calls(site):
+                for listener in site.store_listeners.values():
+                    listener.begin_outage(Outage.RESET)
+                await asyncio.sleep(8.0)
+                for listener in site.store_listeners.values():
+                    listener.outage = Outage.NONE
+                known = max(site.cloud.windows())
+                await wait_for_reports(site, 9, known)
             later = {w: c for w, c in site.cloud.windows().items() if w > known}
             assert all(all(counts) for counts in later.values())
 
@@ -229,15 +242,13 @@
     async def scenario():
         async with run_entry_site(nodes=3) as site:
             await start(site)
-            calling = asyncio.create_task(keep_calling(site))
-            await poll_until(lambda: len(site.cloud.windows()) >= 2)
-            copy = site.store.copy()
-            for pause_s in (3.0, 1.5):
-                await asyncio.sleep(pause_s)
-                await site.restore_store(copy)
-            known = max(site.cloud.windows())
-            await poll_until(lambda: max(site.cloud.windows()) >= known + 5)
-            calling.cancel()
+            async with run_calls(site):
+                copy = site.store.copy()
+                for pause_s in (3.0, 1.5):
+                    await asyncio.sleep(pause_s)
+                    await site.restore_store(copy)
+                known = max(site.cloud.windows())
+                await wait_for_reports(site, 5, known)
             assert check_duties(site.cloud.accepted) == []
 
     run_scenario(scenario)
