Make the test of a departure at a reused address notice its safeguard

Without the safeguard the test passed: the present endpoint was asked directly a moment later and told its departure itself. It is full now, so that only its refusals of requests for the former endpoint can tell.

--- a/poplarrelay/entry/tests/test_departure_notices.py
+++ b/poplarrelay/entry/tests/test_departure_notices.py
@@ -207,12 +207,12 @@
             site.list_runner("r9", CALLS)
             state = site.nodes["a"].state
             await site.ready(endpoints=4)
-            row = state.endpoints.rows[LEFT]
-            endpoints = list(state.endpoints.rows.values())
-            for each in endpoints:
-                each.health.avoided_until = 0.0 if each is row else monotonic() + 60
-            await send(site, "/look/x", 0.5)
-            assert any(not r.ran for r in other.received)
-            assert not state.endpoints.rows[EndpointId("r9")].accepts_work
+            present = state.endpoints.rows[EndpointId("r9")]
+            # Only the refusals of requests for the former endpoint can tell.
+            present.running = present.slots
+            while not other.received:
+                await site.call("/look/x")
+            assert not any(request.ran for request in other.received)
+            assert not present.accepts_work
 
     run_scenario(scenario)
