Make the test of several pauses notice its safeguard

Without the safeguard the test passed: all six requests had been refused with the long pause before the stand-in changed it. The second, shorter pause is now added while the first one runs, and nothing may arrive (two were allowed).

--- a/poplarrelay/entry/tests/test_backoff.py
+++ b/poplarrelay/entry/tests/test_backoff.py
@@ -172,14 +172,17 @@
     async def scenario():
         async with run_entry_site() as site:
             (runner,) = await add_endpoints(site, CALLS, ["2"])
-            calls = [asyncio.create_task(site.call("/look/x")) for _ in range(6)]
-            await calls[0]
-            runner.pause = "0.1"
-            await asyncio.gather(*calls)
+            node = site.nodes["a"]
+            await site.call("/look/x")
+            row = node.state.endpoints.rows[EndpointId("r0")]
+            # Requests that were sent before are refused later, with other pauses.
+            node.state.backoffs.add(row, 0.1, monotonic())
             received = len(runner.received)
             await asyncio.sleep(0.6)
             await send(site, "/look/x", per_s=40, for_s=0.8)
-            assert len(runner.received) <= received + MAX_REQUESTS_IN_PAUSE
+            assert len(runner.received) == received
+            node.state.backoffs.add(row, 5.0, monotonic())
+            assert row.backoff_until > monotonic() + 4.0
 
     run_scenario(scenario)
 
