Make the tests of restores notice two safeguards

Without the excluded windows the tests of reports passed: nodes keep the counts for 20 s now, so the second report had the same ones. No test noticed that an answer of another era is used; two new ones do (told by the store, and by a peer).

--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -721,7 +721,7 @@
         "poplarrelay/platform/store.py",
         "        if not current or (stated and self._eras.latest != era):\n",
         "        if False:\n",
-        "test_store_restores.py",
+        "test_store_era.py",
     ),
     Safeguard(
         "windows that a restore may have lost are not decided again",
--- a/poplarrelay/entry/tests/test_store_era.py
+++ b/poplarrelay/entry/tests/test_store_era.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from random import Random
 
 import pytest
@@ -16,8 +17,13 @@
     RolloutProgress,
 )
 from poplarrelay.entry.rollouts.table import RolloutTable
+from poplarrelay.entry.settings import parse_address
 from poplarrelay.entry.store_era import MAX_ERA, EraTracker, ordered_offset
+from poplarrelay.exception import StoreRestored
 from poplarrelay.identifiers import Offset, SoftwareVersion, StoreEra, TeamId
+from poplarrelay.platform.store import Store
+from poplarrelay.standins.users.store import StoreListener, StoreStandIn
+from poplarrelay.testing.entry_site import run_scenario
 from poplarrelay.testing.rows import make_network
 
 DESK = ServiceName("desk")
@@ -182,3 +188,32 @@
             assert local is not None
             results.add((local.progress.phase, local.progress.order.offset))
         assert len(results) == 1
+
+
+class TestCalls:
+    @pytest.mark.parametrize("told_by_peer", [False, True])
+    def test_answer_to_a_call_of_an_earlier_era_is_discarded(self, told_by_peer):
+        # Guards against records that are applied under offsets of another era.
+        async def scenario():
+            stand_in = StoreStandIn()
+            stand_in.era = 1
+            listener = StoreListener(stand_in, "127.0.0.1")
+            await listener.start()
+            tracker = EraTracker()
+            store = Store(parse_address(listener.address), eras=tracker)
+            copy = stand_in.copy()
+            _, end = await store.newest("keyed.op")
+            read = asyncio.create_task(store.read("keyed.op", 0, end, wait_s=5.0))
+            await asyncio.sleep(0.1)
+            if told_by_peer:
+                tracker.observe(ERAS[2], "peer")
+            else:
+                stand_in.restore(copy)
+            stand_in.put("keyed.op", "config", {"version": 1})
+            with pytest.raises(StoreRestored):
+                await read
+            assert tracker.latest == ERAS[2]
+            store.close()
+            listener.stop()
+
+        run_scenario(scenario)
--- a/poplarrelay/entry/tests/test_store_restores.py
+++ b/poplarrelay/entry/tests/test_store_restores.py
@@ -64,6 +64,14 @@
         calling.cancel()
 
 
+def count_late_requests(site: EntrySite) -> None:
+    """Count one more request in each window, as if nodes had heard of it late."""
+    for node in site.nodes.values():
+        for counts in node.state.usage.windows.values():
+            for team in counts:
+                counts[team] += 1
+
+
 async def wait_for_reports(site: EntrySite, count: int, known: int) -> None:
     """Wait until a window is reported that comes `count` windows after a known one."""
     await poll_until(lambda: max(site.cloud.windows()) >= known + count)
@@ -82,6 +90,7 @@
                 before = holder(site)
                 if killed and before is not None:
                     await site.kill_node(before)
+                count_late_requests(site)
                 known = max(site.cloud.windows())
                 await site.restore_store(copy)
                 await wait_for_reports(site, 5, known)
@@ -246,6 +255,7 @@
                 copy = site.store.copy()
                 for pause_s in (3.0, 1.5):
                     await asyncio.sleep(pause_s)
+                    count_late_requests(site)
                     await site.restore_store(copy)
                 known = max(site.cloud.windows())
                 await wait_for_reports(site, 5, known)
