Identify the run of an endpoint in one place

Departures and pauses each built the pair of id and start. Endpoint.run has it now, and both tables use it; the safeguards' quotes follow.

--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -621,7 +621,7 @@
     Safeguard(
         "stated departures are kept by run",
         f"{ENTRY}/departures.py",
-        "        return _run_of(row) in self._stated_at\n",
+        "        return row.run in self._stated_at\n",
         "        return False\n",
         "test_departure_notices.py test_departure_exchange.py",
     ),
@@ -670,14 +670,14 @@
     Safeguard(
         "the latest end of several pauses counts",
         f"{ENTRY}/backoff.py",
-        "        self._ends[run] = max(known_end, now + backoff_s)\n",
-        "        self._ends[run] = now + backoff_s\n",
+        "        self._ends[row.run] = max(known_end, now + backoff_s)\n",
+        "        self._ends[row.run] = now + backoff_s\n",
         "test_backoff.py",
     ),
     Safeguard(
         "pauses are kept by run",
         f"{ENTRY}/backoff.py",
-        "        row.backoff_until = self._ends.get(run, -inf)\n",
+        "        row.backoff_until = self._ends.get(row.run, -inf)\n",
         "        row.backoff_until = -inf\n",
         "test_backoff.py",
     ),
--- a/poplarrelay/entry/backoff.py
+++ b/poplarrelay/entry/backoff.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.identifiers import EndpointId, StartTime
+from poplarrelay.entry.endpoints import Endpoint, RunKey
+from poplarrelay.identifiers import EndpointId
 
 __all__ = ["BackoffTable"]
 
@@ -31,15 +31,12 @@
     """
 
     rows: Mapping[EndpointId, Endpoint]
-    _ends: dict[tuple[EndpointId, StartTime | None], float] = field(
-        default_factory=dict
-    )
+    _ends: dict[RunKey, float] = field(default_factory=dict)
 
     def add(self, row: Endpoint, backoff_s: float, now: float) -> None:
         """Send nothing to an endpoint for some seconds, or longer if asked before."""
-        run = row.endpoint, row.started_ms
-        known_end = self._ends.get(run, -inf)
-        self._ends[run] = max(known_end, now + backoff_s)
+        known_end = self._ends.get(row.run, -inf)
+        self._ends[row.run] = max(known_end, now + backoff_s)
         if known_end <= now:
             _LOG.info(
                 "endpoint asks for pause",
@@ -49,15 +46,14 @@
                     "backoff_s": backoff_s,
                 },
             )
-        row.backoff_until = self._ends[run]
+        row.backoff_until = self._ends[row.run]
         listed = self.rows.get(row.endpoint)
         if listed is not None:
             self.restore(listed)
 
     def restore(self, row: Endpoint) -> None:
         """Set the end of the pause of the run in a new row."""
-        run = row.endpoint, row.started_ms
-        row.backoff_until = self._ends.get(run, -inf)
+        row.backoff_until = self._ends.get(row.run, -inf)
 
     def forget(self, now: float) -> None:
         """Drop the pauses that have ended."""
--- a/poplarrelay/entry/departures.py
+++ b/poplarrelay/entry/departures.py
@@ -15,7 +15,7 @@
 from math import isfinite
 from typing import Any
 
-from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.endpoints import Endpoint, RunKey
 from poplarrelay.identifiers import EndpointId, StartTime
 
 __all__ = ["DepartureTable"]
@@ -31,12 +31,6 @@
 #: Maximum number of departures in one datagram.
 MAX_DEPARTURES_SENT = 100
 
-_Run = tuple[EndpointId, StartTime | None]
-
-
-def _run_of(row: Endpoint) -> _Run:
-    return row.endpoint, row.started_ms
-
 
 @dataclass(slots=True)
 class DepartureTable:
@@ -52,29 +46,29 @@
 
     rows: Mapping[EndpointId, Endpoint]
     on_change: Callable[[], None] = lambda: None
-    _stated_at: OrderedDict[_Run, float] = field(default_factory=OrderedDict)
-    _sends_left: dict[_Run, int] = field(default_factory=dict)
+    _stated_at: OrderedDict[RunKey, float] = field(default_factory=OrderedDict)
+    _sends_left: dict[RunKey, int] = field(default_factory=dict)
 
     def includes(self, row: Endpoint) -> bool:
         """Return whether the run of an endpoint has stated that it leaves."""
-        return _run_of(row) in self._stated_at
+        return row.run in self._stated_at
 
     def add(self, rows: Iterable[Endpoint], now: float) -> None:
         """Record that the runs in the given rows have stated their departure."""
-        added = [self._add(_run_of(row), now, "answer") for row in rows]
+        added = [self._add(row.run, now, "answer") for row in rows]
         if any(added):
             self.on_change()
 
-    def _add(self, run: _Run, stated_at: float, source: str) -> bool:
+    def _add(self, run: RunKey, stated_at: float, source: str) -> bool:
         if run in self._stated_at:
             return False
         self._stated_at[run] = stated_at
         self._sends_left[run] = SENDS_PER_DEPARTURE
         if len(self._stated_at) > MAX_DEPARTURES:
             self._drop(next(iter(self._stated_at)))
-        endpoint, started_ms = run
+        endpoint, _ = run
         row = self.rows.get(endpoint)
-        if row is not None and row.started_ms == started_ms:
+        if row is not None and row.run == run:
             row.departure_stated = True
         _LOG.info(
             "endpoint states departure",
@@ -86,7 +80,7 @@
         )
         return True
 
-    def _drop(self, run: _Run) -> None:
+    def _drop(self, run: RunKey) -> None:
         del self._stated_at[run]
         self._sends_left.pop(run, None)
 
@@ -115,7 +109,7 @@
         """Return all departures, for a peer that reads this node's complete state."""
         return [self._encode(run, now) for run in self._stated_at]
 
-    def _encode(self, run: _Run, now: float) -> list[Any]:
+    def _encode(self, run: RunKey, now: float) -> list[Any]:
         return [*run, round(now - self._stated_at[run], 2)]
 
     def receive(self, raw: Iterable[list[Any]], peer: str, now: float) -> None:
--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -8,7 +8,10 @@
 from poplarrelay.entry.http.pool import Address
 from poplarrelay.identifiers import DomainId, EndpointId, SoftwareVersion, StartTime
 
-__all__ = ["UNKNOWN_VERSION", "Endpoint", "EndpointTable", "Health"]
+__all__ = ["UNKNOWN_VERSION", "Endpoint", "EndpointTable", "Health", "RunKey"]
+
+#: Id and start of an endpoint, which identify its run.
+RunKey = tuple[EndpointId, StartTime | None]
 
 #: Version of an endpoint that states none.
 UNKNOWN_VERSION = SoftwareVersion("")
@@ -130,6 +133,11 @@
     last_accepting_at: float = float("-inf")
     health: Health = field(default_factory=Health)
 
+    @property
+    def run(self) -> RunKey:
+        """Return the id and the start of this run."""
+        return self.endpoint, self.started_ms
+
     @property
     def departing(self) -> bool:
         """Return whether the endpoint leaves, by its record or by an answer."""
