--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -486,7 +486,7 @@
     ),
     Safeguard(
         "each choice considers a sample of the endpoints",
-        f"{ENTRY}/choosing.py",
+        f"{ENTRY}/scheduling/choosing.py",
         "    return [*affinity_endpoints, "
         "*rng.sample(others, min(SAMPLE_SIZE, len(others)))]\n",
         "    return [*affinity_endpoints, *others]\n",
@@ -494,10 +494,10 @@
     ),
     Safeguard(
         "demand determines the number of endpoints",
-        f"{ENTRY}/sizing.py",
+        f"{ENTRY}/scheduling/sizing.py",
         "    return tokens_per_s / (PREFILL_SHARE * speed)\n",
         "    return 0.0\n",
-        "test_sizing.py",
+        "../scheduling/tests/test_sizing.py",
     ),
     Safeguard(
         "a refusal by a restarted endpoint is a failure",
@@ -529,24 +529,24 @@
     ),
     Safeguard(
         "prompts that would be late are refused",
-        f"{ENTRY}/admission.py",
+        f"{ENTRY}/scheduling/admission.py",
         "    return forecast.queue_s <= forecast.max_queue_s\n",
         "    return True\n",
         "test_decisions.py",
     ),
     Safeguard(
         "on-demand endpoints stay until reclaimable ones serve",
-        f"{ENTRY}/sizing.py",
+        f"{ENTRY}/scheduling/sizing.py",
         "    count = min(max(sum(on_demand.values()), min_count), max_count)\n",
         "    count = min_count\n",
-        "test_sizing.py",
+        "../scheduling/tests/test_sizing.py",
     ),
     Safeguard(
         "exhausted domains reserve no capacity",
-        f"{ENTRY}/sizing.py",
+        f"{ENTRY}/scheduling/sizing.py",
         "serving[d] if d in inputs.exhausted_domains else reclaimable[d]",
         "reclaimable[d]",
-        "test_sizing.py",
+        "../scheduling/tests/test_sizing.py",
     ),
     Safeguard(
         "outdated cell summaries are ignored",
@@ -690,7 +690,7 @@
     ),
     Safeguard(
         "refused callers return at different times",
-        f"{ENTRY}/request_queue.py",
+        f"{ENTRY}/scheduling/request_queue.py",
         "rng.random() * max(MIN_RETURN_S, RETURN_SHARE * backoff_s)",
         "0.0",
         "test_backoff.py",
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -12,7 +12,6 @@
 from poplarrelay.entry.backlog_client import BacklogClient
 from poplarrelay.entry.backlogs import Placement, PromptEnd
 from poplarrelay.entry.charging import QuotaCharges
-from poplarrelay.entry.choosing import Choice
 from poplarrelay.entry.configuration import (
     Configuration,
     Route,
@@ -45,6 +44,7 @@
     note_first_event,
 )
 from poplarrelay.entry.routing import Admitted, Denied, NoRoute, admit, choose_service
+from poplarrelay.entry.scheduling.choosing import Choice
 from poplarrelay.entry.slots import NO_ENDPOINT_RETRY_S, SlotAllocator
 from poplarrelay.entry.state import EntryState
 from poplarrelay.platform.headers import decode_request
--- a/poplarrelay/entry/rollouts/observing.py
+++ b/poplarrelay/entry/rollouts/observing.py
@@ -3,11 +3,6 @@
 from __future__ import annotations
 
 from poplarrelay.entry.attempts import Attempt
-from poplarrelay.entry.choosing import (
-    TOKENS_PER_REQUEST,
-    Choice,
-    median_prefill_speed,
-)
 from poplarrelay.entry.configuration import Route
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.outcomes import (
@@ -19,6 +14,11 @@
 )
 from poplarrelay.entry.rollouts.evidence import LatencyKind, RouteName
 from poplarrelay.entry.rollouts.table import RolloutTable
+from poplarrelay.entry.scheduling.choosing import (
+    TOKENS_PER_REQUEST,
+    Choice,
+    median_prefill_speed,
+)
 from poplarrelay.entry.state import EntryState
 
 __all__ = ["note_attempt", "note_deadline", "note_first_event"]
--- a/poplarrelay/entry/scaling.py
+++ b/poplarrelay/entry/scaling.py
@@ -8,7 +8,6 @@
 from math import ceil
 from time import monotonic
 
-from poplarrelay.entry.choosing import median_prefill_speed
 from poplarrelay.entry.configuration import (
     Configuration,
     ScalingLimits,
@@ -18,7 +17,8 @@
 from poplarrelay.entry.demand import expected_tokens_per_s
 from poplarrelay.entry.duty_lease import DutyLease
 from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.entry.sizing import (
+from poplarrelay.entry.scheduling.choosing import median_prefill_speed
+from poplarrelay.entry.scheduling.sizing import (
     PREFILL_SHARE,
     Plan,
     SizingInput,
--- a/poplarrelay/entry/request_queue.py
+++ b/poplarrelay/entry/scheduling/request_queue.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from poplarrelay.entry.choosing import Choice, SelectionCriteria
 from poplarrelay.entry.configuration import Route, ServiceName
 from poplarrelay.entry.outcomes import RefusalReason
+from poplarrelay.entry.scheduling.choosing import Choice, SelectionCriteria
 
 __all__ = [
     "RequestQueue",
--- a/poplarrelay/entry/tests/test_sizing.py
+++ b/poplarrelay/entry/scheduling/tests/test_sizing.py
@@ -7,7 +7,7 @@
 from poplarrelay.entry.configuration import Quota, ScalingLimits, ServiceName, Team
 from poplarrelay.entry.demand import DemandMeter, expected_tokens_per_s
 from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.entry.sizing import (
+from poplarrelay.entry.scheduling.sizing import (
     SizingInput,
     count_for_load,
     count_lost_to_limits,
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -7,13 +7,18 @@
 from math import inf
 from time import monotonic
 
-from poplarrelay.entry.admission import (
+from poplarrelay.entry.backlog_client import BacklogClient
+from poplarrelay.entry.configuration import ServiceName
+from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.outcomes import Refusal, RefusalReason
+from poplarrelay.entry.permits import PROBE_PER_S, PermitBroker
+from poplarrelay.entry.request_context import RequestContext
+from poplarrelay.entry.scheduling.admission import (
     FirstEventForecast,
     retry_after_queue,
     starts_in_time,
 )
-from poplarrelay.entry.backlog_client import BacklogClient
-from poplarrelay.entry.choosing import (
+from poplarrelay.entry.scheduling.choosing import (
     Choice,
     SelectionCriteria,
     answered_since,
@@ -21,12 +26,7 @@
     choose_endpoint,
     sample_candidates,
 )
-from poplarrelay.entry.configuration import ServiceName
-from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.entry.outcomes import Refusal, RefusalReason
-from poplarrelay.entry.permits import PROBE_PER_S, PermitBroker
-from poplarrelay.entry.request_context import RequestContext
-from poplarrelay.entry.request_queue import (
+from poplarrelay.entry.scheduling.request_queue import (
     RequestQueue,
     SlotUnavailable,
     bound_retry_after,
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -22,8 +22,8 @@
 from poplarrelay.entry.peers import PeerTable
 from poplarrelay.entry.quotas import Bucket
 from poplarrelay.entry.rollouts.table import RolloutTable
+from poplarrelay.entry.scheduling.slot_limits import max_slots_per_node
 from poplarrelay.entry.settings import EntrySettings, parse_address
-from poplarrelay.entry.slot_limits import max_slots_per_node
 from poplarrelay.entry.store_era import EraTracker
 from poplarrelay.identifiers import DomainId, Incarnation, NodeId, TeamId
 
--- a/poplarrelay/entry/tests/test_calls.py
+++ b/poplarrelay/entry/tests/test_calls.py
@@ -8,7 +8,7 @@
 
 from poplarrelay.entry import relaying
 from poplarrelay.entry.http.connection import header_value
-from poplarrelay.entry.request_queue import WAIT_SHARE
+from poplarrelay.entry.scheduling.request_queue import WAIT_SHARE
 from poplarrelay.identifiers import EndpointId
 from poplarrelay.standins.users.runner import Fault
 from poplarrelay.testing.entry_site import (
--- a/poplarrelay/entry/tests/test_decisions.py
+++ b/poplarrelay/entry/tests/test_decisions.py
@@ -4,17 +4,17 @@
 
 import pytest
 
-from poplarrelay.entry.admission import (
-    FirstEventForecast,
-    retry_after_queue,
-    starts_in_time,
-)
 from poplarrelay.entry.budgets import SAFE_SHARE, RetryBudget
-from poplarrelay.entry.choosing import SelectionCriteria, choose_endpoint
 from poplarrelay.entry.configuration import Route, RouteKind, ServiceName, ServiceShare
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.health import note_failure, note_success
-from poplarrelay.entry.request_queue import max_queue_wait, retry_after
+from poplarrelay.entry.scheduling.admission import (
+    FirstEventForecast,
+    retry_after_queue,
+    starts_in_time,
+)
+from poplarrelay.entry.scheduling.choosing import SelectionCriteria, choose_endpoint
+from poplarrelay.entry.scheduling.request_queue import max_queue_wait, retry_after
 from poplarrelay.entry.settings import EntrySettings
 from poplarrelay.entry.state import EntryState
 from poplarrelay.identifiers import DomainId, EndpointId, Incarnation
--- a/poplarrelay/entry/tests/test_places.py
+++ b/poplarrelay/entry/tests/test_places.py
@@ -13,8 +13,8 @@
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.outcomes import Refusal, RefusalReason
 from poplarrelay.entry.permits import PermitBroker
+from poplarrelay.entry.scheduling.sizing import count_serving
 from poplarrelay.entry.settings import EntrySettings
-from poplarrelay.entry.sizing import count_serving
 from poplarrelay.entry.slots import SlotAllocator
 from poplarrelay.entry.state import EntryState
 from poplarrelay.identifiers import DomainId, EndpointId, Incarnation
--- a/poplarrelay/testing/prefill_simulation.py
+++ b/poplarrelay/testing/prefill_simulation.py
@@ -9,15 +9,15 @@
 from random import Random
 
 from poplarrelay.entry.backlogs import BacklogTable, Placement, PromptEnd
-from poplarrelay.entry.choosing import (
+from poplarrelay.entry.configuration import ServiceName
+from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.requests import PromptPart
+from poplarrelay.entry.scheduling.choosing import (
     Choice,
     SelectionCriteria,
     choose_candidate,
     sample_candidates,
 )
-from poplarrelay.entry.configuration import ServiceName
-from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.entry.requests import PromptPart
 from poplarrelay.identifiers import DomainId, EndpointId, RequestId
 
 __all__ = ["PrefillSimulation", "SimulatedPrompt"]
