Count all requests at an engine at its coordinator, and trust no missing count

Ruled out: prompts that were not reported (3 of 2,622) and queues dropped with endpoints that a coordinator does not list (1 of 15 was not empty).

Change: in the first 3 s of a node, listed nodes that it has not heard of count as alive when a coordinator is chosen; a change of coordinators is noticed within a tick, and the node's queued prompts and counts are reported to the new one; an engine that nobody counts gets the largest counted backlog. Coordinators count running requests too, by totals of each node that travel with the messages of before, and are confirmed every second. As nodes then know that an engine's slots are taken, prompts may wait in its queue, for half of its slots, with a forecast by the observed rate of ends; before, they waited in the queue of one node.

--- a/poplarrelay/entry/backlogs.py
+++ b/poplarrelay/entry/backlogs.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from statistics import median
 from typing import Any
 
 from poplarrelay.entry.requests import PromptPart
+from poplarrelay.entry.scheduling.occupancy import Load, Occupancy
 from poplarrelay.identifiers import EndpointId, RequestId
 
 __all__ = [
@@ -107,6 +108,9 @@
         has cached.
     down : bool
         Whether a node has found the engine gone within the last `DOWN_S` seconds.
+    load : Load or None
+        Requests at the engine; None if the coordinator does not count them. It is sent
+        beside the view, since earlier versions accept no further value in the view.
     """
 
     endpoint: EndpointId
@@ -114,6 +118,7 @@
     speed: float
     cached_parts: int
     down: bool = False
+    load: Load | None = None
 
     def encode(self) -> list[Any]:
         """Return the view as a list of JSON values."""
@@ -203,6 +208,8 @@
     ----------
     down_until : float
         Monotonic time until which the engine counts as gone.
+    occupancy : Occupancy
+        Requests at the engine, queued and running.
     _queue : dict of RequestId to _QueuedPrompt
         The queued prompts in the order of their placement.
     _prefill_began_at : float
@@ -215,6 +222,7 @@
 
     speed: PrefillSpeed = field(default_factory=PrefillSpeed)
     down_until: float = 0.0
+    occupancy: Occupancy = field(default_factory=Occupancy)
     _queue: dict[RequestId, _QueuedPrompt] = field(default_factory=dict)
     _prefill_began_at: float = 0.0
     _part_last_used: dict[str, int] = field(default_factory=dict)
@@ -242,8 +250,10 @@
         return total
 
     def add_prompt(self, node: str, placement: Placement, now: float) -> None:
-        """Add a prompt to the queue."""
+        """Add a prompt to the queue, unless it is there already."""
         self._drop_stale(now)
+        if placement.request in self._queue:
+            return
         if not self._queue:
             self._prefill_began_at = now
         tokens_to_first_event = self.tokens(now) + placement.tokens
@@ -285,8 +295,9 @@
         return cached
 
     def forget(self, now: float) -> None:
-        """Drop prompts that have expired and parts that count as evicted."""
+        """Drop what has expired, and parts that count as evicted."""
         self._drop_stale(now)
+        self.occupancy.forget(now)
         oldest = self._placed_tokens - EVICTION_TOKENS
         self._part_last_used = {
             part: last_used
@@ -315,6 +326,14 @@
         if backlog is not None:
             backlog.remove_prompt(request, end, now)
 
+    def report_requests(
+        self, node: str, counts: Mapping[EndpointId, int], now: float
+    ) -> None:
+        """Set the number of a node's requests at some engines."""
+        for endpoint, count in counts.items():
+            backlog = self.backlogs.setdefault(endpoint, Backlog())
+            backlog.occupancy.report(node, count, now)
+
     def view(
         self, node: str, endpoint: EndpointId, parts: Sequence[str], now: float
     ) -> BacklogView:
@@ -333,13 +352,14 @@
         """
         backlog = self.backlogs.get(endpoint)
         if backlog is None:
-            return BacklogView(endpoint, 0, 0.0, 0)
+            return BacklogView(endpoint, 0, 0.0, 0, load=Load(0, 0.0))
         return BacklogView(
             endpoint,
             round(backlog.tokens(now, excluded_node=node)),
             round(backlog.speed.tokens_per_s),
             backlog.count_cached(parts),
             now < backlog.down_until,
+            backlog.occupancy.load(now, excluded_node=node),
         )
 
     def forget(self, known: Iterable[EndpointId], now: float) -> None:
--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -6,6 +6,7 @@
 
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.http.pool import Address
+from poplarrelay.entry.scheduling.occupancy import Load
 from poplarrelay.identifiers import DomainId, EndpointId, SoftwareVersion, StartTime
 
 __all__ = ["UNKNOWN_VERSION", "Endpoint", "EndpointTable", "Health", "RunKey"]
@@ -13,6 +14,10 @@
 #: Id and start of an endpoint, which identify its run.
 RunKey = tuple[EndpointId, StartTime | None]
 
+#: Prompts that may wait for a slot at an engine, as a share of its slots.
+QUEUE_SHARE = 0.5
+#: Seconds for which a coordinator's count of requests is used.
+LOAD_VALID_S = 0.5
 #: Version of an endpoint that states none.
 UNKNOWN_VERSION = SoftwareVersion("")
 
@@ -74,6 +79,11 @@
         Monotonic time of that report.
     prefill_speed : float
         Prompt tokens that the endpoint prefills per second, 0 if unknown.
+    ends_per_s : float
+        Requests of all nodes that recently ended at the endpoint, per second, by the
+        latest report of its coordinator.
+    counted_at : float
+        Monotonic time at which the coordinator last reported the requests.
     suspended_until : float
         Monotonic time until which a record that vanished during an outage of the store
         can be restored.
@@ -119,6 +129,8 @@
     other_nodes_prefill_tokens: int = 0
     prefill_reported_at: float = 0.0
     prefill_speed: float = 0.0
+    ends_per_s: float = 0.0
+    counted_at: float = float("-inf")
     suspended_until: float | None = None
     version: SoftwareVersion = UNKNOWN_VERSION
     barred: bool = False
@@ -153,12 +165,22 @@
         """Return the number of requests of all nodes at the endpoint."""
         return self.running + self.running_at_other_nodes
 
-    def update_backlog(self, other_nodes_tokens: int, speed: float, now: float) -> None:
-        """Store a report of the coordinator that counts the endpoint's prompts."""
+    def update_backlog(
+        self,
+        other_nodes_tokens: int,
+        speed: float,
+        now: float,
+        load: Load | None = None,
+    ) -> None:
+        """Store a report of the coordinator that counts the endpoint's requests."""
         self.other_nodes_prefill_tokens = other_nodes_tokens
         self.prefill_reported_at = now
         if speed > 0:
             self.prefill_speed = speed
+        self.counted_at = now if load is not None else float("-inf")
+        if load is not None:
+            self.running_at_other_nodes = load.requests
+            self.ends_per_s = load.ends_per_s
 
     def backlog(self, now: float, speed: float) -> float:
         """Return the uncached prompt tokens of all nodes queued at the endpoint.
@@ -190,6 +212,27 @@
         """Return whether this node can send a request to the endpoint now."""
         return self.free > 0 and not self.in_backoff(now)
 
+    def has_queue_room(self, now: float) -> bool:
+        """Return whether this node can send a prompt that waits for a slot there.
+
+        Notes
+        -----
+        An engine queues some more prompts than it runs and starts the urgent ones
+        first, whichever node they come from. The queues of single nodes do not.
+        """
+        if self.in_backoff(now) or self.limit_per_s is not None:
+            return self.has_room(now)
+        if self.running >= min(self.slot_share, self.slots):
+            return False
+        return self.load < self.slots + int(QUEUE_SHARE * self.slots)
+
+    def slot_wait_s(self, now: float) -> float:
+        """Return the seconds until a slot is expected to be free for a new prompt."""
+        ahead = self.load - self.slots + 1
+        if ahead <= 0 or now - self.counted_at > LOAD_VALID_S:
+            return 0.0
+        return ahead / self.ends_per_s if self.ends_per_s > 0 else float("inf")
+
     def acquire_slot(self) -> None:
         """Take a slot for a request, and use one permit if a limit applies."""
         self.running += 1
@@ -225,6 +268,11 @@
             row.gone = True
             self.by_service[row.service].pop(endpoint, None)
 
+    def count_running(self, endpoint: EndpointId) -> int:
+        """Return the number of this node's requests at an endpoint."""
+        row = self.rows.get(endpoint)
+        return 0 if row is None else row.running
+
     def of(self, service: ServiceName) -> list[Endpoint]:
         """Return the endpoints of a service."""
         return list(self.by_service.get(service, {}).values())
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import zlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Any
 
@@ -29,7 +29,7 @@
 from poplarrelay.entry.rollouts.coordinator import RolloutReport
 from poplarrelay.entry.rollouts.table import RolloutTable
 from poplarrelay.entry.store_era import EraTracker
-from poplarrelay.identifiers import NodeId, Offset
+from poplarrelay.identifiers import EndpointId, NodeId, Offset
 
 __all__ = ["FANOUT", "Gossip", "pick_targets"]
 
@@ -216,7 +216,8 @@
         exchange = self._exchange
         if "backlog" in message:
             if self._backlog_client is not None:
-                self._backlog_client.receive(host, message["backlog"])
+                counts = message.get("counts")
+                self._backlog_client.receive(host, message["backlog"], counts)
             return
         same_era = self._eras.accepts(message.get("era"), host)
         if "question" in message:
@@ -253,6 +254,8 @@
             self._departures.receive(message.get("departures", ()), host, now)
         if self._permits is not None:
             self._permits.receive(host, message.get("permits", ()))
+        if self._backlog_client is not None and "request_counts" in message:
+            self._backlog_client.receive_counts(host, message["request_counts"])
         if self._rollouts is not None:
             self._rollouts.receive(message.get("rollouts", ()), host)
         if self._on_rollout_report is not None:
@@ -419,7 +422,9 @@
         """Reply to a node's request for changes."""
         self._send(_pack(self._with_era({"answer": reply.encode()})), [host])
 
-    def send_backlog(self, host: str, message: list[Any]) -> None:
+    def send_backlog(
+        self, host: str, message: list[Any], counts: Mapping[EndpointId, Any]
+    ) -> None:
         """Send a node an uncompressed message about queued prompts.
 
         Notes
@@ -427,7 +432,16 @@
         Each request causes several such messages. To compress the hundred bytes of one
         takes longer than the rest of its processing.
         """
-        self._send(orjson.dumps({"backlog": message}), [host])
+        data = orjson.dumps({"backlog": message, "counts": counts})
+        self._send(data, [host])
+
+    def send_request_counts(self, host: str, counts: Mapping[EndpointId, int]) -> None:
+        """Send a node the numbers of this node's requests at some endpoints.
+
+        They are a separate field, like permits.
+        """
+        message = self._row_message([], self._announcement(), [], request_counts=counts)
+        self._send(orjson.dumps(message), [host])
 
     def send_permits(self, hosts: Sequence[str], messages: list[list[Any]]) -> None:
         """Send messages about endpoint limits and permits to the given hosts.
--- a/poplarrelay/entry/host_directory.py
+++ b/poplarrelay/entry/host_directory.py
@@ -111,7 +111,7 @@
             self._check.set()
         hosts = {NodeId(r.key): _decode_host(r) for r in records if r.key != me.node}
         self.hosts = {node: host for node, host in hosts.items() if host is not None}
-        self._state.listed_nodes = self.hosts.keys()
+        self._state.listed_nodes = self.hosts
 
 
 def _decode_host(record: KeyedRecord) -> str | None:
--- a/poplarrelay/entry/permits.py
+++ b/poplarrelay/entry/permits.py
@@ -15,10 +15,10 @@
 from math import inf
 from typing import Any, Protocol
 
-from poplarrelay.entry.backlog_client import choose_coordinator
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.rate_limits import StatedLimit, apply_stated_limit, set_limit
+from poplarrelay.entry.scheduling.coordinators import choose_coordinator
 from poplarrelay.identifiers import EndpointId, NodeId, StartTime
 
 __all__ = ["PROBE_PER_S", "Permit", "PermitBroker", "PermitIssuer", "PermitSender"]
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -126,7 +126,11 @@
             self._on_new_summary,
         )
         self._backlog_client = BacklogClient(
-            self._state.me.host, self._state.coordinators, self._gossip, monotonic
+            self._state.me.host,
+            self._state.coordinators,
+            self._gossip,
+            monotonic,
+            self._state.endpoints.count_running,
         )
         self._permits = PermitBroker(
             self._state.me.host,
@@ -486,6 +490,7 @@
             self._run_gossip(now)
         elif state.crashes.urgent:
             self._gossip.send_crashes()
+        self._backlog_client.check_coordinators()
         state.rollouts.move_streams()
         if state.rollouts.urgent:
             state.rollouts.urgent = False
@@ -698,5 +703,12 @@
             "gossip_bytes_sent": float(self._gossip.sent_bytes),
             "gossip_bytes_received": float(self._gossip.received_bytes),
             "gossip_datagrams_sent": float(self._gossip.sent_datagrams),
+            "backlog_requests": float(self._backlog_client.statistics.requested),
+            "backlog_requests_unanswered": float(
+                self._backlog_client.statistics.unanswered
+            ),
+            "backlog_coordinators_changed": float(
+                self._backlog_client.statistics.coordinators_changed
+            ),
             "duty_held": float(self._duties is not None and self._duties.lease.held),
         }
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -375,10 +375,6 @@
                 end = PromptEnd.ENGINE_GONE
         finally:
             row.prefill_tokens -= queued_tokens
-            if context.request.prompt_tokens and first_event_s is None:
-                self._backlog_client.remove_prompt(
-                    row.endpoint, context.request.request, end
-                )
             self._state.rollouts.remove_stream(row, id(attempt))
             if context.remaining_s <= 0:
                 note_deadline(self._state.rollouts, context.route, row)
@@ -386,6 +382,8 @@
                 self.slot_allocator.release_slot(context.service, row)
             else:
                 self.slot_allocator.release_unused_slot(context.service, row)
+            if context.request.prompt_tokens:
+                self._report_end(context, row, end, first_event_s is not None)
         if isinstance(result, NotRun):
             context.may_have_run = ran_before
         if not attempt.moved:
@@ -405,6 +403,7 @@
                 "unread_tokens": choice.unread_tokens,
                 "ahead_ms": _to_milliseconds(choice.queue_s),
                 "ahead_requests": ahead_requests,
+                "counted": choice.counted,
                 "due_ms": _to_milliseconds(choice.queue_s + choice.prefill_s),
                 "first_event_ms": _to_milliseconds(first_event_s),
                 "load": row.load,
@@ -421,6 +420,16 @@
         )
         return result
 
+    def _report_end(
+        self, context: RequestContext, row: Endpoint, end: PromptEnd, begun: bool
+    ) -> None:
+        """Report to the engine's coordinator that an attempt has ended."""
+        request = context.request.request
+        if begun:
+            self._backlog_client.report_end(row.endpoint, request)
+        else:
+            self._backlog_client.remove_prompt(row.endpoint, request, end)
+
     def _note_departure(self, row: Endpoint, status: int) -> None:
         """Record that the endpoint which answered leaves."""
         rows = [row]
--- a/poplarrelay/entry/scheduling/choosing.py
+++ b/poplarrelay/entry/scheduling/choosing.py
@@ -17,6 +17,7 @@
     "Choice",
     "SelectionCriteria",
     "answered_since",
+    "assume_busiest",
     "choose_candidate",
     "choose_endpoint",
     "median_prefill_speed",
@@ -92,6 +93,8 @@
         Uncached tokens of the queued prompts.
     load : int
         Requests of all nodes at the endpoint.
+    counted : bool
+        Whether the endpoint's coordinator has counted the queued prompts.
     """
 
     endpoint: Endpoint
@@ -102,6 +105,7 @@
     prefill_s: float = 0.0
     queued_tokens: float = 0.0
     load: int = 0
+    counted: bool = False
 
 
 def _score(key: str, endpoint: EndpointId) -> int:
@@ -131,7 +135,11 @@
 
 
 def sample_candidates(
-    rows: Sequence[Endpoint], criteria: SelectionCriteria, now: float, rng: Random
+    rows: Sequence[Endpoint],
+    criteria: SelectionCriteria,
+    now: float,
+    rng: Random,
+    queueing: bool = False,
 ) -> list[Endpoint]:
     """Return a few candidate engines for a prompt, the affinity endpoints first.
 
@@ -141,7 +149,7 @@
     nodes find the same ones without communication, and the loss of an endpoint moves
     only the prompts that have their affinity there.
     """
-    pool, _ = _usable(rows, criteria, now)
+    pool, _ = _usable(rows, criteria, now, queueing)
     key = criteria.affinity_key or ""
     affinity_endpoints = nlargest(
         AFFINITY_ENDPOINTS, pool, key=lambda row: _score(key, row.endpoint)
@@ -150,6 +158,34 @@
     return [*affinity_endpoints, *rng.sample(others, min(SAMPLE_SIZE, len(others)))]
 
 
+def assume_busiest(
+    candidates: Sequence[Endpoint], counted: Collection[EndpointId], now: float
+) -> None:
+    """Assume the largest counted backlog at the candidates that nobody has counted.
+
+    Parameters
+    ----------
+    candidates : sequence of Endpoint
+        The candidates for a prompt.
+    counted : collection of EndpointId
+        Those whose coordinators have replied.
+    now : float
+        Monotonic time.
+
+    Notes
+    -----
+    Load: a coordinator is down or slow while many nodes send prompts. Its engines would
+    look empty and get the prompts of all nodes.
+    """
+    reported = [r for r in candidates if r.endpoint in counted]
+    if not reported:
+        return
+    tokens = max(row.other_nodes_prefill_tokens for row in reported)
+    for row in candidates:
+        if row.endpoint not in counted:
+            row.update_backlog(tokens, 0.0, now)
+
+
 def choose_candidate(
     candidates: Sequence[Endpoint],
     criteria: SelectionCriteria,
@@ -198,8 +234,9 @@
 
     def first_event_s(row: Endpoint) -> float:
         uncached = criteria.prompt_tokens - assumed_cached.get(row.endpoint, 0)
-        tokens = row.backlog(now, speed(row)) + uncached + TOKENS_PER_REQUEST * row.load
-        return tokens / speed(row)
+        queue_s = row.backlog(now, speed(row)) / speed(row)
+        tokens = uncached + TOKENS_PER_REQUEST * row.load
+        return max(queue_s, row.slot_wait_s(now)) + tokens / speed(row)
 
     best = min(candidates, key=first_event_s)
     source = max(candidates, key=lambda row: assumed_cached.get(row.endpoint, 0))
@@ -215,7 +252,7 @@
         "prefix home" if best is affinity_endpoint else "first event due first",
         source.address if missing_tokens > 0 else None,
         uncached,
-        queued_tokens / speed(best),
+        max(queued_tokens / speed(best), best.slot_wait_s(now)),
         uncached / speed(best),
         queued_tokens,
         best.load,
@@ -276,14 +313,19 @@
 
 
 def _usable(
-    rows: Sequence[Endpoint], criteria: SelectionCriteria, now: float
+    rows: Sequence[Endpoint],
+    criteria: SelectionCriteria,
+    now: float,
+    queueing: bool = False,
 ) -> tuple[list[Endpoint], bool]:
     """Return the free endpoints that have not been tried, and whether they are healthy.
 
-    Endpoints that are avoided for failures are left out unless all are avoided.
+    With `queueing`, engines with room in their queue count as free. Endpoints that are
+    avoided for failures are left out unless all are avoided.
     """
+    has_room = Endpoint.has_queue_room if queueing else Endpoint.has_room
     untried = [
-        row for row in rows if row.endpoint not in criteria.tried and row.has_room(now)
+        row for row in rows if row.endpoint not in criteria.tried and has_room(row, now)
     ]
     healthy = [row for row in untried if row.health.avoided_until <= now]
     return healthy or untried, bool(healthy)
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import replace
 from math import inf
 from time import monotonic
 
@@ -22,6 +23,7 @@
     Choice,
     SelectionCriteria,
     answered_since,
+    assume_busiest,
     choose_candidate,
     choose_endpoint,
     sample_candidates,
@@ -121,9 +123,11 @@
         self._prepare_permits(rows, now)
         rng = self._state.rng
         candidates = sample_candidates(
-            self._known_accepting(rows, now), criteria, now, rng
+            self._known_accepting(rows, now), criteria, now, rng, queueing=True
+        )
+        candidates = candidates or sample_candidates(
+            rows, criteria, now, rng, queueing=True
         )
-        candidates = candidates or sample_candidates(rows, criteria, now, rng)
         prefix = context.request.prefix
         backlogs = await self._backlog_client.request_backlogs(
             [row.endpoint for row in candidates], [part.part for part in prefix[:-1]]
@@ -134,10 +138,11 @@
         for row in candidates:
             backlog = backlogs.get(row.endpoint)
             if backlog is not None:
-                row.update_backlog(backlog.tokens, backlog.speed, now)
+                row.update_backlog(backlog.tokens, backlog.speed, now, backlog.load)
                 cached_tokens[row.endpoint] = backlog.cached_tokens_at(prefix)
+        assume_busiest(candidates, backlogs.keys(), now)
         # Endpoints may have left or become full while the coordinators replied.
-        available = [r for r in candidates if r.accepts_work and r.has_room(now)]
+        available = [r for r in candidates if r.accepts_work and _has_room(r, now)]
         available = [row for row in available if row.endpoint not in down] or available
         if not available:
             return None
@@ -159,7 +164,7 @@
                 detail = f"{forecast.queue_s:.2f} s queue time"
                 return Refusal(503, RefusalReason.QUEUE_TOO_LONG, wait_s, detail)
         self._acquire(choice.endpoint)
-        return choice
+        return replace(choice, counted=choice.endpoint.endpoint in backlogs)
 
     @staticmethod
     def _forecast(
@@ -336,3 +341,8 @@
     def dispatch_queued(self, service: ServiceName) -> None:
         """Assign free slots to queued requests."""
         self._queue.serve(service, lambda criteria: self._choose(service, criteria))
+
+
+def _has_room(row: Endpoint, now: float) -> bool:
+    """Return whether a prompt can be sent to an engine, to its queue if counted."""
+    return row.has_queue_room(now) if row.counted_at == now else row.has_room(now)
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
 from time import monotonic
@@ -22,6 +22,7 @@
 from poplarrelay.entry.peers import PeerTable
 from poplarrelay.entry.quotas import Bucket
 from poplarrelay.entry.rollouts.table import RolloutTable
+from poplarrelay.entry.scheduling.coordinators import eligible_nodes
 from poplarrelay.entry.scheduling.slot_limits import max_slots_per_node
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.entry.store_era import EraTracker
@@ -53,9 +54,11 @@
         Whether the list of endpoints has been read at least once.
     stopping_at : float or None
         Monotonic time of the stop signal, None before the signal.
-    listed_nodes : collection of NodeId or None
-        Other nodes that the directory in the platform's store lists; None before it
-        has been read.
+    started_at : float
+        Monotonic time at which the node started.
+    listed_nodes : mapping of NodeId to str, or None
+        Hosts of the other nodes that the directory in the platform's store lists; None
+        before it has been read.
     end_times : dict of ServiceName to deque of float
         Monotonic times at which requests ended; they give the rate of freed slots.
     demand : DemandMeter
@@ -95,7 +98,8 @@
     backoffs: BackoffTable = field(init=False)
     crashes: CrashTable = field(default_factory=CrashTable)
     stopping_at: float | None = None
-    listed_nodes: Collection[NodeId] | None = None
+    started_at: float = field(default_factory=monotonic)
+    listed_nodes: Mapping[NodeId, str] | None = None
     recent_node_counts: list[tuple[float, int]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -221,9 +225,14 @@
 
     def coordinators(self) -> dict[NodeId, str]:
         """Return the hosts of nodes that can be coordinators of endpoints."""
-        rows = [self.me, *self.peers.alive(monotonic())]
-        ready = {r.node: r.host for r in rows if r.state is NodeState.READY}
-        return ready or {self.me.node: self.me.host}
+        now = monotonic()
+        nodes = eligible_nodes(
+            [self.me, *self.peers.alive(now)],
+            self.peers.states().keys(),
+            self.listed_nodes or {},
+            now - self.started_at,
+        )
+        return nodes or {self.me.node: self.me.host}
 
     def reachable_fractions(self) -> tuple[float, float]:
         """Return the fractions of all nodes that are alive, and that one node is.
--- a/poplarrelay/entry/tests/test_backlogs.py
+++ b/poplarrelay/entry/tests/test_backlogs.py
@@ -10,7 +10,6 @@
 from poplarrelay.entry.backlog_client import (
     UNANSWERED_PAUSE_S,
     BacklogClient,
-    choose_coordinator,
 )
 from poplarrelay.entry.backlogs import (
     DOWN_S,
@@ -23,6 +22,7 @@
     PromptEnd,
 )
 from poplarrelay.entry.requests import PromptPart
+from poplarrelay.entry.scheduling.coordinators import choose_coordinator
 from poplarrelay.identifiers import EndpointId, NodeId, RequestId
 from poplarrelay.testing.prefill_simulation import PrefillSimulation
 
@@ -166,11 +166,18 @@
         network = self
 
         class Sender:
-            def send_backlog(self, host, message):
+            def send_backlog(self, host, message, counts):
                 network.sent.append((sender, host, message[0]))
+                self.deliver(host, "receive", message, counts)
+
+            def send_request_counts(self, host, counts):
+                network.sent.append((sender, host, "counts"))
+                self.deliver(host, "receive_counts", counts)
+
+            def deliver(self, host, method, *arguments):
                 if host not in network.down and sender not in network.down:
-                    loop = asyncio.get_running_loop()
-                    loop.call_soon(network.clients[host].receive, sender, message)
+                    receive = getattr(network.clients[host], method)
+                    asyncio.get_running_loop().call_soon(receive, sender, *arguments)
 
         return Sender()
 
@@ -229,6 +236,109 @@
     asyncio.run(scenario())
 
 
+def make_counting_clients(count):
+    """Return clients whose nodes run the numbers of requests in `network.running`."""
+    network = make_backlog_clients(count)
+    network.running = {}
+    for host, client in network.clients.items():
+        client.count_requests = lambda engine, host=host: network.running.get(
+            (host, engine), 0
+        )
+    return network
+
+
+def test_requests_count_until_their_end():
+    # Guards against nodes that fill an engine together because each knows its own
+    # requests only: running ones count as well as queued ones, at once.
+    async def scenario():
+        network = make_counting_clients(3)
+        first, second, _ = network.clients.values()
+        engines = [EndpointId(f"e{i}") for i in range(6)]
+        for engine in engines:
+            network.running["h0", engine] = 3
+            first.add_prompt(Placement(engine, RequestId(f"r-{engine}"), 9_000))
+            first.remove_prompt(engine, RequestId(f"r-{engine}"), PromptEnd.BEGAN)
+        await asyncio.sleep(0.01)
+        views = await second.request_backlogs(engines, ())
+        assert [views[e].load.requests for e in engines] == [3] * 6
+        views = await first.request_backlogs(engines, ())
+        assert [views[e].load.requests for e in engines] == [0] * 6
+        for engine in engines:
+            network.running["h0", engine] = 2
+            first.report_end(engine, RequestId(f"r-{engine}"))
+        await asyncio.sleep(0.01)
+        views = await second.request_backlogs(engines, ())
+        assert [views[e].load.requests for e in engines] == [2] * 6
+
+    asyncio.run(scenario())
+
+
+def test_new_coordinator_gets_what_the_lost_one_had_counted():
+    # Guards against engines that look empty after their coordinator was killed.
+    async def scenario():
+        network = make_counting_clients(4)
+        engines = [EndpointId(f"e{i}") for i in range(30)]
+        for host, client in network.clients.items():
+            client.refresh(engines)
+            for engine in engines:
+                network.running[host, engine] = 1
+                client.add_prompt(Placement(engine, RequestId(f"{host}-{engine}"), 100))
+        await asyncio.sleep(0.01)
+        network.down.add("h3")
+        left = {NodeId(f"n{i}"): f"h{i}" for i in range(3)}
+        for host in ("h0", "h1", "h2"):
+            network.clients[host].nodes = lambda: left
+            network.clients[host].check_coordinators()
+        await asyncio.sleep(0.01)
+        views = await network.clients["h0"].request_backlogs(engines, ())
+        assert len(views) == len(engines)
+        # The prompts of the killed node are gone where it was the coordinator.
+        assert {view.tokens for view in views.values()} <= {200, 300}
+        assert {view.load.requests for view in views.values()} <= {2, 3}
+        assert network.clients["h0"].statistics.coordinators_changed > 0
+
+    asyncio.run(scenario())
+
+
+def test_lost_report_is_repaired_by_the_next_confirmation():
+    # Guards against slots that stay taken or free after the loss of a datagram.
+    async def scenario():
+        network = make_counting_clients(3)
+        first, second, _ = network.clients.values()
+        engines = [EndpointId(f"e{i}") for i in range(6)]
+        network.down.add("h0")
+        for engine in engines:
+            network.running["h0", engine] = 4
+            first.add_prompt(Placement(engine, RequestId(f"r-{engine}"), 9_000))
+        await asyncio.sleep(0.01)
+        network.down.clear()
+        first.refresh(engines)
+        await asyncio.sleep(0.01)
+        views = await second.request_backlogs(engines, ())
+        assert [views[e].load.requests for e in engines] == [4] * 6
+
+    asyncio.run(scenario())
+
+
+def test_messages_of_versions_without_counts_are_understood():
+    async def scenario():
+        network = make_backlog_clients(2)
+        client = network.clients["h0"]
+        client.receive("h1", ["placed", *make_placement(1, 500).encode()])
+        assert client.table.view("h0", E, (), 0.0).tokens == 500
+        assert client.table.view("h0", E, (), 0.0).load.requests == 0
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("counts", [[], {"e": "many"}, {"e": None}, 7])
+def test_malformed_counts_are_rejected(counts):
+    client = make_backlog_clients(1).clients["h0"]
+    with pytest.raises((ValueError, TypeError, AttributeError)):
+        client.receive_counts("h9", counts)
+    assert client.table.backlogs == {}
+
+
 @pytest.mark.parametrize(
     "message",
     [
--- a/poplarrelay/entry/tests/test_places.py
+++ b/poplarrelay/entry/tests/test_places.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from random import Random
 from time import monotonic
+from typing import cast
 from unittest.mock import Mock
 
 import pytest
 
+from poplarrelay.entry.backlog_client import BacklogClient
+from poplarrelay.entry.backlogs import BacklogView
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.outcomes import Refusal, RefusalReason
 from poplarrelay.entry.permits import PermitBroker
+from poplarrelay.entry.requests import PromptPart
+from poplarrelay.entry.scheduling.choosing import Choice
 from poplarrelay.entry.scheduling.sizing import count_serving
 from poplarrelay.entry.settings import EntrySettings
 from poplarrelay.entry.slots import SlotAllocator
@@ -200,3 +206,39 @@
         assert count_serving([row], DomainId("north"), reclaimable=False) == 1
 
     asyncio.run(scenario())
+
+
+class SilentCoordinators:
+    """Backlog client of a node that gets no reply about some engines."""
+
+    def __init__(self, views: list[BacklogView]) -> None:
+        self.views = views
+
+    async def request_backlogs(
+        self, endpoints: list[EndpointId], parts: list[str]
+    ) -> dict[EndpointId, BacklogView]:
+        return {view.endpoint: view for view in self.views}
+
+
+@pytest.mark.parametrize("silent", range(3))
+def test_engine_that_nobody_counts_is_not_taken_for_empty(silent):
+    # Guards against all nodes sending to the engines of a coordinator that is down.
+    _, broker, state = make_slot_allocator([None] * 3)
+    others = [EndpointId(f"e{n}") for n in range(3) if n != silent]
+    views = [BacklogView(e, 9_000 * (n + 1), 0.0, 0) for n, e in enumerate(others)]
+    client = cast(BacklogClient, SilentCoordinators(views))
+    allocator = SlotAllocator(state, client, broker)
+
+    async def scenario() -> None:
+        context = make_request_context(SERVICE)
+        prompt = (PromptPart("shared", 10), PromptPart("own", 990))
+        context.request = replace(
+            context.request, prefix=prompt, prompt_tokens=1_000, max_output_tokens=10
+        )
+        context.route = replace(context.route, target_s=9.0)
+        choice = await allocator.acquire_slot(context)
+        assert isinstance(choice, Choice)
+        assert choice.endpoint.endpoint == others[0]
+        assert choice.counted
+
+    asyncio.run(scenario())
