Divide the slots of plain services between teams and priorities over all nodes

Cause: nothing shares what there is between teams below their quotas, and urgency ends at the node: a slot that becomes free goes to the node that notices it first, and its queue knows no team.

A node whose coordinator is silent decides by itself, and its own queue is fair by team too. In force with the setting scheduling.fair_shares and several teams or priorities; metrics slots_*, reason 'slot granted' in the attempt line.

--- a/poplarrelay/entry/configuration.py
+++ b/poplarrelay/entry/configuration.py
@@ -181,6 +181,11 @@
     routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     team_by_key: dict[str, Team] = field(default_factory=dict)
 
+    @property
+    def has_contenders(self) -> bool:
+        """Return whether requests differ in team or priority."""
+        return len(self.teams) > 1 or len({r.priority for r in self.routes}) > 1
+
     @classmethod
     def from_parts(
         cls,
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -28,6 +28,7 @@
 from poplarrelay.entry.permits import PermitBroker
 from poplarrelay.entry.rollouts.coordinator import RolloutReport
 from poplarrelay.entry.rollouts.table import RolloutTable
+from poplarrelay.entry.slot_broker import SlotBroker
 from poplarrelay.entry.store_era import EraTracker
 from poplarrelay.identifiers import EndpointId, NodeId, Offset
 
@@ -116,6 +117,7 @@
         self._departures: DepartureTable | None = None
         self._eras = EraTracker()
         self._permits: PermitBroker | None = None
+        self._slots: SlotBroker | None = None
         self._rollouts: RolloutTable | None = None
         self._on_rollout_report: Callable[[RolloutReport], None] | None = None
         self._on_new_row = on_new_row
@@ -164,6 +166,10 @@
         """Exchange endpoint limits and permits with other nodes."""
         self._permits = permits
 
+    def attach_slots(self, slots: SlotBroker) -> None:
+        """Exchange requests for slots and grants with other nodes."""
+        self._slots = slots
+
     def attach_rollouts(
         self,
         rollouts: RolloutTable,
@@ -254,6 +260,8 @@
             self._departures.receive(message.get("departures", ()), host, now)
         if self._permits is not None:
             self._permits.receive(host, message.get("permits", ()))
+        if self._slots is not None:
+            self._slots.receive(host, message.get("slots", ()))
         if self._backlog_client is not None and "request_counts" in message:
             self._backlog_client.receive_counts(host, message["request_counts"])
         if self._rollouts is not None:
@@ -456,6 +464,11 @@
             hosts,
         )
 
+    def send_slots(self, host: str, messages: list[list[Any]]) -> None:
+        """Send messages about slots to a node, like permits."""
+        message = self._row_message([], self._announcement(), [], slots=messages)
+        self._send(orjson.dumps(message), [host])
+
     def _send(self, data: bytes, hosts: Sequence[str]) -> None:
         if self._transport is None:
             return
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -37,7 +37,9 @@
 from poplarrelay.entry.permits import PermitBroker
 from poplarrelay.entry.relaying import Relay
 from poplarrelay.entry.rollouts.worker import RolloutFollower
+from poplarrelay.entry.scheduling.slot_ledger import Outcome
 from poplarrelay.entry.settings import EntrySettings, parse_address
+from poplarrelay.entry.slot_broker import SlotBroker
 from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.store_contact import StoreContact
 from poplarrelay.exception import SettingsError
@@ -140,6 +142,13 @@
             self._gossip,
             monotonic,
         )
+        self._slot_broker = SlotBroker(
+            self._state.me.host,
+            self._state.endpoints,
+            self._state.coordinators,
+            self._gossip,
+            monotonic,
+        )
         self._relay = Relay(
             self._state,
             self._pool,
@@ -147,6 +156,7 @@
             self._announce,
             self._backlog_client,
             self._permits,
+            self._slot_broker,
         )
         self._endpoints = EndpointList(
             self._state,
@@ -186,6 +196,7 @@
         self._gossip.attach_eras(self._state.eras)
         self._state.departures.on_change = self._gossip.send_departures
         self._gossip.attach_permits(self._permits)
+        self._gossip.attach_slots(self._slot_broker)
         self._state.freshness.on_confirm = self._exchange.note_confirmed
         self._within_bound = True
         self._directory = HostDirectory(self._state, self._store)
@@ -237,6 +248,11 @@
         """Return the gossip between this node and its peers."""
         return self._gossip
 
+    @property
+    def slot_broker(self) -> SlotBroker:
+        """Return the broker of slots at plain endpoints."""
+        return self._slot_broker
+
     @property
     def duties(self) -> DutyWorker:
         """Return the duty worker; the settings must name a cloud API."""
@@ -595,6 +611,7 @@
         state.sum_loads(now)
         self._backlog_client.refresh(list(state.endpoints.rows))
         self._permits.refresh()
+        self._slot_broker.refresh()
         alive = state.count_nodes(now)
         state.freshness.nodes = alive
         if peers.regroup(max(state.total_nodes, alive), now):
@@ -695,6 +712,17 @@
         for service in self._state.configuration.services:
             self._relay.slot_allocator.dispatch_queued(service)
 
+    def _slot_gauges(self) -> dict[str, float]:
+        """Return the decisions on slots of this node as coordinator."""
+        statistics = self._slot_broker.statistics
+        gauges = {
+            f"slots_{outcome.value}": float(statistics.decisions[outcome])
+            for outcome in Outcome
+        }
+        gauges["slots_expired"] = float(statistics.expired)
+        gauges["slot_requests_unanswered"] = float(statistics.unanswered)
+        return gauges
+
     def _gauges(self) -> dict[str, float]:
         """Return the values of gauges that only the process can read."""
         return {
@@ -710,5 +738,6 @@
             "backlog_coordinators_changed": float(
                 self._backlog_client.statistics.coordinators_changed
             ),
+            **self._slot_gauges(),
             "duty_held": float(self._duties is not None and self._duties.lease.held),
         }
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -45,6 +45,7 @@
 )
 from poplarrelay.entry.routing import Admitted, Denied, NoRoute, admit, choose_service
 from poplarrelay.entry.scheduling.choosing import Choice
+from poplarrelay.entry.slot_broker import SlotBroker
 from poplarrelay.entry.slots import NO_ENDPOINT_RETRY_S, SlotAllocator
 from poplarrelay.entry.state import EntryState
 from poplarrelay.platform.headers import decode_request
@@ -94,6 +95,8 @@
         Counts the prompts queued at engines, together with the other nodes.
     permits : PermitBroker
         Obtains permits for endpoints that state a limit.
+    slot_broker : SlotBroker
+        Obtains slots of plain services from their coordinators.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         announce: Callable[[], None],
         backlog_client: BacklogClient,
         permits: PermitBroker,
+        slot_broker: SlotBroker,
     ) -> None:
         self._state = state
         self._pool = pool
@@ -111,7 +115,7 @@
         self._quota_charges = QuotaCharges(state, announce)
         self._backlog_client = backlog_client
         self._permits = permits
-        self.slot_allocator = SlotAllocator(state, backlog_client, permits)
+        self.slot_allocator = SlotAllocator(state, backlog_client, permits, slot_broker)
 
     async def handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
         """Serve one request until its final answer is written."""
@@ -245,7 +249,7 @@
         refusal = self._refuse_blocked(context)
         if refusal is None:
             return choice
-        self.slot_allocator.release_unused_slot(context.service, choice.endpoint)
+        self.slot_allocator.release_unused_slot(context, choice.endpoint)
         return refusal
 
     def _refuse_blocked(self, context: RequestContext) -> Refusal | None:
@@ -379,9 +383,9 @@
             if context.remaining_s <= 0:
                 note_deadline(self._state.rollouts, context.route, row)
             if attempt.sent:
-                self.slot_allocator.release_slot(context.service, row)
+                self.slot_allocator.release_slot(context, row)
             else:
-                self.slot_allocator.release_unused_slot(context.service, row)
+                self.slot_allocator.release_unused_slot(context, row)
             if context.request.prompt_tokens:
                 self._report_end(context, row, end, first_event_s is not None)
         if isinstance(result, NotRun):
--- a/poplarrelay/entry/scheduling/choosing.py
+++ b/poplarrelay/entry/scheduling/choosing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from heapq import nlargest
 from random import Random
@@ -47,6 +47,10 @@
 FETCH_SHARE = 0.15
 
 
+#: Returns whether a request can be sent to an endpoint at a monotonic time.
+HasRoom = Callable[[Endpoint, float], bool]
+
+
 @dataclass(frozen=True, slots=True)
 class SelectionCriteria:
     """Properties of a request that determine the choice of its endpoint.
@@ -139,7 +143,7 @@
     criteria: SelectionCriteria,
     now: float,
     rng: Random,
-    queueing: bool = False,
+    has_room: HasRoom = Endpoint.has_room,
 ) -> list[Endpoint]:
     """Return a few candidate engines for a prompt, the affinity endpoints first.
 
@@ -149,7 +153,7 @@
     nodes find the same ones without communication, and the loss of an endpoint moves
     only the prompts that have their affinity there.
     """
-    pool, _ = _usable(rows, criteria, now, queueing)
+    pool, _ = _usable(rows, criteria, now, has_room)
     key = criteria.affinity_key or ""
     affinity_endpoints = nlargest(
         AFFINITY_ENDPOINTS, pool, key=lambda row: _score(key, row.endpoint)
@@ -278,7 +282,11 @@
 
 
 def choose_endpoint(
-    rows: Sequence[Endpoint], criteria: SelectionCriteria, now: float, rng: Random
+    rows: Sequence[Endpoint],
+    criteria: SelectionCriteria,
+    now: float,
+    rng: Random,
+    has_room: HasRoom = Endpoint.has_room,
 ) -> Choice | None:
     """Choose among the endpoints that accept work; return None if all are full.
 
@@ -302,7 +310,7 @@
     if criteria.is_prompt:
         candidates = sample_candidates(rows, criteria, now, rng)
         return choose_candidate(candidates, criteria, {}, now) if candidates else None
-    pool, healthy = _usable(rows, criteria, now)
+    pool, healthy = _usable(rows, criteria, now, has_room)
     if not pool:
         return None
     # Choose the better of two random endpoints. All nodes have the same outdated loads;
@@ -316,14 +324,12 @@
     rows: Sequence[Endpoint],
     criteria: SelectionCriteria,
     now: float,
-    queueing: bool = False,
+    has_room: HasRoom,
 ) -> tuple[list[Endpoint], bool]:
     """Return the free endpoints that have not been tried, and whether they are healthy.
 
-    With `queueing`, engines with room in their queue count as free. Endpoints that are
-    avoided for failures are left out unless all are avoided.
+    Endpoints that are avoided for failures are left out unless all are avoided.
     """
-    has_room = Endpoint.has_queue_room if queueing else Endpoint.has_room
     untried = [
         row for row in rows if row.endpoint not in criteria.tried and has_room(row, now)
     ]
--- a/poplarrelay/entry/scheduling/request_queue.py
+++ b/poplarrelay/entry/scheduling/request_queue.py
@@ -11,9 +11,12 @@
 from poplarrelay.entry.configuration import Route, ServiceName
 from poplarrelay.entry.outcomes import RefusalReason
 from poplarrelay.entry.scheduling.choosing import Choice, SelectionCriteria
+from poplarrelay.entry.scheduling.fair_queue import StartTags
+from poplarrelay.identifiers import TeamId
 
 __all__ = [
     "RequestQueue",
+    "NO_TEAM",
     "QueuedRequest",
     "SlotUnavailable",
     "bound_retry_after",
@@ -88,6 +91,10 @@
     return bound_retry_after(until_free_s, remaining_s)
 
 
+#: Team of requests that are served in the order of their arrival.
+NO_TEAM = TeamId("")
+
+
 @dataclass(frozen=True, slots=True)
 class SlotUnavailable:
     """Reason why no endpoint can take a request yet, whatever its free slots.
@@ -112,6 +119,8 @@
     ----------
     priority : int
         Priority of the request; 0 is served first.
+    start : float
+        Start tag among the requests of this priority; see `StartTags`.
     sequence : int
         Number in the order of arrival.
     expires_at : float
@@ -121,6 +130,7 @@
     """
 
     priority: int
+    start: float
     sequence: int
     criteria: SelectionCriteria = field(compare=False)
     future: Future[Choice | SlotUnavailable] = field(compare=False)
@@ -135,10 +145,12 @@
     -----
     A full endpoint refuses requests immediately, and each refusal uses up part of the
     retry budget that all nodes share. Waiting at the node uses no budget, and urgent
-    requests can overtake others.
+    requests can overtake others. Requests of equal priority are served in the order of
+    start-time fair queueing, so that the flood of one team does not fill the queue.
     """
 
     queues: dict[ServiceName, list[QueuedRequest]] = field(default_factory=dict)
+    tags: dict[ServiceName, StartTags] = field(default_factory=dict)
     arrivals: int = 0
 
     def join(
@@ -148,10 +160,16 @@
         criteria: SelectionCriteria,
         future: Future[Choice | SlotUnavailable],
         expires_at: float = float("inf"),
+        team: TeamId = NO_TEAM,
+        weight: float = 1.0,
     ) -> QueuedRequest:
-        """Add a request to a service's queue."""
+        """Add a request of a team to a service's queue."""
         self.arrivals += 1
-        queued = QueuedRequest(priority, self.arrivals, criteria, future, expires_at)
+        tags = self.tags.setdefault(service, StartTags())
+        start = tags.assign(priority, team, 1 / weight)
+        queued = QueuedRequest(
+            priority, start, self.arrivals, criteria, future, expires_at
+        )
         heapq.heappush(self.queues.setdefault(service, []), queued)
         return queued
 
@@ -192,6 +210,9 @@
                 if len(skipped) >= 4:
                     break
                 continue
+            self.tags[service].note_served(queued.priority, queued.start)
             queued.future.set_result(choice)
+        if not queue and not skipped and service in self.tags:
+            self.tags[service].clear()
         for queued in skipped:
             heapq.heappush(queue or self.queues.setdefault(service, []), queued)
--- /dev/null
+++ b/poplarrelay/entry/scheduling/slot_ledger.py
@@ -0,0 +1,156 @@
+"""Slots of the endpoints that one node coordinates, and the requests that wait."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from poplarrelay.entry.scheduling.fair_queue import FairQueue, Waiting
+from poplarrelay.identifiers import RequestId
+
+__all__ = ["Decision", "Outcome", "SlotLedger"]
+
+#: Seconds after which a slot counts as free if its node has not confirmed that the
+#: request still runs. Nodes confirm every second.
+GRANT_EXPIRY_S = 2.5
+#: Weight of one request in the moving mean of the time for which slots are held.
+HOLD_WEIGHT = 0.05
+#: Part of the wait that a request accepts which the forecast may reach. Requests of
+#: teams that ask for less can still go ahead of it.
+FORECAST_SHARE = 0.8
+
+
+class Outcome(Enum):
+    """Decision on a request for a slot."""
+
+    GRANTED = "granted"
+    QUEUED = "queued"
+    REJECTED = "rejected"
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Decision on a request for a slot, with the expected wait in seconds."""
+
+    outcome: Outcome
+    wait_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _Grant:
+    """A granted slot, with the times of the grant and of its last confirmation."""
+
+    granted_at: float
+    confirmed_at: float
+
+
+@dataclass(slots=True)
+class SlotLedger:
+    """Slots of one endpoint.
+
+    Attributes
+    ----------
+    slots : int
+        Number of requests that the endpoint runs at the same time.
+    queue : FairQueue
+        Requests that wait for a slot.
+
+    Notes
+    -----
+    Load: an endpoint has fewer slots than there are nodes. Without one owner, a slot
+    that becomes free is taken by the node that notices it first, which is mostly the
+    node with the most requests.
+    """
+
+    slots: int
+    queue: FairQueue = field(default_factory=FairQueue)
+    _granted: dict[RequestId, _Grant] = field(default_factory=dict)
+    _hold_s: float = 0.0
+
+    @property
+    def taken(self) -> int:
+        """Return the number of slots that are granted."""
+        return len(self._granted)
+
+    @property
+    def load(self) -> int:
+        """Return the number of requests that run or wait."""
+        return len(self._granted) + len(self.queue)
+
+    def end_rate(self) -> float:
+        """Return the rate at which all slots become free, per second; 0 if unknown."""
+        return self.slots / self._hold_s if self._hold_s > 0 else 0.0
+
+    def wait_s(self, waiting: Waiting, now: float) -> float:
+        """Return the expected wait of a request that joins now, in seconds."""
+        if self.taken < self.slots and not len(self.queue):
+            return 0.0
+        rate = self.end_rate()
+        return (self.queue.cost_ahead(waiting) + 1) / rate if rate > 0 else 0.0
+
+    def join(self, waiting: Waiting, now: float) -> Decision:
+        """Grant a slot, queue the request, or reject it if it would wait too long."""
+        if waiting.request in self._granted:
+            return Decision(Outcome.GRANTED)
+        if waiting.request in self.queue:
+            return Decision(Outcome.QUEUED)
+        if self.taken < self.slots and not len(self.queue):
+            self._grant(waiting, now)
+            return Decision(Outcome.GRANTED)
+        wait_s = self.wait_s(waiting, now)
+        if wait_s > FORECAST_SHARE * (waiting.expires_at - now):
+            return Decision(Outcome.REJECTED, wait_s)
+        self.queue.join(waiting)
+        return Decision(Outcome.QUEUED, wait_s)
+
+    def _grant(self, waiting: Waiting, now: float) -> None:
+        self._granted[waiting.request] = _Grant(now, now)
+
+    def grant_free(self, now: float) -> list[Waiting]:
+        """Grant the free slots; return the requests that get one."""
+        granted = []
+        while self.taken < self.slots:
+            waiting = self.queue.pop()
+            if waiting is None:
+                break
+            self._grant(waiting, now)
+            granted.append(waiting)
+        return granted
+
+    def end(self, request: RequestId, now: float) -> None:
+        """Free the slot of a request, or remove the request from the queue."""
+        granted = self._granted.pop(request, None)
+        if granted is None:
+            self.queue.leave(request)
+            return
+        held_s = now - granted.granted_at
+        weight = HOLD_WEIGHT if self._hold_s > 0 else 1.0
+        self._hold_s += weight * (held_s - self._hold_s)
+
+    def confirm(self, requests: Sequence[RequestId], now: float) -> None:
+        """Keep the slots of requests that still run, also of those not known here.
+
+        Notes
+        -----
+        A coordinator that has just taken over knows no request before this.
+        """
+        for request in requests:
+            grant = self._granted.setdefault(request, _Grant(now, now))
+            grant.confirmed_at = now
+
+    def expire(self, now: float) -> list[Waiting]:
+        """Free slots of nodes that are gone; return the requests that waited in vain.
+
+        Notes
+        -----
+        A node that was killed or cut off does not report the end of its requests.
+        """
+        lost = [
+            request
+            for request, grant in self._granted.items()
+            if now - grant.confirmed_at > GRANT_EXPIRY_S
+        ]
+        for request in lost:
+            del self._granted[request]
+        return self.queue.pop_expired(now)
--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -17,6 +17,7 @@
     "BoundSettings",
     "EntryListeners",
     "EntrySettings",
+    "SchedulingSettings",
     "StoreSettings",
     "parse_address",
 ]
@@ -125,6 +126,21 @@
     address_ttl_most_s: float = Field(default=5, gt=0)
 
 
+class SchedulingSettings(StrictModel):
+    """How nodes divide contended services among the teams.
+
+    Attributes
+    ----------
+    fair_shares : bool
+        Whether contended services are divided between the teams, by the weights of
+        their quotas. One node per endpoint then grants the slots of plain services to
+        the requests of all nodes. It takes effect if the configuration has several
+        teams or priorities.
+    """
+
+    fair_shares: bool = False
+
+
 class EntrySettings(StrictModel):
     """Settings of one entry node.
 
@@ -148,6 +164,7 @@
     first_start: bool = True
     platform: StoreSettings
     bounds: BoundSettings = BoundSettings()
+    scheduling: SchedulingSettings = SchedulingSettings()
     log_level: str = Field(default="INFO", pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")
 
     @classmethod
--- /dev/null
+++ b/poplarrelay/entry/slot_broker.py
@@ -0,0 +1,328 @@
+"""Slots at endpoints of plain services, granted by one coordinator per endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter, defaultdict
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from poplarrelay.entry.endpoints import Endpoint, EndpointTable, RunKey
+from poplarrelay.entry.scheduling.coordinators import choose_coordinator
+from poplarrelay.entry.scheduling.fair_queue import Waiting
+from poplarrelay.entry.scheduling.slot_ledger import Decision, Outcome, SlotLedger
+from poplarrelay.identifiers import EndpointId, NodeId, RequestId, StartTime, TeamId
+
+__all__ = ["SlotBroker", "SlotReply", "SlotSender", "SlotStatistics"]
+
+_LOG = logging.getLogger("poplarrelay.entry.slots")
+
+#: Timeout in seconds for the first reply of a coordinator. A busy node replies within
+#: some hundredths of a second; a longer wait would cost more than a local decision.
+REPLY_TIMEOUT_S = 0.03
+#: Seconds for which a coordinator that did not reply is not asked again.
+UNANSWERED_PAUSE_S = 0.5
+#: Seconds between confirmations of the requests that hold slots.
+CONFIRM_INTERVAL_S = 1.0
+#: Most requests in one confirmation.
+MAX_CONFIRMED = 40
+
+#: Message kinds, sent as the first element of each message.
+JOIN, REPLY, END, HELD = "join", "reply", "end", "held"
+
+
+class SlotSender(Protocol):
+    """Sends messages to peers; messages can be lost, delayed or reordered."""
+
+    def send_slots(self, host: str, messages: list[list[Any]]) -> None:
+        """Send messages to the slot broker of a peer."""
+
+
+@dataclass(frozen=True, slots=True)
+class SlotReply:
+    """Final reply to a request for a slot.
+
+    Attributes
+    ----------
+    granted : bool
+        Whether the request holds a slot now.
+    wait_s : float
+        Expected seconds until a slot is free for the request, if it was rejected.
+    """
+
+    granted: bool
+    wait_s: float = 0.0
+
+
+@dataclass(slots=True)
+class SlotStatistics:
+    """Counters of a slot broker, for the metrics.
+
+    Attributes
+    ----------
+    decisions : Counter of Outcome
+        Decisions of this node as coordinator.
+    expired : int
+        Requests that waited at this node as coordinator until a slot was of no use.
+    unanswered : int
+        Requests of this node to which a coordinator did not reply.
+    """
+
+    decisions: Counter[Outcome] = field(default_factory=Counter)
+    expired: int = 0
+    unanswered: int = 0
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A request that waits for a coordinator's reply."""
+
+    host: str
+    answered: asyncio.Event
+    reply: asyncio.Future[SlotReply]
+
+
+@dataclass(slots=True)
+class SlotBroker:
+    """Obtains slots for this node's requests, and grants slots as a coordinator.
+
+    Attributes
+    ----------
+    own_host : str
+        Host of this node.
+    endpoints : EndpointTable
+        Table of endpoints.
+    nodes : callable
+        Returns the hosts of all nodes that can be coordinators by id.
+
+    Notes
+    -----
+    The grants of a coordinator are lost with it. Nodes confirm what they hold every
+    second, so its successor knows all slots in use after that time. A node whose
+    coordinator does not reply decides by its own knowledge, as without a broker.
+    """
+
+    own_host: str
+    endpoints: EndpointTable
+    nodes: Callable[[], Mapping[NodeId, str]]
+    sender: SlotSender
+    monotonic: Callable[[], float]
+    statistics: SlotStatistics = field(default_factory=SlotStatistics)
+    _ledgers: dict[RunKey, SlotLedger] = field(default_factory=dict)
+    _pending: dict[tuple[RunKey, RequestId], _Pending] = field(default_factory=dict)
+    _held: dict[tuple[RunKey, RequestId], str] = field(default_factory=dict)
+    _skip_until: dict[str, float] = field(default_factory=dict)
+    _hosts: dict[EndpointId, str] = field(default_factory=dict)
+    _confirm_at: float = 0.0
+
+    # Requests of this node
+
+    async def acquire(self, row: Endpoint, waiting: Waiting) -> SlotReply | None:
+        """Obtain a slot at an endpoint.
+
+        Returns
+        -------
+        SlotReply or None
+            None if the coordinator does not reply.
+
+        Notes
+        -----
+        A cancelled request gives up its place in the queue, or the slot.
+        """
+        now = self.monotonic()
+        host = self._coordinator(row.endpoint)
+        if self._skip_until.get(host, now) > now:
+            return None
+        key = (row.run, waiting.request)
+        reply = asyncio.get_running_loop().create_future()
+        pending = _Pending(host, asyncio.Event(), reply)
+        self._pending[key] = pending
+        granted = False
+        try:
+            self._send(host, [JOIN, *row.run, row.slots, *_encode(waiting, now)])
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                await pending.answered.wait()
+            async with asyncio.timeout(waiting.expires_at - now):
+                answer: SlotReply = await reply
+            granted = answer.granted
+            return answer
+        except TimeoutError:
+            if pending.answered.is_set():
+                return SlotReply(False)
+            self.statistics.unanswered += 1
+            self._skip_until[host] = self.monotonic() + UNANSWERED_PAUSE_S
+            _LOG.debug("coordinator silent", extra={"host": host})
+            return None
+        finally:
+            del self._pending[key]
+            if granted:
+                self._held[key] = host
+            else:
+                self._send(host, [END, *row.run, waiting.request])
+
+    def end(self, row: Endpoint, request: RequestId) -> None:
+        """Give back the slot of a request, if it holds one."""
+        host = self._held.pop((row.run, request), None)
+        if host is not None:
+            self._send(host, [END, *row.run, request])
+
+    def _coordinator(self, endpoint: EndpointId) -> str:
+        host = self._hosts.get(endpoint)
+        if host is None:
+            nodes = self.nodes()
+            host = nodes[choose_coordinator(endpoint, nodes)]
+            self._hosts[endpoint] = host
+        return host
+
+    def refresh(self) -> None:
+        """Confirm the slots in use, and drop the state of endpoints that are gone."""
+        now = self.monotonic()
+        self._hosts.clear()
+        runs = {row.run for row in self.endpoints.rows.values()}
+        for run in [run for run in self._ledgers if run not in runs]:
+            del self._ledgers[run]
+        for run, ledger in self._ledgers.items():
+            self.statistics.expired += len(ledger.expire(now))
+            self._grant_free(run, ledger, now)
+        if now >= self._confirm_at:
+            self._confirm_at = now + CONFIRM_INTERVAL_S
+            self._confirm_held()
+
+    def _confirm_held(self) -> None:
+        by_run: dict[RunKey, list[RequestId]] = defaultdict(list)
+        for run, request in self._held:
+            by_run[run].append(request)
+        for run, requests in by_run.items():
+            host = self._coordinator(run[0])
+            for request in requests:
+                self._held[run, request] = host
+            self._send(host, [HELD, *run, requests[:MAX_CONFIRMED]])
+
+    # Messages
+
+    def _send(self, host: str, message: list[Any]) -> None:
+        if host == self.own_host:
+            self.receive(host, [message])
+        else:
+            self.sender.send_slots(host, [message])
+
+    def receive(self, host: str, messages: Sequence[list[Any]]) -> None:
+        """Handle messages from a peer.
+
+        Raises
+        ------
+        ValueError or TypeError
+            If a message is malformed.
+        """
+        for kind, endpoint, started_ms, *rest in messages:
+            started = None if started_ms is None else StartTime(int(started_ms))
+            run = (EndpointId(str(endpoint)), started)
+            if kind == JOIN:
+                self._receive_join(host, run, *rest)
+            elif kind == REPLY:
+                self._receive_reply(host, run, *rest)
+            elif kind == END:
+                self._receive_end(run, *rest)
+            elif kind == HELD:
+                self._receive_held(run, *rest)
+            else:
+                raise ValueError(f"unknown message kind: {kind!r}")
+
+    def _receive_join(self, host: str, run: RunKey, slots: int, *rest: Any) -> None:
+        now = self.monotonic()
+        waiting = _decode(host, now, *rest)
+        ledger = self._ledgers.setdefault(run, SlotLedger(int(slots)))
+        ledger.slots = max(1, int(slots))
+        decision = ledger.join(waiting, now)
+        self.statistics.decisions[decision.outcome] += 1
+        self._reply(run, waiting, decision, ledger.load)
+        self._grant_free(run, ledger, now)
+
+    def _grant_free(self, run: RunKey, ledger: SlotLedger, now: float) -> None:
+        for waiting in ledger.grant_free(now):
+            self.statistics.decisions[Outcome.GRANTED] += 1
+            self._reply(run, waiting, Decision(Outcome.GRANTED), ledger.load)
+
+    def _reply(
+        self, run: RunKey, waiting: Waiting, decision: Decision, load: int
+    ) -> None:
+        wait_s = round(decision.wait_s, 3)
+        outcome = decision.outcome.value
+        message = [REPLY, *run, waiting.request, outcome, wait_s, load]
+        self._send(waiting.node, message)
+
+    def _receive_reply(
+        self,
+        host: str,
+        run: RunKey,
+        request: str,
+        outcome: str,
+        wait_s: float,
+        load: int,
+    ) -> None:
+        row = self.endpoints.rows.get(run[0])
+        if row is not None and row.run == run:
+            row.running_at_other_nodes = max(0, int(load) - row.running)
+        decided = Outcome(outcome)
+        pending = self._pending.get((run, RequestId(str(request))))
+        if pending is None or pending.host != host:
+            held = (run, RequestId(str(request))) in self._held
+            if decided is Outcome.GRANTED and not held:
+                # The request has left, and its report of that was lost or late.
+                self._send(host, [END, *run, request])
+            return
+        pending.answered.set()
+        if decided is not Outcome.QUEUED and not pending.reply.done():
+            granted = decided is Outcome.GRANTED
+            pending.reply.set_result(SlotReply(granted, float(wait_s)))
+
+    def _receive_end(self, run: RunKey, request: str) -> None:
+        ledger = self._ledgers.get(run)
+        if ledger is not None:
+            now = self.monotonic()
+            ledger.end(RequestId(str(request)), now)
+            self._grant_free(run, ledger, now)
+
+    def _receive_held(self, run: RunKey, requests: Sequence[str]) -> None:
+        row = self.endpoints.rows.get(run[0])
+        if row is None or row.run != run:
+            return
+        ledger = self._ledgers.setdefault(run, SlotLedger(row.slots))
+        known = [RequestId(str(request)) for request in requests]
+        ledger.confirm(known, self.monotonic())
+
+
+def _encode(waiting: Waiting, now: float) -> list[Any]:
+    return [
+        waiting.request,
+        waiting.team,
+        waiting.priority,
+        waiting.cost,
+        round(waiting.weight, 4),
+        round(waiting.expires_at - now, 4),
+    ]
+
+
+def _decode(
+    host: str,
+    now: float,
+    request: str,
+    team: str,
+    priority: int,
+    cost: float,
+    weight: float,
+    wait_s: float,
+) -> Waiting:
+    if float(cost) <= 0 or float(weight) <= 0:
+        raise ValueError("cost and weight must be positive")
+    return Waiting(
+        RequestId(str(request)),
+        host,
+        TeamId(str(team)),
+        int(priority),
+        float(cost),
+        float(weight),
+        now + max(0.0, float(wait_s)),
+    )
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -28,7 +28,9 @@
     choose_endpoint,
     sample_candidates,
 )
+from poplarrelay.entry.scheduling.fair_queue import Waiting
 from poplarrelay.entry.scheduling.request_queue import (
+    NO_TEAM,
     RequestQueue,
     SlotUnavailable,
     bound_retry_after,
@@ -36,12 +38,16 @@
     retry_after,
     retry_after_backoff,
 )
+from poplarrelay.entry.scheduling.weights import team_weight
+from poplarrelay.entry.slot_broker import SlotBroker
 from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.timeouts import within
 from poplarrelay.identifiers import EndpointId
 
 __all__ = ["NO_ENDPOINT_RETRY_S", "SlotAllocator"]
 
+#: Most endpoints whose coordinators are asked for a slot for one attempt.
+MAX_ASKED = 2
 #: Retry delay in seconds for callers of a service without endpoints. A new endpoint
 #: takes some seconds to boot, and its record is read with the next poll.
 NO_ENDPOINT_RETRY_S = 1.0
@@ -58,12 +64,19 @@
         Requests the backlogs of engines from their coordinators.
     permits : PermitBroker
         Obtains permits for endpoints with a limit on requests per second.
+    slot_broker : SlotBroker
+        Obtains slots of plain services from their coordinators.
     """
 
     def __init__(
-        self, state: EntryState, backlog_client: BacklogClient, permits: PermitBroker
+        self,
+        state: EntryState,
+        backlog_client: BacklogClient,
+        permits: PermitBroker,
+        slot_broker: SlotBroker,
     ) -> None:
         self._state = state
+        self._slot_broker = slot_broker
         self._backlog_client = backlog_client
         self._permits = permits
         permits.on_permit = self.dispatch_queued
@@ -122,12 +135,10 @@
         rows = self._eligible(context.service, now)
         self._prepare_permits(rows, now)
         rng = self._state.rng
-        candidates = sample_candidates(
-            self._known_accepting(rows, now), criteria, now, rng, queueing=True
-        )
-        candidates = candidates or sample_candidates(
-            rows, criteria, now, rng, queueing=True
-        )
+        has_room = Endpoint.has_queue_room
+        accepting = self._known_accepting(rows, now)
+        candidates = sample_candidates(accepting, criteria, now, rng, has_room)
+        candidates = candidates or sample_candidates(rows, criteria, now, rng, has_room)
         prefix = context.request.prefix
         backlogs = await self._backlog_client.request_backlogs(
             [row.endpoint for row in candidates], [part.part for part in prefix[:-1]]
@@ -193,7 +204,8 @@
         if criteria.is_prompt:
             choice = await self._choose_engine(context, criteria)
         else:
-            choice = self._choose(context.service, criteria)
+            choice = await self._acquire_granted(context, criteria)
+            choice = choice or self._choose(context.service, criteria)
         if choice is not None:
             return choice
         if context.tried and not self._has_untried(context):
@@ -208,6 +220,87 @@
             return Refusal(503, RefusalReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_S)
         return await self._wait_for_slot(context, criteria)
 
+    async def _acquire_granted(
+        self, context: RequestContext, criteria: SelectionCriteria
+    ) -> Choice | Refusal | None:
+        """Obtain a slot from the coordinator of an endpoint.
+
+        Returns
+        -------
+        Choice, Refusal or None
+            None if slots are not coordinated, or if no coordinator replies.
+        """
+        request = context.request.request
+        if not self._fair_shares or not request:
+            return None
+        wait_s = 0.0
+        asked: list[EndpointId] = []
+        expires_at = monotonic() + max_queue_wait(context.route, context.remaining_s)
+        while len(asked) < MAX_ASKED:
+            row = self._choose_to_ask(context, criteria, asked)
+            if row is None:
+                break
+            waiting = Waiting(
+                request,
+                self._state.me.host,
+                context.team_name,
+                context.priority,
+                1.0,
+                self._weight(context),
+                expires_at,
+            )
+            reply = await self._slot_broker.acquire(row, waiting)
+            if reply is None:
+                return None
+            if reply.granted and row.accepts_work and not row.in_backoff(monotonic()):
+                self._acquire(row)
+                return Choice(row, "slot granted", load=row.load, counted=True)
+            self._slot_broker.end(row, request)
+            asked.append(row.endpoint)
+            wait_s = reply.wait_s
+        if not asked:
+            return None
+        if context.may_have_run:
+            return Refusal(502, RefusalReason.UNKNOWN, detail="other endpoints full")
+        retry_s = bound_retry_after(wait_s, context.remaining_s)
+        return Refusal(503, RefusalReason.FULL, retry_s, f"{wait_s:.3f} s queue time")
+
+    @property
+    def _fair_shares(self) -> bool:
+        """Return whether contended services are divided between the teams."""
+        configuration = self._state.configuration
+        if configuration is None or not configuration.has_contenders:
+            return False
+        return self._state.settings.scheduling.fair_shares
+
+    def _weight(self, context: RequestContext) -> float:
+        """Return the weight of the request's team."""
+        configuration = self._state.configuration
+        teams = {} if configuration is None else configuration.teams
+        return team_weight(context.team, teams)
+
+    def _choose_to_ask(
+        self,
+        context: RequestContext,
+        criteria: SelectionCriteria,
+        asked: Sequence[EndpointId],
+    ) -> Endpoint | None:
+        """Choose an endpoint whose coordinator is asked for a slot."""
+        now = monotonic()
+        rows = self._eligible(context.service, now)
+        if any(row.limit_per_s is not None for row in rows):
+            return None
+        rows = self._known_accepting(rows, now) or rows
+        left_out = (*criteria.tried, *asked)
+        choice = choose_endpoint(
+            rows,
+            replace(criteria, tried=left_out),
+            now,
+            self._state.rng,
+            has_room=lambda row, at: not row.in_backoff(at),
+        )
+        return None if choice is None else choice.endpoint
+
     def _criteria(
         self, context: RequestContext, tried: tuple[EndpointId, ...]
     ) -> SelectionCriteria:
@@ -240,7 +333,13 @@
         future = asyncio.get_running_loop().create_future()
         expires_at = monotonic() + max_wait_s
         self._queue.join(
-            context.service, context.priority, criteria, future, expires_at
+            context.service,
+            context.priority,
+            criteria,
+            future,
+            expires_at,
+            context.team_name if self._fair_shares else NO_TEAM,
+            self._weight(context),
         )
         try:
             outcome = await within(max_wait_s, future)
@@ -257,7 +356,7 @@
             if future.done() and not future.cancelled():
                 outcome = future.result()
                 if not isinstance(outcome, SlotUnavailable):
-                    self.release_unused_slot(context.service, outcome.endpoint)
+                    self.release_unused_slot(context, outcome.endpoint)
             raise
         finally:
             future.cancel()
@@ -328,15 +427,16 @@
             if unavailable is not None and now + unavailable.wait_s > queued.expires_at:
                 queued.future.set_result(unavailable)
 
-    def release_slot(self, service: ServiceName, row: Endpoint) -> None:
-        """Release a slot and assign it to a queued request."""
+    def release_slot(self, context: RequestContext, row: Endpoint) -> None:
+        """Release a request's slot and assign it to a queued request."""
         row.running -= 1
-        self.dispatch_queued(service)
+        self._slot_broker.end(row, context.request.request)
+        self.dispatch_queued(context.service)
 
-    def release_unused_slot(self, service: ServiceName, row: Endpoint) -> None:
+    def release_unused_slot(self, context: RequestContext, row: Endpoint) -> None:
         """Release a slot from which no request reached the endpoint."""
         self._state.rollouts.note_unsent(row)
-        self.release_slot(service, row)
+        self.release_slot(context, row)
 
     def dispatch_queued(self, service: ServiceName) -> None:
         """Assign free slots to queued requests."""
--- a/poplarrelay/entry/tests/test_places.py
+++ b/poplarrelay/entry/tests/test_places.py
@@ -60,7 +60,7 @@
         Mock(),
         monotonic,
     )
-    return SlotAllocator(state, Mock(), broker), broker, state
+    return SlotAllocator(state, Mock(), broker, Mock()), broker, state
 
 
 async def run_other_tasks(rounds: int = 5) -> None:
@@ -227,7 +227,7 @@
     others = [EndpointId(f"e{n}") for n in range(3) if n != silent]
     views = [BacklogView(e, 9_000 * (n + 1), 0.0, 0) for n, e in enumerate(others)]
     client = cast(BacklogClient, SilentCoordinators(views))
-    allocator = SlotAllocator(state, client, broker)
+    allocator = SlotAllocator(state, client, broker, Mock())
 
     async def scenario() -> None:
         context = make_request_context(SERVICE)
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -217,6 +217,8 @@
         test can simulate network faults.
     links : dict of str to Link
         These links, by the name of the node or of the endpoint.
+    fair_shares : bool
+        Whether contended services are divided between the teams.
     """
 
     store: StoreStandIn
@@ -228,6 +230,7 @@
     started: list[EntryProcess] = field(default_factory=list)
     use_links: bool = False
     links: dict[str, Link] = field(default_factory=dict)
+    fair_shares: bool = False
     _settings: dict[str, EntrySettings] = field(default_factory=dict)
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _listener_ports: dict[str, str] = field(default_factory=dict)
@@ -282,6 +285,7 @@
                 "cloud": self.cloud.address,
             },
             "bounds": {"lease_ms": 300, "usage_window_s": 1, **changes},
+            "scheduling": {"fair_shares": self.fair_shares},
         }
 
     async def add_node(self, name: str, seeds: str = "", **changes: Any) -> EntryNode:
@@ -567,9 +571,15 @@
 
 
 @contextlib.asynccontextmanager
-async def run_entry_site(nodes: int = 1, **changes: Any) -> AsyncIterator[EntrySite]:
+async def run_entry_site(
+    nodes: int = 1, fair_shares: bool = False, **changes: Any
+) -> AsyncIterator[EntrySite]:
     """Run a site with the example configuration and some nodes, and stop it on exit."""
-    site = EntrySite(StoreStandIn(), CloudStandIn("127.0.0.1"))
+    site = EntrySite(
+        StoreStandIn(),
+        CloudStandIn("127.0.0.1"),
+        fair_shares=fair_shares,
+    )
     await site.cloud.start()
     site.configure(1)
     seeds: list[str] = []
--- a/poplarrelay/testing/virtual_time.py
+++ b/poplarrelay/testing/virtual_time.py
@@ -1,14 +1,16 @@
-"""Events in virtual time, for simulations."""
+"""Events and coroutines in virtual time, for simulations and tests."""
 
 from __future__ import annotations
 
+import asyncio
 import heapq
-from collections.abc import Callable
+import selectors
+from collections.abc import Callable, Coroutine
 from functools import partial
 from itertools import count
 from typing import Any
 
-__all__ = ["VirtualTime"]
+__all__ = ["VirtualTime", "run_virtual"]
 
 
 class VirtualTime:
@@ -52,3 +54,34 @@
         while self._events and self._events[0][0] <= until:
             self._now, _, action = heapq.heappop(self._events)
             action()
+
+
+class _SkippingSelector(selectors.SelectSelector):
+    """Selector that advances a clock instead of waiting."""
+
+    now = 0.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        """Return no events, after the given virtual time."""
+        if timeout is None:
+            raise RuntimeError("all coroutines wait, and no timer is set")
+        self.now += max(0.0, timeout)
+        return []
+
+
+class _VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop without I/O whose clock jumps to the next timer."""
+
+    def __init__(self) -> None:
+        self.skipping = _SkippingSelector()
+        super().__init__(self.skipping)
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.skipping.now
+
+
+def run_virtual(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine that uses no I/O in virtual time, and return its result."""
+    with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
+        return runner.run(coroutine)
