Admit prompts by the shares of teams, by urgency and by the learned error

Cause: admission knew neither team nor priority. While engines are short, whoever sends most keeps their queues at the limit, and all others are refused as often.

Prompts beyond the share join shorter queues (0.4 of the longest), less urgent ones 0.75. The queue limit is reduced by a quantile of the errors of recent forecasts (scheduling.forecast_quantile). Log lines 'service short' and 'service suffices', within_share in the request line, metric poplarrelay_team_share. In force by the settings of scheduling and with several teams.

--- a/poplarrelay/entry/configuration.py
+++ b/poplarrelay/entry/configuration.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 from typing import NewType
 
 from poplarrelay.identifiers import DomainId, TeamId
@@ -180,12 +181,17 @@
     limits: CallerLimits = CallerLimits()
     routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     team_by_key: dict[str, Team] = field(default_factory=dict)
+    most_urgent_by_service: dict[ServiceName, int] = field(default_factory=dict)
 
     @property
     def has_contenders(self) -> bool:
         """Return whether requests differ in team or priority."""
         return len(self.teams) > 1 or len({r.priority for r in self.routes}) > 1
 
+    def most_urgent(self, service: ServiceName) -> int:
+        """Return the priority of the most urgent requests for a service."""
+        return self.most_urgent_by_service.get(service, 0)
+
     @classmethod
     def from_parts(
         cls,
@@ -203,8 +209,16 @@
         has the longest prefix. A lookup scans only the routes of one host.
         """
         by_host: dict[str, list[Route]] = {}
+        most_urgent: dict[ServiceName, int] = {}
+        team_priority = min(
+            (team.priority for team in teams if team.priority is not None), default=inf
+        )
         for route in routes:
             by_host.setdefault(route.host, []).append(route)
+            for share in route.shares:
+                priority = int(min(route.priority, team_priority))
+                known = most_urgent.get(share.service, priority)
+                most_urgent[share.service] = min(known, priority)
         return cls(
             version=version,
             routes=routes,
@@ -216,4 +230,5 @@
                 for host, found in by_host.items()
             },
             team_by_key={key: team for team in teams for key in team.keys},
+            most_urgent_by_service=most_urgent,
         )
--- a/poplarrelay/entry/demand.py
+++ b/poplarrelay/entry/demand.py
@@ -66,9 +66,15 @@
         self, service: ServiceName, prompt_tokens: int, output_tokens: int, now: float
     ) -> None:
         """Count an admitted request."""
-        tokens = self.uncached_shares.get(service, 1.0) * prompt_tokens + output_tokens
+        tokens = self.cost(service, prompt_tokens, output_tokens)
         self.arrivals.setdefault(service, deque()).append((now, tokens))
 
+    def cost(
+        self, service: ServiceName, prompt_tokens: int, output_tokens: int
+    ) -> float:
+        """Return the expected tokens that an engine processes for a request."""
+        return self.uncached_shares.get(service, 1.0) * prompt_tokens + output_tokens
+
     def note_uncached(self, service: ServiceName, prompt: int, uncached: int) -> None:
         """Update the share of uncached tokens by a prompt that is sent to an engine.
 
--- a/poplarrelay/entry/metrics.py
+++ b/poplarrelay/entry/metrics.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import resource
+from collections.abc import Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.rollouts.evidence import Side
 from poplarrelay.entry.rollouts.table import RolloutTable
+from poplarrelay.entry.scheduling.shares import ShareMarker
 
 __all__ = ["EntryMetrics"]
 
@@ -38,6 +41,11 @@
             "Requests of the latest roll-out of a service, by version.",
             registry=self._registry,
         )
+        self._shares = Gauge(
+            "poplarrelay_team_share",
+            "Part of a team's demand that its share of a short service covers.",
+            registry=self._registry,
+        )
         self._gauges = Gauge(
             "poplarrelay_node",
             "State of the node, by what is measured.",
@@ -64,6 +72,14 @@
                     labels = {"service": order.service, "version": version}
                     self._rollouts.set({**labels, "what": name}, value)
 
+    def set_shares(self, markers: Mapping[ServiceName, ShareMarker]) -> None:
+        """Set the shares of the teams that ask for more than their share."""
+        self._shares.values.clear()
+        for service, marker in markers.items():
+            for team, fraction in marker.fractions.items():
+                labels = {"service": service, "team": team}
+                self._shares.set(labels, round(fraction, 3))
+
     def render(self, values: dict[str, float]) -> bytes:
         """Return all metrics as text, with the given values of gauges."""
         for name, value in values.items():
--- a/poplarrelay/entry/node_handlers.py
+++ b/poplarrelay/entry/node_handlers.py
@@ -103,6 +103,7 @@
             await exchange.send(404, [], b"")
             return
         self._metrics.set_rollouts(self._state.rollouts)
+        self._metrics.set_shares(self._state.markers)
         body = self._metrics.render({**self._own_gauges(), **self._gauges()})
         await exchange.send(200, [(b"Content-Type", b"text/plain")], body)
 
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -609,6 +609,7 @@
         state.departures.forget(now)
         state.backoffs.forget(now)
         state.sum_loads(now)
+        self._update_shares(now)
         self._backlog_client.refresh(list(state.endpoints.rows))
         self._permits.refresh()
         self._slot_broker.refresh()
@@ -624,6 +625,18 @@
         self._gossip.run_round(self._gossip_seeds)
         self._run_rollouts(now)
 
+    def _update_shares(self, now: float) -> None:
+        """Compute the shares of the teams, and log which services become short."""
+        markers = self._state.markers
+        before = set(markers)
+        self._state.update_shares(now)
+        for service in markers.keys() ^ before:
+            short = service in markers
+            fractions = markers[service].fractions if short else {}
+            rounded = {team: round(part, 2) for team, part in fractions.items()}
+            extra = {"service": service, "short": short, "shares": rounded}
+            _LOG.info("service short" if short else "service suffices", extra=extra)
+
     def _run_rollouts(self, now: float) -> None:
         """Judge this node's evidence, and report it to the coordinators."""
         state = self._state
@@ -651,6 +664,8 @@
             bucket.reported = bucket.used
         me.used = {team: bucket.used for team, bucket in state.buckets.items()}
         me.demand = state.demand.rates(monotonic())
+        if state.fair_shares:
+            me.demand |= state.team_demand.report(state.markers, monotonic())
         me.loads = {
             row.endpoint: row.running
             for row in state.endpoints.rows.values()
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -184,6 +184,7 @@
                 request.max_output_tokens or 0,
                 now,
             )
+            self._mark_share(context, now)
             try:
                 refusal = await self._run_before_deadline(context)
             except asyncio.CancelledError:
@@ -195,6 +196,21 @@
                 self._quota_charges.refund(context)
             await self._response_writer.end(context, refusal)
 
+    def _mark_share(self, context: RequestContext, now: float) -> None:
+        """Count a prompt for its team, and compare it with the team's share."""
+        request, state = context.request, self._state
+        if not request.prompt_tokens or not state.fair_shares:
+            return
+        context.work = state.demand.cost(
+            context.service, request.prompt_tokens, request.max_output_tokens or 0
+        )
+        state.team_demand.note_asked(
+            context.service, context.team_name, context.work, now
+        )
+        marker = state.markers.get(context.service)
+        if marker is not None:
+            context.within_share = marker.mark(context.team_name, context.work)
+
     # attempts
 
     async def _run_before_deadline(self, context: RequestContext) -> Refusal | None:
@@ -334,6 +350,7 @@
                 self._backlog_client.remove_prompt(
                     row.endpoint, context.request.request, PromptEnd.BEGAN
                 )
+                self._note_first_event(context, choice, took_s)
             note_success_time(row, took_s)
             if context.streams:
                 note_first_event(self._state, context.route, choice, attempt)
@@ -424,6 +441,16 @@
         )
         return result
 
+    def _note_first_event(
+        self, context: RequestContext, choice: Choice, took_s: float
+    ) -> None:
+        """Compare a prompt's first event with its forecast."""
+        now, service = monotonic(), context.service
+        forecast_s = choice.queue_s + choice.prefill_s
+        self._state.forecast_errors.note(service, took_s - forecast_s, now)
+        if context.work and not context.execution_started:
+            self._state.team_demand.note_served(service, context.work, now)
+
     def _report_end(
         self, context: RequestContext, row: Endpoint, end: PromptEnd, begun: bool
     ) -> None:
--- a/poplarrelay/entry/request_context.py
+++ b/poplarrelay/entry/request_context.py
@@ -41,6 +41,10 @@
         Whether an endpoint has shown that it runs the request.
     last_error_response : Answered or None
         The last error response of an endpoint, kept while another endpoint is tried.
+    work : float
+        Expected tokens that an engine processes for the request.
+    within_share : bool
+        Whether the request is within its team's share of a service that is short.
     quota_cost : float
         Amount that the request has taken from its team's quota.
     quota_left : float or None
@@ -62,6 +66,8 @@
     may_have_run: bool = False
     execution_started: bool = False
     last_error_response: Answered | None = None
+    work: float = 0.0
+    within_share: bool = True
     quota_cost: float = 0.0
     quota_left: float | None = None
 
--- a/poplarrelay/entry/responses.py
+++ b/poplarrelay/entry/responses.py
@@ -123,6 +123,7 @@
             "team": None if context.team is None else context.team.name,
             "service": context.service,
             "priority": context.priority,
+            "within_share": context.within_share,
             "status": int(status),
             "outcome": outcome,
             "attempts": len(context.tried),
--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -136,9 +136,13 @@
         their quotas. One node per endpoint then grants the slots of plain services to
         the requests of all nodes. It takes effect if the configuration has several
         teams or priorities.
+    forecast_quantile : float
+        Share of the admitted prompts whose first event must not come after its
+        forecast; with 0, prompts are admitted by the plain forecast.
     """
 
     fair_shares: bool = False
+    forecast_quantile: float = Field(default=0.0, ge=0, lt=1)
 
 
 class EntrySettings(StrictModel):
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -16,6 +16,7 @@
 from poplarrelay.entry.request_context import RequestContext
 from poplarrelay.entry.scheduling.admission import (
     FirstEventForecast,
+    queue_limit_share,
     retry_after_queue,
     starts_in_time,
 )
@@ -172,18 +173,32 @@
                 wait_s = bound_retry_after(
                     retry_after_queue(forecast), context.remaining_s
                 )
-                detail = f"{forecast.queue_s:.2f} s queue time"
+                self._state.team_demand.note_short(context.service, now)
+                detail = (
+                    f"{forecast.queue_s:.2f} s queue time, "
+                    f"at most {forecast.max_queue_s:.2f} s"
+                )
                 return Refusal(503, RefusalReason.QUEUE_TOO_LONG, wait_s, detail)
         self._acquire(choice.endpoint)
         return replace(choice, counted=choice.endpoint.endpoint in backlogs)
 
-    @staticmethod
     def _forecast(
-        context: RequestContext, choice: Choice, now: float
+        self, context: RequestContext, choice: Choice, now: float
     ) -> FirstEventForecast:
-        waited_s = now - context.request.started_at
-        target_s = context.route.target_s
-        return FirstEventForecast(waited_s, choice.queue_s, choice.prefill_s, target_s)
+        state, service = self._state, context.service
+        share = state.settings.scheduling.forecast_quantile
+        limit_share = 1.0
+        if state.fair_shares and state.configuration is not None:
+            urgent = context.priority <= state.configuration.most_urgent(service)
+            limit_share = queue_limit_share(context.within_share, urgent)
+        return FirstEventForecast(
+            waited_s=now - context.request.started_at,
+            queue_s=choice.queue_s,
+            prefill_s=choice.prefill_s,
+            target_s=context.route.target_s,
+            error_s=state.forecast_errors.quantile(service, share, now) if share else 0,
+            limit_share=limit_share,
+        )
 
     def _known_accepting(self, rows: Sequence[Endpoint], now: float) -> list[Endpoint]:
         """Return the endpoints that were last known to accept work.
@@ -231,7 +246,7 @@
             None if slots are not coordinated, or if no coordinator replies.
         """
         request = context.request.request
-        if not self._fair_shares or not request:
+        if not self._state.fair_shares or not request:
             return None
         wait_s = 0.0
         asked: list[EndpointId] = []
@@ -265,14 +280,6 @@
         retry_s = bound_retry_after(wait_s, context.remaining_s)
         return Refusal(503, RefusalReason.FULL, retry_s, f"{wait_s:.3f} s queue time")
 
-    @property
-    def _fair_shares(self) -> bool:
-        """Return whether contended services are divided between the teams."""
-        configuration = self._state.configuration
-        if configuration is None or not configuration.has_contenders:
-            return False
-        return self._state.settings.scheduling.fair_shares
-
     def _weight(self, context: RequestContext) -> float:
         """Return the weight of the request's team."""
         configuration = self._state.configuration
@@ -338,7 +345,7 @@
             criteria,
             future,
             expires_at,
-            context.team_name if self._fair_shares else NO_TEAM,
+            context.team_name if self._state.fair_shares else NO_TEAM,
             self._weight(context),
         )
         try:
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
@@ -23,7 +23,15 @@
 from poplarrelay.entry.quotas import Bucket
 from poplarrelay.entry.rollouts.table import RolloutTable
 from poplarrelay.entry.scheduling.coordinators import eligible_nodes
+from poplarrelay.entry.scheduling.forecast_errors import ForecastErrors
+from poplarrelay.entry.scheduling.shares import ShareMarker
 from poplarrelay.entry.scheduling.slot_limits import max_slots_per_node
+from poplarrelay.entry.scheduling.team_demand import (
+    TeamDemand,
+    contended_services,
+    share_fractions,
+)
+from poplarrelay.entry.scheduling.weights import team_weight
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.entry.store_era import EraTracker
 from poplarrelay.identifiers import DomainId, Incarnation, NodeId, TeamId
@@ -63,6 +71,12 @@
         Monotonic times at which requests ended; they give the rate of freed slots.
     demand : DemandMeter
         Demand of this node's callers.
+    team_demand : TeamDemand
+        Demand of this node's callers by team.
+    markers : dict of ServiceName to ShareMarker
+        Shares of the teams, for the services that are short of capacity.
+    forecast_errors : ForecastErrors
+        Errors of the forecasts of first events.
     eras : EraTracker
         Latest era of the store.
     departures : DepartureTable
@@ -93,6 +107,9 @@
     buckets: dict[TeamId, Bucket] = field(default_factory=dict)
     end_times: dict[ServiceName, deque[float]] = field(default_factory=dict)
     demand: DemandMeter = field(default_factory=DemandMeter)
+    team_demand: TeamDemand = field(default_factory=TeamDemand)
+    markers: dict[ServiceName, ShareMarker] = field(default_factory=dict)
+    forecast_errors: ForecastErrors = field(default_factory=ForecastErrors)
     eras: EraTracker = field(init=False)
     departures: DepartureTable = field(init=False)
     backoffs: BackoffTable = field(init=False)
@@ -251,6 +268,28 @@
         reports = [self.me, *self.peers.rows_and_summaries(now)]
         return float(sum(report.demand.get(service, 0) for report in reports))
 
+    @property
+    def fair_shares(self) -> bool:
+        """Return whether contended services are divided between the teams."""
+        configuration = self.configuration
+        if configuration is None or not configuration.has_contenders:
+            return False
+        return self.settings.scheduling.fair_shares
+
+    def update_shares(self, now: float) -> None:
+        """Compute the shares of the teams in the services that are short."""
+        sums: Counter[ServiceName] = Counter()
+        for report in [self.me, *self.peers.rows_and_summaries(now)]:
+            sums.update(report.demand)
+        contended = contended_services(sums) if self.fair_shares else set()
+        for service in [each for each in self.markers if each not in contended]:
+            del self.markers[service]
+        teams = {} if self.configuration is None else self.configuration.teams
+        weights = {name: team_weight(team, teams) for name, team in teams.items()}
+        for service in contended:
+            marker = self.markers.setdefault(service, ShareMarker())
+            marker.fractions = share_fractions(sums, service, weights)
+
     def sum_loads(self, now: float) -> None:
         """Sum the other nodes' requests at each endpoint, and divide its slots."""
         nodes = self.count_nodes(now)
--- a/poplarrelay/entry/tests/test_shared_slots.py
+++ b/poplarrelay/entry/tests/test_shared_slots.py
@@ -8,10 +8,14 @@
 
 import pytest
 
+from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.http.connection import CompleteResponse
+from poplarrelay.entry.state import EntryState
+from poplarrelay.identifiers import TeamId
 from poplarrelay.testing.entry_site import (
     CALLS,
     KEY,
+    STREAMS,
     EntrySite,
     entry_configuration,
     poll_until,
@@ -116,3 +120,48 @@
             assert 'poplarrelay_node{what="slots_granted"} 1' in metrics
 
     run_scenario(scenario)
+
+
+def test_short_engines_are_divided_by_the_demand_of_all_nodes():
+    # Guards against a node that sees only its own callers, and against shares that
+    # stay in force after the shortage.
+    async def scenario():
+        async with run_entry_site(nodes=2, fair_shares=True) as site:
+            await start_endpoints(site)
+            first, second = (node.state for node in site.nodes.values())
+            service, flood, quiet = (
+                ServiceName(STREAMS),
+                TeamId("alpha"),
+                TeamId("beta"),
+            )
+            now = monotonic()
+            first.team_demand.note_short(service, now)
+            while monotonic() < now + 1.5:
+                first.team_demand.note_asked(service, flood, 900.0, monotonic())
+                second.team_demand.note_asked(service, quiet, 40.0, monotonic())
+                second.team_demand.note_served(service, 300.0, monotonic())
+                await asyncio.sleep(0.1)
+            await poll_until(
+                lambda: all(
+                    service in state.markers
+                    and flood in state.markers[service].fractions
+                    for state in (first, second)
+                ),
+                "shares known at both nodes",
+            )
+            fractions = second.markers[service].fractions
+            assert quiet not in fractions
+            assert 0.1 < fractions[flood] < 0.6
+            metrics = (await site.get("control", "/metrics")).body.decode()
+            assert "poplarrelay_team_share{" in metrics
+            await poll_until(
+                lambda: not first.markers and not second.markers, "no shares"
+            )
+
+    run_scenario(scenario)
+
+
+def is_cut(state: EntryState, service: ServiceName, team: TeamId) -> bool:
+    """Return whether a node knows that a team asks for more than its share."""
+    marker = state.markers.get(service)
+    return marker is not None and team in marker.fractions
--- a/poplarrelay/testing/prefill_simulation.py
+++ b/poplarrelay/testing/prefill_simulation.py
@@ -45,11 +45,14 @@
         Length of the prompt.
     wait_s : float or None
         Time to its first event, None if it was refused.
+    team : str
+        Team that sent the prompt.
     """
 
     at: float
     tokens: int
     wait_s: float | None
+    team: str = ""
 
 
 @dataclass(slots=True)
@@ -74,6 +77,15 @@
         If not, a node uses its own prompts and the load reports of the other nodes.
     is_admitted : callable or None
         Returns whether to send a prompt to the endpoint that was chosen for it.
+    is_team_admitted : callable or None
+        The same, called with the choice, the team, the uncached tokens and the time.
+    on_first_event : callable or None
+        Called with the choice, and the times of the arrival and of the first event.
+    teams : dict of str to float
+        Teams that send the prompts, with their parts of all prompts.
+    slowdown : callable
+        Returns the factor by which the prefill of a prompt is slower than the speed of
+        its engine, from a random generator.
     simulated : list of SimulatedPrompt
         Results, in the order of first events and refusals.
     """
@@ -83,6 +95,10 @@
     requests_backlogs: bool
     seed: int
     is_admitted: Callable[[Choice], bool] | None = None
+    is_team_admitted: Callable[[Choice, str, int, float], bool] | None = None
+    on_first_event: Callable[[Choice, float, float], None] | None = None
+    teams: dict[str, float] = field(default_factory=lambda: {"": 1.0})
+    slowdown: Callable[[Random], float] = lambda rng: 1.0
     simulated: list[SimulatedPrompt] = field(default_factory=list)
     _tables: list[list[Endpoint]] = field(default_factory=list)
     _coordinator: BacklogTable = field(default_factory=BacklogTable)
@@ -144,6 +160,17 @@
     def _make_arrival(
         self, node: int, prefix: tuple[PromptPart, ...], rng: Random
     ) -> Callable[[float], None]:
+        team = next(iter(self.teams))
+        if len(self.teams) > 1:
+            (team,) = rng.choices(list(self.teams), list(self.teams.values()))
+
+        def is_refused(choice: Choice, now: float) -> bool:
+            if self.is_admitted is not None and not self.is_admitted(choice):
+                return True
+            tokens = choice.unread_tokens
+            admits = self.is_team_admitted
+            return admits is not None and not admits(choice, team, tokens, now)
+
         def arrive(now: float) -> None:
             shared = prefix[0]
             total_tokens = sum(part.tokens for part in prefix)
@@ -163,12 +190,11 @@
                 if candidates
                 else None
             )
-            if choice is None or (
-                self.is_admitted is not None and not self.is_admitted(choice)
-            ):
-                self.simulated.append(SimulatedPrompt(now, total_tokens, None))
+            if choice is None or is_refused(choice, now):
+                self.simulated.append(SimulatedPrompt(now, total_tokens, None, team))
                 return
-            self._send(node, choice, shared, total_tokens, now)
+            slowdown = self.slowdown(rng)
+            self._send(node, choice, shared, total_tokens, now, team, slowdown)
 
         return arrive
 
@@ -179,6 +205,8 @@
         shared: PromptPart,
         total_tokens: int,
         now: float,
+        team: str,
+        slowdown: float,
     ) -> None:
         row = choice.endpoint
         engine = self._engines[row.endpoint]
@@ -194,13 +222,16 @@
             row.endpoint, request, forecast_tokens, (shared.part,), total_tokens
         )
         self._coordinator.add_prompt(name, placement, now)
-        engine.free_at = max(now, engine.free_at) + uncached_tokens / engine.speed
+        prefill_s = slowdown * uncached_tokens / engine.speed
+        engine.free_at = max(now, engine.free_at) + prefill_s
         begins_at = engine.free_at + STEP_S
 
         def begin(at: float) -> None:
             row.prefill_tokens -= forecast_tokens
             self._coordinator.remove_prompt(row.endpoint, request, PromptEnd.BEGAN, at)
-            self.simulated.append(SimulatedPrompt(now, total_tokens, at - now))
+            self.simulated.append(SimulatedPrompt(now, total_tokens, at - now, team))
+            if self.on_first_event is not None:
+                self.on_first_event(choice, now, at)
 
         def end(at: float) -> None:
             row.running -= 1
