Play floods of a team and slow endpoints in the soak, with fair shares

Cause: the soak played no team that competes and no endpoint with few slots. Change: two kinds of fault at the end of the enum, seeds of before keep their kinds; the nodes of the soak divide slots by shares.

--- a/poplarrelay/testing/soak/callers.py
+++ b/poplarrelay/testing/soak/callers.py
@@ -86,14 +86,14 @@
                 connection.abort()
 
     async def send_request(
-        self, node: str, kind: str, body: bytes = b""
+        self, node: str, kind: str, body: bytes = b"", team: str | None = None
     ) -> SentRequest:
         """Send one request to a node, and wait until it ends.
 
-        The body of the request defaults to its id.
+        The body of the request defaults to its id, and the team is random by default.
         """
         repeatable, streams = REQUEST_KINDS[kind]
-        team = self._rng.choice(list(KEYS))
+        team = team or self._rng.choice(list(KEYS))
         request_id = f"soak-{next(_REQUEST_NUMBERS)}"
         sent = SentRequest(
             request_id, node, kind, team, repeatable, streams, custom_body=body
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -12,6 +12,7 @@
     "FIRST_KINDS",
     "FOURTH_KINDS",
     "SECOND_KINDS",
+    "SIXTH_KINDS",
     "THIRD_KINDS",
     "FaultKind",
     "PlannedFault",
@@ -75,6 +76,10 @@
     STORE_RESTORED
         The store is away for a moment and comes back from a copy some seconds old.
         Operators and endpoints write their records again later.
+    TEAM_FLOODS
+        One team sends requests of one kind to some nodes without a pause.
+    ENDPOINT_SLOW
+        An endpoint becomes slow, and its record has only a few slots.
     """
 
     KILL = "kill"
@@ -100,6 +105,8 @@
     ENDPOINT_STATES_DEPARTURE = "endpoint states departure"
     ENDPOINT_PAUSES = "endpoint pauses"
     STORE_RESTORED = "store restored"
+    TEAM_FLOODS = "team floods"
+    ENDPOINT_SLOW = "endpoint slow"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
@@ -112,9 +119,11 @@
 THIRD_KINDS = tuple(FaultKind)[:19]
 #: Kinds before ``ENDPOINT_STATES_DEPARTURE`` and ``ENDPOINT_PAUSES`` were added.
 FOURTH_KINDS = tuple(FaultKind)[:20]
-#: Kinds before ``STORE_RESTORED`` was added. These tuples depend on the order of the
-#: enum: append new kinds at its end.
+#: Kinds before ``STORE_RESTORED`` was added.
 FIFTH_KINDS = tuple(FaultKind)[:22]
+#: Kinds before ``TEAM_FLOODS`` and ``ENDPOINT_SLOW`` were added. These tuples depend on
+#: the order of the enum: append new kinds at its end.
+SIXTH_KINDS = tuple(FaultKind)[:23]
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -90,6 +90,11 @@
     BadVersion(slowdown=8.0),
     BadVersion(failure_share=0.5, after=10),
 )
+#: Callers of a flood, and seconds between two requests of one after a refusal.
+FLOOD_CALLERS = 12
+FLOOD_GAP_S = 0.02
+#: Factors by which endpoints become slow.
+SLOWDOWNS = (3.0, 10.0)
 #: Minimum time for a roll-out, and time after its deadline in which its end is awaited.
 MIN_ROLLOUT_S = 3.0
 ROLLOUT_GRACE_S = 1.0
@@ -273,6 +278,8 @@
             FaultKind.ENDPOINT_STATES_DEPARTURE: self._state_departure,
             FaultKind.ENDPOINT_PAUSES: self._ask_for_pauses,
             FaultKind.STORE_RESTORED: self._restore_store,
+            FaultKind.TEAM_FLOODS: self._flood,
+            FaultKind.ENDPOINT_SLOW: self._slow_endpoint,
         }
         try:
             await injectors[fault.kind](rng, fault.duration_s)
@@ -435,6 +442,31 @@
         away_s = rng.uniform(*STORE_AWAY_S)
         await self.site.restore_store(copy, away_s, rng.uniform(0, MAX_REWRITE_S))
 
+    async def _flood(self, rng: Random, duration_s: float) -> None:
+        kind, team = rng.choice(sorted(REQUEST_KINDS)), rng.choice(sorted(KEYS))
+        nodes = rng.sample(sorted(self.site.processes), rng.randint(1, 2))
+        end = monotonic() + duration_s
+
+        async def send() -> None:
+            caller = Caller(self.site, self.requests, self.was_paused, rng)
+            while monotonic() < end:
+                sent = await caller.send_request(rng.choice(nodes), kind, team=team)
+                if sent.status != 200:
+                    await asyncio.sleep(FLOOD_GAP_S)
+
+        await asyncio.gather(*(send() for _ in range(FLOOD_CALLERS)))
+
+    async def _slow_endpoint(self, rng: Random, duration_s: float) -> None:
+        name = rng.choice(sorted(self.listed))
+        runner, service = self.site.runners[name], self.listed[name]
+        pause_s = runner.pause_s
+        runner.pause_s = pause_s * rng.choice(SLOWDOWNS)
+        self.site.list_runner(name, service, slots=rng.randint(1, 3))
+        await asyncio.sleep(duration_s)
+        runner.pause_s = pause_s
+        if name in self.listed:
+            self.site.list_runner(name, service)
+
     async def _roll_out(self, rng: Random, duration_s: float) -> None:
         service = rng.choice((CALLS, STREAMS))
         version = f"v{rng.randrange(1_000_000)}"
@@ -534,7 +566,9 @@
     folder : pathlib.Path
         Folder for the settings and logs of the nodes.
     """
-    site = EntrySite(StoreStandIn(), CloudStandIn("127.0.0.1"), use_links=True)
+    site = EntrySite(
+        StoreStandIn(), CloudStandIn("127.0.0.1"), use_links=True, fair_shares=True
+    )
     await site.cloud.start()
     run = SoakRun(site, size, Random(seed), folder)
     plan = draw_plan(seed, size.length_s, size.fault_kinds)
