Keep a floor for patient prompts, spread returning callers and check rejections

Cause: an urgent flood alone would keep the queues of engines above the limit of patient prompts; callers rejected in the same moment got the same Retry-After; nothing showed rejections or forecasts that were wrong. Change: a tenth of the less urgent prompts joins the queues of urgent ones; the Retry-After of shared services is spread over half of itself; metrics slots_regretted, forecasts, forecasts_missed. Measured in the prefill simulation: a tenth of the load urgent beside a patient flood of twice the capacity: 0.95 or more in time on 1, 3 and 83 nodes (asserted), patient 0.4 or more.

--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -734,6 +734,7 @@
             f"slots_{outcome.value}": float(statistics.decisions[outcome])
             for outcome in Outcome
         }
+        gauges["slots_regretted"] = float(self._slot_broker.count_regretted())
         gauges["slots_expired"] = float(statistics.expired)
         gauges["slot_requests_unanswered"] = float(statistics.unanswered)
         return gauges
@@ -754,5 +755,7 @@
                 self._backlog_client.statistics.coordinators_changed
             ),
             **self._slot_gauges(),
+            "forecasts": float(self._state.forecast_errors.made),
+            "forecasts_missed": float(self._state.forecast_errors.missed),
             "duty_held": float(self._duties is not None and self._duties.lease.held),
         }
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -44,7 +44,9 @@
     note_first_event,
 )
 from poplarrelay.entry.routing import Admitted, Denied, NoRoute, admit, choose_service
+from poplarrelay.entry.scheduling.admission import PATIENT_SHARE
 from poplarrelay.entry.scheduling.choosing import Choice
+from poplarrelay.entry.scheduling.shares import FractionMarker
 from poplarrelay.entry.slot_broker import SlotBroker
 from poplarrelay.entry.slots import NO_ENDPOINT_RETRY_S, SlotAllocator
 from poplarrelay.entry.state import EntryState
@@ -115,6 +117,7 @@
         self._quota_charges = QuotaCharges(state, announce)
         self._backlog_client = backlog_client
         self._permits = permits
+        self._patient = FractionMarker()
         self.slot_allocator = SlotAllocator(state, backlog_client, permits, slot_broker)
 
     async def handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
@@ -198,8 +201,12 @@
 
     def _mark_share(self, context: RequestContext, now: float) -> None:
         """Count a prompt for its team, and compare it with the team's share."""
-        request, state = context.request, self._state
-        if not request.prompt_tokens or not state.fair_shares:
+        request, state, configuration = (
+            context.request,
+            self._state,
+            self._state.configuration,
+        )
+        if not request.prompt_tokens or configuration is None or not state.fair_shares:
             return
         context.work = state.demand.cost(
             context.service, request.prompt_tokens, request.max_output_tokens or 0
@@ -210,6 +217,9 @@
         marker = state.markers.get(context.service)
         if marker is not None:
             context.within_share = marker.mark(context.team_name, context.work)
+        context.urgent = context.priority <= configuration.most_urgent(
+            context.service
+        ) or self._patient.mark(context.service, PATIENT_SHARE, context.work)
 
     # attempts
 
--- a/poplarrelay/entry/request_context.py
+++ b/poplarrelay/entry/request_context.py
@@ -45,6 +45,8 @@
         Expected tokens that an engine processes for the request.
     within_share : bool
         Whether the request is within its team's share of a service that is short.
+    urgent : bool
+        Whether the request can join the longest queues of the service.
     quota_cost : float
         Amount that the request has taken from its team's quota.
     quota_left : float or None
@@ -68,6 +70,7 @@
     last_error_response: Answered | None = None
     work: float = 0.0
     within_share: bool = True
+    urgent: bool = True
     quota_cost: float = 0.0
     quota_left: float | None = None
 
--- a/poplarrelay/entry/scheduling/admission.py
+++ b/poplarrelay/entry/scheduling/admission.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "PATIENT_SHARE",
     "FirstEventForecast",
     "queue_limit_share",
     "retry_after_queue",
@@ -23,6 +24,9 @@
 EXCESS_LIMIT = 0.4
 #: The same for prompts that are less urgent than others of the service.
 PATIENT_LIMIT = 0.75
+#: Part of the less urgent prompts that can join the same queues as the urgent ones, so
+#: that a lasting urgent load starves nobody.
+PATIENT_SHARE = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +87,8 @@
     within_share : bool
         Whether the prompt is within its team's share of the service.
     urgent : bool
-        Whether no priority of the service is more urgent than that of the prompt.
+        Whether the prompt is among the most urgent ones of the service, or one of
+        those less urgent ones that are treated like them (`PATIENT_SHARE`).
 
     Notes
     -----
--- a/poplarrelay/entry/scheduling/request_queue.py
+++ b/poplarrelay/entry/scheduling/request_queue.py
@@ -23,6 +23,7 @@
     "max_queue_wait",
     "retry_after",
     "retry_after_backoff",
+    "spread_return",
 ]
 
 #: Maximum wait for a slot as a fraction of the route's latency target. After a longer
@@ -58,6 +59,17 @@
     return max(MIN_RETRY_S, min(wait_s, RETRY_WAIT_SHARE * remaining_s))
 
 
+def spread_return(wait_s: float, rng: Random) -> float:
+    """Return a random retry delay from the wait to one and a half times as long.
+
+    Notes
+    -----
+    Callers that are rejected in the same moment have the same wait. If they all
+    returned after it, they would be rejected together again.
+    """
+    return wait_s * (1 + RETURN_SHARE * rng.random())
+
+
 def retry_after_backoff(backoff_s: float, rng: Random) -> float:
     """Return a retry delay beyond the end of a pause, in seconds.
 
--- a/poplarrelay/entry/scheduling/shares.py
+++ b/poplarrelay/entry/scheduling/shares.py
@@ -7,7 +7,7 @@
 
 from poplarrelay.identifiers import TeamId
 
-__all__ = ["ShareMarker", "max_min_shares"]
+__all__ = ["FractionMarker", "ShareMarker", "max_min_shares"]
 
 
 def max_min_shares(
@@ -41,6 +41,26 @@
     return {team: shares[team] for team in demands}
 
 
+@dataclass(slots=True)
+class FractionMarker:
+    """Marks a fraction of the requests of each group, by cost.
+
+    Notes
+    -----
+    Of any series of requests, the marked cost differs from the fraction by no more than
+    the largest cost, and large requests are marked as often as small ones.
+    """
+
+    _credits: dict[str, float] = field(default_factory=dict)
+
+    def mark(self, group: str, fraction: float, cost: float) -> bool:
+        """Return whether a request belongs to the marked ones of its group."""
+        credit = self._credits.get(group, 0.0) + fraction * cost
+        marked = credit >= cost / 2
+        self._credits[group] = credit - cost if marked else credit
+        return marked
+
+
 @dataclass(slots=True)
 class ShareMarker:
     """Marks the requests that are within their team's share of a service.
@@ -59,19 +79,9 @@
     """
 
     fractions: dict[TeamId, float] = field(default_factory=dict)
-    _credits: dict[TeamId, float] = field(default_factory=dict)
+    _marker: FractionMarker = field(default_factory=FractionMarker)
 
     def mark(self, team: TeamId, cost: float) -> bool:
-        """Return whether a request is within the share of its team.
-
-        Of any long series of requests the team's fraction is marked, by cost, and large
-        requests as often as small ones.
-        """
-        fraction = self.fractions.get(team, 1.0)
-        if fraction >= 1:
-            self._credits.pop(team, None)
-            return True
-        credit = self._credits.get(team, 0.0) + fraction * cost
-        within = credit >= cost / 2
-        self._credits[team] = credit - cost if within else credit
-        return within
+        """Return whether a request is within the share of its team."""
+        fraction = self.fractions.get(team)
+        return fraction is None or self._marker.mark(team, fraction, cost)
--- a/poplarrelay/entry/scheduling/slot_ledger.py
+++ b/poplarrelay/entry/scheduling/slot_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -16,6 +17,8 @@
 GRANT_EXPIRY_S = 2.5
 #: Weight of one request in the moving mean of the time for which slots are held.
 HOLD_WEIGHT = 0.05
+#: Most rejections that are remembered to check them.
+MAX_REJECTED = 200
 #: Part of the wait that a request accepts which the forecast may reach. Requests of
 #: teams that ask for less can still go ahead of it.
 FORECAST_SHARE = 0.8
@@ -55,6 +58,9 @@
         Number of requests that the endpoint runs at the same time.
     queue : FairQueue
         Requests that wait for a slot.
+    regretted : int
+        Requests that were rejected although a slot came free while they would have
+        waited.
 
     Notes
     -----
@@ -65,6 +71,8 @@
 
     slots: int
     queue: FairQueue = field(default_factory=FairQueue)
+    regretted: int = 0
+    _rejected: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_REJECTED))
     _granted: dict[RequestId, _Grant] = field(default_factory=dict)
     _hold_s: float = 0.0
 
@@ -100,6 +108,7 @@
             return Decision(Outcome.GRANTED)
         wait_s = self.wait_s(waiting, now)
         if wait_s > FORECAST_SHARE * (waiting.expires_at - now):
+            self._rejected.append(waiting.expires_at)
             return Decision(Outcome.REJECTED, wait_s)
         self.queue.join(waiting)
         return Decision(Outcome.QUEUED, wait_s)
@@ -113,11 +122,17 @@
         while self.taken < self.slots:
             waiting = self.queue.pop()
             if waiting is None:
+                self._count_regretted(now)
                 break
             self._grant(waiting, now)
             granted.append(waiting)
         return granted
 
+    def _count_regretted(self, now: float) -> None:
+        """Check past rejections when a slot stays free because nobody waits."""
+        self.regretted += sum(expires_at > now for expires_at in self._rejected)
+        self._rejected.clear()
+
     def end(self, request: RequestId, now: float) -> None:
         """Free the slot of a request, or remove the request from the queue."""
         granted = self._granted.pop(request, None)
--- a/poplarrelay/entry/scheduling/tests/test_shares.py
+++ b/poplarrelay/entry/scheduling/tests/test_shares.py
@@ -11,12 +11,17 @@
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.scheduling.admission import (
     EXCESS_LIMIT,
+    PATIENT_SHARE,
     FirstEventForecast,
     queue_limit_share,
     starts_in_time,
 )
 from poplarrelay.entry.scheduling.forecast_errors import ForecastErrors
-from poplarrelay.entry.scheduling.shares import ShareMarker, max_min_shares
+from poplarrelay.entry.scheduling.shares import (
+    FractionMarker,
+    ShareMarker,
+    max_min_shares,
+)
 from poplarrelay.entry.scheduling.team_demand import (
     SHORT_S,
     TeamDemand,
@@ -131,7 +136,9 @@
     simulation.is_team_admitted = Admission(fair)
     simulation.run(40.0, per_s=80.0, tokens=4_000, shared=2_000)
     prompts = [prompt for prompt in simulation.simulated if prompt.at >= 5.0]
-    in_time = [p for p in prompts if p.wait_s is not None and p.wait_s <= 1.1]
+    in_time = [
+        p for p in prompts if p.wait_s is not None and p.wait_s <= 1.1 * TARGET_S
+    ]
     asked, served = Counter(p.team for p in prompts), Counter(p.team for p in in_time)
     shares = {team: served[team] / asked[team] for team in asked}
     return shares, sum(prompt.tokens for prompt in in_time)
@@ -147,6 +154,44 @@
     assert after_total >= 0.95 * before_total
 
 
+def play_priorities(nodes, urgent_part, seed):
+    """Return the parts of the urgent and of the patient prompts that came in time."""
+    simulation = PrefillSimulation(nodes, (60_000.0,) * 4, True, seed)
+    simulation.teams = {"urgent": urgent_part, "patient": 1 - urgent_part}
+    marker = FractionMarker()
+
+    def admit(choice, team, tokens, now):
+        urgent = team == "urgent" or marker.mark(team, PATIENT_SHARE, tokens)
+        share = queue_limit_share(True, urgent)
+        return starts_in_time(
+            FirstEventForecast(
+                0.0, choice.queue_s, choice.prefill_s, TARGET_S, limit_share=share
+            )
+        )
+
+    simulation.is_team_admitted = admit
+    simulation.run(40.0, per_s=80.0, tokens=4_000, shared=2_000)
+    prompts = [prompt for prompt in simulation.simulated if prompt.at >= 5.0]
+    asked = Counter(p.team for p in prompts)
+    in_time = Counter(
+        p.team for p in prompts if p.wait_s is not None and p.wait_s <= 1.1
+    )
+    return in_time["urgent"] / asked["urgent"], in_time["patient"] / asked["patient"]
+
+
+@pytest.mark.parametrize("nodes", [1, 3, 83])
+def test_urgent_prompts_keep_their_target_beside_a_patient_flood(nodes):
+    urgent, patient = play_priorities(nodes, 0.1, seed=1)
+    assert urgent >= SERVED_TARGET
+    assert patient >= 0.4
+
+
+def test_urgent_flood_does_not_starve_patient_prompts():
+    # Guards against queues that urgent prompts alone keep above the patient limit.
+    _, patient = play_priorities(6, 0.9, seed=1)
+    assert patient >= 0.5 * PATIENT_SHARE
+
+
 def test_patient_prompts_leave_room_for_urgent_ones():
     assert queue_limit_share(True, True) > queue_limit_share(True, False)
     assert queue_limit_share(True, False) > queue_limit_share(False, True)
--- a/poplarrelay/entry/slot_broker.py
+++ b/poplarrelay/entry/slot_broker.py
@@ -200,6 +200,10 @@
                 self._held[run, request] = host
             self._send(host, [HELD, *run, requests[:MAX_CONFIRMED]])
 
+    def count_regretted(self) -> int:
+        """Return how many rejections the present ledgers have found to be wrong."""
+        return sum(ledger.regretted for ledger in self._ledgers.values())
+
     # Messages
 
     def _send(self, host: str, message: list[Any]) -> None:
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -38,6 +38,7 @@
     max_queue_wait,
     retry_after,
     retry_after_backoff,
+    spread_return,
 )
 from poplarrelay.entry.scheduling.weights import team_weight
 from poplarrelay.entry.slot_broker import SlotBroker
@@ -170,9 +171,10 @@
             )
             forecast = self._forecast(context, choice, now)
             if not starts_in_time(forecast):
-                wait_s = bound_retry_after(
-                    retry_after_queue(forecast), context.remaining_s
-                )
+                wait_s = retry_after_queue(forecast)
+                if self._state.fair_shares:
+                    wait_s = spread_return(wait_s, rng)
+                wait_s = bound_retry_after(wait_s, context.remaining_s)
                 self._state.team_demand.note_short(context.service, now)
                 detail = (
                     f"{forecast.queue_s:.2f} s queue time, "
@@ -188,9 +190,8 @@
         state, service = self._state, context.service
         share = state.settings.scheduling.forecast_quantile
         limit_share = 1.0
-        if state.fair_shares and state.configuration is not None:
-            urgent = context.priority <= state.configuration.most_urgent(service)
-            limit_share = queue_limit_share(context.within_share, urgent)
+        if state.fair_shares:
+            limit_share = queue_limit_share(context.within_share, context.urgent)
         return FirstEventForecast(
             waited_s=now - context.request.started_at,
             queue_s=choice.queue_s,
@@ -277,7 +278,8 @@
             return None
         if context.may_have_run:
             return Refusal(502, RefusalReason.UNKNOWN, detail="other endpoints full")
-        retry_s = bound_retry_after(wait_s, context.remaining_s)
+        retry_s = spread_return(wait_s, self._state.rng)
+        retry_s = bound_retry_after(retry_s, context.remaining_s)
         return Refusal(503, RefusalReason.FULL, retry_s, f"{wait_s:.3f} s queue time")
 
     def _weight(self, context: RequestContext) -> float:
--- a/poplarrelay/entry/tests/test_slot_broker.py
+++ b/poplarrelay/entry/tests/test_slot_broker.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from poplarrelay.entry.scheduling.slot_ledger import GRANT_EXPIRY_S
+from poplarrelay.entry.scheduling.fair_queue import Waiting
+from poplarrelay.entry.scheduling.slot_ledger import (
+    GRANT_EXPIRY_S,
+    Outcome,
+    SlotLedger,
+)
+from poplarrelay.identifiers import RequestId, TeamId
 from poplarrelay.testing.slot_network import Load, SlotNetwork
 from poplarrelay.testing.virtual_time import run_virtual
 
@@ -16,6 +22,10 @@
 SERVED_TARGET = 0.95
 
 
+def make_waiting(name, expires_at):
+    return Waiting(RequestId(name), "h", TeamId("a"), 1, 1.0, 1.0, expires_at)
+
+
 def play(network, loads, seconds=12.0, warm_up_s=2.0, faults=None):
     async def scenario():
         network.start()
@@ -193,3 +203,19 @@
             network.brokers["h0"].receive("h9", [message])
 
     run_virtual(scenario())
+
+
+def test_rejection_is_regretted_if_a_slot_stays_free_in_time():
+    # Guards against forecasts that refuse requests which would have been served.
+    ledger = SlotLedger(1)
+    for number, hold_s in enumerate((10.0, 0.1)):
+        held = make_waiting(f"held-{number}", expires_at=100.0)
+        assert ledger.join(held, float(number)).outcome is Outcome.GRANTED
+        if number == 0:
+            ledger.end(held.request, hold_s)
+            ledger.grant_free(hold_s)
+    rejected = make_waiting("rejected", expires_at=20.0)
+    assert ledger.join(rejected, 10.2).outcome is Outcome.REJECTED
+    ledger.end(RequestId("held-1"), 10.3)
+    ledger.grant_free(10.3)
+    assert ledger.regretted == 1
