--- a/poplarrelay/entry/scheduling/tests/test_shares.py
+++ b/poplarrelay/entry/scheduling/tests/test_shares.py
@@ -129,6 +129,16 @@
         return admitted
 
 
+def count_in_time(simulation):
+    """Return the part of each team's prompts that came in time, and their tokens."""
+    prompts = [prompt for prompt in simulation.simulated if prompt.at >= 5.0]
+    begun = [prompt for prompt in prompts if prompt.wait_s is not None]
+    in_time = [prompt for prompt in begun if prompt.wait_s <= 1.1 * TARGET_S]
+    asked, served = Counter(p.team for p in prompts), Counter(p.team for p in in_time)
+    shares = {team: served[team] / asked[team] for team in asked}
+    return shares, sum(prompt.tokens for prompt in in_time)
+
+
 def play_flood(fair, seed):
     """Return the part of each team's prompts that came in time, and their tokens."""
     simulation = PrefillSimulation(6, (60_000.0,) * 4, True, seed)
@@ -155,7 +165,7 @@
 
 
 def play_priorities(nodes, urgent_part, seed):
-    """Return the parts of the urgent and of the patient prompts that came in time."""
+    """Return the part of the urgent and of the patient prompts that came in time."""
     simulation = PrefillSimulation(nodes, (60_000.0,) * 4, True, seed)
     simulation.teams = {"urgent": urgent_part, "patient": 1 - urgent_part}
     marker = FractionMarker()
@@ -171,25 +181,20 @@
 
     simulation.is_team_admitted = admit
     simulation.run(40.0, per_s=80.0, tokens=4_000, shared=2_000)
-    prompts = [prompt for prompt in simulation.simulated if prompt.at >= 5.0]
-    asked = Counter(p.team for p in prompts)
-    in_time = Counter(
-        p.team for p in prompts if p.wait_s is not None and p.wait_s <= 1.1
-    )
-    return in_time["urgent"] / asked["urgent"], in_time["patient"] / asked["patient"]
+    return count_in_time(simulation)[0]
 
 
 @pytest.mark.parametrize("nodes", [1, 3, 83])
 def test_urgent_prompts_keep_their_target_beside_a_patient_flood(nodes):
-    urgent, patient = play_priorities(nodes, 0.1, seed=1)
-    assert urgent >= SERVED_TARGET
-    assert patient >= 0.4
+    served = play_priorities(nodes, 0.1, seed=1)
+    assert served["urgent"] >= SERVED_TARGET
+    assert served["patient"] >= 0.4
 
 
 def test_urgent_flood_does_not_starve_patient_prompts():
     # Guards against queues that urgent prompts alone keep above the patient limit.
-    _, patient = play_priorities(6, 0.9, seed=1)
-    assert patient >= 0.5 * PATIENT_SHARE
+    served = play_priorities(6, 0.9, seed=1)
+    assert served["patient"] >= 0.5 * PATIENT_SHARE
 
 
 def test_patient_prompts_leave_room_for_urgent_ones():
