Kill nodes that hold or grant slots in the tests of these failures

Cause: found while reading: test_slots_of_a_killed_node_are_free_again killed its node after its requests had ended, and the coordinator test might kill a node that coordinates nothing. Change: the node is killed while its requests run, the coordinator of an endpoint while calls come, noticed after 1.5 s.

--- a/poplarrelay/entry/tests/test_slot_broker.py
+++ b/poplarrelay/entry/tests/test_slot_broker.py
@@ -22,6 +22,10 @@
 SERVED_TARGET = 0.95
 
 
+#: Seconds until nodes notice that another one is dead.
+DETECTION_S = 1.5
+
+
 def make_waiting(name, expires_at):
     return Waiting(RequestId(name), "h", TeamId("a"), 1, 1.0, 1.0, expires_at)
 
@@ -97,17 +101,21 @@
     assert network.late_refusals <= 0.05 * refused
 
 
-def test_killed_coordinator_delays_requests_and_doubles_no_slots_for_long():
+def test_killed_coordinator_costs_no_answers_and_doubles_no_slots_for_long():
     # Guards against grants that are lost, or made twice, after the loss of a node.
     network = SlotNetwork(4)
 
     async def kill():
         await asyncio.sleep(5.0)
-        network.down.add("h3")
-
-    loads = [Load("a", 40.0, (0, 1, 2))]
-    play(network, loads, faults=[kill()])
-    assert network.share_served("a") + network.unanswered / 400 >= SERVED_TARGET
+        killed = network.coordinator("e0")
+        senders = tuple(n for n in range(4) if f"h{n}" != killed)
+        calls = network.play([Load("a", 40.0, senders)], 7.0, warm_up_s=0.0)
+        await asyncio.gather(network.kill(killed, DETECTION_S), calls)
+
+    play(network, [], seconds=12.0, faults=[kill()])
+    decided = network.served["a"] + network.unanswered
+    assert network.unanswered > 0
+    assert decided >= SERVED_TARGET * network.asked["a"]
     assert network.most_running <= 2 * network.slots
 
 
@@ -117,15 +125,18 @@
 
     async def scenario():
         network.start()
-        await network.play([Load("a", 200.0, (1,))], 0.2, 0.0)
+        load = Load("a", 200.0, (1,))
+        calls = asyncio.create_task(network.play([load], 0.2, warm_up_s=0.0))
+        await asyncio.sleep(0.3)
         network.down.add("h1")
-        coordinator = next(b for b in network.brokers.values() if b._ledgers)
+        (coordinator,) = (b for b in network.brokers.values() if b._ledgers)
+        (ledger,) = coordinator._ledgers.values()
         assert coordinator.own_host != "h1"
-        ledger = next(iter(coordinator._ledgers.values()))
         assert ledger.taken == network.slots
         await asyncio.sleep(GRANT_EXPIRY_S + 0.5)
         coordinator.refresh()
         assert ledger.taken == 0
+        await calls
 
     run_virtual(scenario())
 
--- a/poplarrelay/testing/slot_network.py
+++ b/poplarrelay/testing/slot_network.py
@@ -10,6 +10,7 @@
 
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.endpoints import Endpoint, EndpointTable
+from poplarrelay.entry.scheduling.coordinators import choose_coordinator
 from poplarrelay.entry.scheduling.fair_queue import Waiting
 from poplarrelay.entry.slot_broker import SlotBroker
 from poplarrelay.identifiers import DomainId, EndpointId, NodeId, RequestId, TeamId
@@ -48,8 +49,8 @@
 
     Attributes
     ----------
-    down : set of str
-        Hosts that neither send nor receive messages.
+    down, known_down : set of str
+        Hosts that neither send nor receive messages, and those of which all nodes know.
     asked, served : Counter of str
         Requests and granted requests by team, after the warm-up.
     waits : dict of str to list of float
@@ -65,6 +66,7 @@
     loss: float = 0.0
     rng: Random = field(default_factory=lambda: Random(1))
     down: set[str] = field(default_factory=set)
+    known_down: set[str] = field(default_factory=set)
     asked: Counter[str] = field(default_factory=Counter)
     served: Counter[str] = field(default_factory=Counter)
     late_refusals: int = 0
@@ -91,7 +93,7 @@
             self.brokers[host] = SlotBroker(
                 host,
                 table,
-                lambda: {NodeId(h): h for h in hosts if h not in self.down},
+                lambda: {NodeId(h): h for h in hosts if h not in self.known_down},
                 _Sender(self, host),
                 loop.time,
             )
@@ -104,6 +106,17 @@
         loop = asyncio.get_running_loop()
         loop.call_later(DELAY_S, self.brokers[host].receive, sender, messages)
 
+    def coordinator(self, endpoint: str) -> str:
+        """Return the host that coordinates an endpoint while all nodes are up."""
+        hosts = {NodeId(host): host for host in self.brokers}
+        return hosts[choose_coordinator(EndpointId(endpoint), hosts)]
+
+    async def kill(self, host: str, detection_s: float) -> None:
+        """Kill a node; the others notice it after some seconds."""
+        self.down.add(host)
+        await asyncio.sleep(detection_s)
+        self.known_down.add(host)
+
     async def play(self, loads: list[Load], seconds: float, warm_up_s: float) -> None:
         """Play the loads for some seconds, and count the requests after the warm-up."""
         async with asyncio.TaskGroup() as group:
