--- a/poplarrelay/entry/scheduling/choosing.py
+++ b/poplarrelay/entry/scheduling/choosing.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from heapq import nlargest
 from random import Random
-from statistics import median
+from statistics import mean, median
 
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.http.pool import Address
@@ -17,7 +17,7 @@
     "Choice",
     "SelectionCriteria",
     "answered_since",
-    "assume_busiest",
+    "assume_mean",
     "choose_candidate",
     "choose_endpoint",
     "median_prefill_speed",
@@ -162,10 +162,10 @@
     return [*affinity_endpoints, *rng.sample(others, min(SAMPLE_SIZE, len(others)))]
 
 
-def assume_busiest(
+def assume_mean(
     candidates: Sequence[Endpoint], counted: Collection[EndpointId], now: float
 ) -> None:
-    """Assume the largest counted backlog at the candidates that nobody has counted.
+    """Assume the mean of the counted backlogs at the candidates without a count.
 
     Parameters
     ----------
@@ -179,12 +179,13 @@
     Notes
     -----
     Load: a coordinator is down or slow while many nodes send prompts. Its engines would
-    look empty and get the prompts of all nodes.
+    look empty and get the prompts of all nodes. With the mean, they are chosen only for
+    what they have cached.
     """
     reported = [r for r in candidates if r.endpoint in counted]
     if not reported:
         return
-    tokens = max(row.other_nodes_prefill_tokens for row in reported)
+    tokens = round(mean(row.other_nodes_prefill_tokens for row in reported))
     for row in candidates:
         if row.endpoint not in counted:
             row.update_backlog(tokens, 0.0, now)
--- a/poplarrelay/entry/scheduling/tests/test_fair_queue.py
+++ b/poplarrelay/entry/scheduling/tests/test_fair_queue.py
@@ -66,6 +66,16 @@
     assert served_teams(queue, 100) == {"a": 50, "b": 50}
 
 
+def test_requests_after_those_that_left_are_not_delayed():
+    # Guards against teams that pay for the place of callers that gave up.
+    queue = make_queue((100, "a", {}))
+    for number in range(1, 100):
+        queue.leave(RequestId(f"r{number}"))
+    for number in range(101, 301):
+        queue.join(make_waiting(number, "a" if number % 2 else "b"))
+    assert served_teams(queue, 100)["a"] == pytest.approx(50, abs=1)
+
+
 def test_expired_requests_are_returned_once():
     queue = make_queue((3, "a", {"expires_at": 1.0}), (2, "b", {"expires_at": 3.0}))
     assert len(queue.pop_expired(2.0)) == 3
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -24,7 +24,7 @@
     Choice,
     SelectionCriteria,
     answered_since,
-    assume_busiest,
+    assume_mean,
     choose_candidate,
     choose_endpoint,
     sample_candidates,
@@ -153,7 +153,7 @@
             if backlog is not None:
                 row.update_backlog(backlog.tokens, backlog.speed, now, backlog.load)
                 cached_tokens[row.endpoint] = backlog.cached_tokens_at(prefix)
-        assume_busiest(candidates, backlogs.keys(), now)
+        assume_mean(candidates, backlogs.keys(), now)
         # Endpoints may have left or become full while the coordinators replied.
         available = [r for r in candidates if r.accepts_work and _has_room(r, now)]
         available = [row for row in available if row.endpoint not in down] or available
--- a/poplarrelay/entry/tests/test_slot_broker.py
+++ b/poplarrelay/entry/tests/test_slot_broker.py
@@ -141,6 +141,13 @@
     run_virtual(scenario())
 
 
+def test_slots_of_long_requests_stay_taken():
+    # Guards against slots that expire while their requests still run.
+    network = SlotNetwork(3, endpoints=1, slots=1, service_s=3 * GRANT_EXPIRY_S)
+    play(network, [Load("a", 1.0, (0, 1, 2), max_wait_s=6.0)], seconds=8.0)
+    assert network.most_running == 1
+
+
 @pytest.mark.parametrize("loss", [0.02, 0.1])
 def test_lost_messages_leave_no_slot_taken(loss):
     # Guards against slots that are never free again after the loss of a datagram.
