Keep counts and slots of endpoints that a coordinator does not list yet

Change: they are dropped when nothing runs or waits there; counts, prompts and grants expire as before. Both new tests fail without it.

--- a/poplarrelay/entry/backlogs.py
+++ b/poplarrelay/entry/backlogs.py
@@ -278,6 +278,10 @@
             self.down_until = 0.0
             self.speed.note(prompt.tokens_to_first_event, now - prompt.placed_at)
 
+    def has_requests(self, now: float) -> bool:
+        """Return whether requests are queued or running at the engine."""
+        return bool(self._queue) or self.occupancy.total(now) > 0
+
     def _drop_stale(self, now: float) -> None:
         for request, prompt in list(self._queue.items()):
             if now - prompt.placed_at > PROMPT_EXPIRY_S:
@@ -363,9 +367,17 @@
         )
 
     def forget(self, known: Iterable[EndpointId], now: float) -> None:
-        """Drop queues of unlisted endpoints, and old entries of the other queues."""
+        """Drop old entries, and the queues of unlisted endpoints without requests.
+
+        Notes
+        -----
+        The list of a coordinator can be older than that of a node which sends prompts.
+        """
         listed = set(known)
-        for endpoint in [e for e in self.backlogs if e not in listed]:
-            del self.backlogs[endpoint]
         for backlog in self.backlogs.values():
             backlog.forget(now)
+        self.backlogs = {
+            endpoint: backlog
+            for endpoint, backlog in self.backlogs.items()
+            if endpoint in listed or backlog.has_requests(now)
+        }
--- a/poplarrelay/entry/slot_broker.py
+++ b/poplarrelay/entry/slot_broker.py
@@ -180,12 +180,16 @@
         """Confirm the slots in use, and drop the state of endpoints that are gone."""
         now = self.monotonic()
         self._hosts.clear()
-        runs = {row.run for row in self.endpoints.rows.values()}
-        for run in [run for run in self._ledgers if run not in runs]:
-            del self._ledgers[run]
-        for run, ledger in self._ledgers.items():
+        for run, ledger in list(self._ledgers.items()):
             self.statistics.expired += len(ledger.expire(now))
             self._grant_free(run, ledger, now)
+        # The list of this node can be older than that of a node which holds slots.
+        runs = {row.run for row in self.endpoints.rows.values()}
+        self._ledgers = {
+            run: ledger
+            for run, ledger in self._ledgers.items()
+            if run in runs or ledger.load
+        }
         if now >= self._confirm_at:
             self._confirm_at = now + CONFIRM_INTERVAL_S
             self._confirm_held()
@@ -297,9 +301,11 @@
 
     def _receive_held(self, run: RunKey, requests: Sequence[str]) -> None:
         row = self.endpoints.rows.get(run[0])
-        if row is None or row.run != run:
-            return
-        ledger = self._ledgers.setdefault(run, SlotLedger(row.slots))
+        ledger = self._ledgers.get(run)
+        if ledger is None:
+            if row is None or row.run != run:
+                return
+            ledger = self._ledgers[run] = SlotLedger(row.slots)
         known = [RequestId(str(request)) for request in requests]
         ledger.confirm(known, self.monotonic())
 
--- a/poplarrelay/entry/tests/test_backlogs.py
+++ b/poplarrelay/entry/tests/test_backlogs.py
@@ -23,6 +23,7 @@
 )
 from poplarrelay.entry.requests import PromptPart
 from poplarrelay.entry.scheduling.coordinators import choose_coordinator
+from poplarrelay.entry.scheduling.occupancy import Load
 from poplarrelay.identifiers import EndpointId, NodeId, RequestId
 from poplarrelay.testing.prefill_simulation import PrefillSimulation
 
@@ -82,6 +83,19 @@
     assert table.view("c", E, (), PROMPT_EXPIRY_S + 0.1).tokens == 0
 
 
+def test_prompts_at_an_engine_that_is_not_listed_yet_are_counted():
+    # Guards against a coordinator whose list is older than that of the sending node.
+    table = BacklogTable()
+    table.add_prompt("a", make_placement(1, 5_000), 0.0)
+    table.report_requests("a", {E: 1}, 0.0)
+    table.forget([], 0.4)
+    view = table.view("b", E, (), 0.4)
+    assert view.tokens == 5_000
+    assert view.load == Load(1, 0.0)
+    table.forget([], PROMPT_EXPIRY_S + 0.1)
+    assert table.backlogs == {}
+
+
 def test_engine_that_one_node_finds_gone_is_avoided_by_all_nodes():
     # A crashed engine has no queued prompts, so every node would choose it until the
     # list of endpoints shows the crash. The request of one node finds it gone.
--- a/poplarrelay/entry/tests/test_slot_broker.py
+++ b/poplarrelay/entry/tests/test_slot_broker.py
@@ -12,7 +12,7 @@
     Outcome,
     SlotLedger,
 )
-from poplarrelay.identifiers import RequestId, TeamId
+from poplarrelay.identifiers import EndpointId, RequestId, TeamId
 from poplarrelay.testing.slot_network import Load, SlotNetwork
 from poplarrelay.testing.virtual_time import run_virtual
 
@@ -148,6 +148,21 @@
     assert network.most_running == 1
 
 
+def test_coordinator_that_does_not_list_the_endpoint_yet_doubles_no_slots():
+    # Guards against grants that are forgotten while the coordinator's list is older.
+    network = SlotNetwork(3, endpoints=1, service_s=2.0)
+
+    async def scenario():
+        network.start()
+        coordinator = network.coordinator("e0")
+        network.tables[coordinator].drop(EndpointId("e0"))
+        senders = tuple(n for n in range(3) if f"h{n}" != coordinator)
+        await network.play([Load("a", 20.0, senders)], 6.0, warm_up_s=0.0)
+        assert network.most_running == network.slots
+
+    run_virtual(scenario())
+
+
 @pytest.mark.parametrize("loss", [0.02, 0.1])
 def test_lost_messages_leave_no_slot_taken(loss):
     # Guards against slots that are never free again after the loss of a datagram.
