Count a reply that arrives with its timeout, and lock no node out while coordinators are silent

Change: the reply counts; a node without replies may have one request at each endpoint. Both new tests fail without it.

--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -226,6 +226,19 @@
             return False
         return self.load < self.slots + int(QUEUE_SHARE * self.slots)
 
+    def is_unused_here(self, now: float) -> bool:
+        """Return whether this node has no request at an endpoint that accepts one.
+
+        Notes
+        -----
+        A node whose coordinators are silent sees only slots that are taken, as they
+        grant each one that becomes free. One request at each endpoint keeps its callers
+        from being locked out; an endpoint queues some more than it runs.
+        """
+        if self.in_backoff(now) or self.limit_per_s is not None:
+            return self.has_room(now)
+        return self.running == 0
+
     def slot_wait_s(self, now: float) -> float:
         """Return the seconds until a slot is expected to be free for a new prompt."""
         ahead = self.load - self.slots + 1
--- a/poplarrelay/entry/scheduling/choosing.py
+++ b/poplarrelay/entry/scheduling/choosing.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "Choice",
+    "HasRoom",
     "SelectionCriteria",
     "answered_since",
     "assume_mean",
--- a/poplarrelay/entry/slot_broker.py
+++ b/poplarrelay/entry/slot_broker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping, Sequence
@@ -139,29 +140,33 @@
         reply = asyncio.get_running_loop().create_future()
         pending = _Pending(host, asyncio.Event(), reply)
         self._pending[key] = pending
-        granted = False
+        answer: SlotReply | None = None
         try:
             self._send(host, [JOIN, *row.run, row.slots, *_encode(waiting, now)])
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
-                await pending.answered.wait()
-            async with asyncio.timeout(waiting.expires_at - now):
-                answer: SlotReply = await reply
-            granted = answer.granted
+            # A reply can arrive in the same turn of the event loop as the timeout.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REPLY_TIMEOUT_S):
+                    await pending.answered.wait()
+            if not pending.answered.is_set():
+                self._note_unanswered(host)
+                return None
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(waiting.expires_at - now):
+                    await asyncio.wait([reply])
+            answer = reply.result() if reply.done() else SlotReply(False)
             return answer
-        except TimeoutError:
-            if pending.answered.is_set():
-                return SlotReply(False)
-            self.statistics.unanswered += 1
-            self._skip_until[host] = self.monotonic() + UNANSWERED_PAUSE_S
-            _LOG.debug("coordinator silent", extra={"host": host})
-            return None
         finally:
             del self._pending[key]
-            if granted:
+            if answer is not None and answer.granted:
                 self._held[key] = host
             else:
                 self._send(host, [END, *row.run, waiting.request])
 
+    def _note_unanswered(self, host: str) -> None:
+        self.statistics.unanswered += 1
+        self._skip_until[host] = self.monotonic() + UNANSWERED_PAUSE_S
+        _LOG.debug("coordinator silent", extra={"host": host})
+
     def end(self, row: Endpoint, request: RequestId) -> None:
         """Give back the slot of a request, if it holds one."""
         host = self._held.pop((row.run, request), None)
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -22,6 +22,7 @@
 )
 from poplarrelay.entry.scheduling.choosing import (
     Choice,
+    HasRoom,
     SelectionCriteria,
     answered_since,
     assume_mean,
@@ -99,17 +100,20 @@
         )
 
     def _choose(
-        self, service: ServiceName, criteria: SelectionCriteria
+        self,
+        service: ServiceName,
+        criteria: SelectionCriteria,
+        has_room: HasRoom = Endpoint.has_room,
     ) -> Choice | None:
         """Choose an endpoint with a free slot and acquire the slot."""
         now = monotonic()
         rows = self._eligible(service, now)
         self._prepare_permits(rows, now)
-        choice = choose_endpoint(
-            self._known_accepting(rows, now), criteria, now, self._state.rng
-        )
+        rng = self._state.rng
+        accepting = self._known_accepting(rows, now)
+        choice = choose_endpoint(accepting, criteria, now, rng, has_room)
         if choice is None:
-            choice = choose_endpoint(rows, criteria, now, self._state.rng)
+            choice = choose_endpoint(rows, criteria, now, rng, has_room)
         if choice is not None:
             self._acquire(choice.endpoint)
         return choice
@@ -225,6 +229,9 @@
         else:
             choice = await self._acquire_granted(context, criteria)
             choice = choice or self._choose(context.service, criteria)
+            if choice is None and self._state.fair_shares:
+                has_room = Endpoint.is_unused_here
+                choice = self._choose(context.service, criteria, has_room)
         if choice is not None:
             return choice
         if context.tried and not self._has_untried(context):
--- a/poplarrelay/entry/tests/test_places.py
+++ b/poplarrelay/entry/tests/test_places.py
@@ -7,23 +7,29 @@
 from random import Random
 from time import monotonic
 from typing import cast
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 import pytest
 
 from poplarrelay.entry.backlog_client import BacklogClient
 from poplarrelay.entry.backlogs import BacklogView
-from poplarrelay.entry.configuration import ServiceName
+from poplarrelay.entry.configuration import (
+    CallerLimits,
+    Configuration,
+    ConfigurationVersion,
+    ServiceName,
+    Team,
+)
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.outcomes import Refusal, RefusalReason
 from poplarrelay.entry.permits import PermitBroker
 from poplarrelay.entry.requests import PromptPart
 from poplarrelay.entry.scheduling.choosing import Choice
 from poplarrelay.entry.scheduling.sizing import count_serving
-from poplarrelay.entry.settings import EntrySettings
+from poplarrelay.entry.settings import EntrySettings, SchedulingSettings
 from poplarrelay.entry.slots import SlotAllocator
 from poplarrelay.entry.state import EntryState
-from poplarrelay.identifiers import DomainId, EndpointId, Incarnation
+from poplarrelay.identifiers import DomainId, EndpointId, Incarnation, TeamId
 from poplarrelay.testing.request_contexts import make_request_context
 
 SERVICE = "desk"
@@ -63,6 +69,18 @@
     return SlotAllocator(state, Mock(), broker, Mock()), broker, state
 
 
+def make_fair(state: EntryState) -> None:
+    """Configure two teams, and let them share contended services."""
+    teams = tuple(
+        Team(TeamId(name), frozenset({name}), None, None) for name in ("a", "b")
+    )
+    state.configuration = Configuration.from_parts(
+        ConfigurationVersion(1), (), (), teams, CallerLimits()
+    )
+    scheduling = SchedulingSettings(fair_shares=True)
+    state.settings = state.settings.model_copy(update={"scheduling": scheduling})
+
+
 async def run_other_tasks(rounds: int = 5) -> None:
     """Let other tasks run without a delay."""
     for _ in range(rounds):
@@ -242,3 +260,25 @@
         assert choice.counted
 
     asyncio.run(scenario())
+
+
+def test_silent_coordinators_lock_no_caller_out():
+    # Guards against a node that waits for slots which coordinators grant to the others.
+    _, broker, state = make_slot_allocator([None] * 2)
+    make_fair(state)
+    for row in state.endpoints.rows.values():
+        row.running_at_other_nodes = row.slots
+    silent = Mock()
+    silent.acquire = AsyncMock(return_value=None)
+    allocator = SlotAllocator(state, Mock(), broker, silent)
+
+    async def scenario() -> None:
+        choices = [
+            await asyncio.wait_for(
+                allocator.acquire_slot(make_request_context(SERVICE)), 0.05
+            )
+            for _ in range(2)
+        ]
+        assert all(isinstance(choice, Choice) for choice in choices)
+
+    asyncio.run(scenario())
--- a/poplarrelay/entry/tests/test_slot_broker.py
+++ b/poplarrelay/entry/tests/test_slot_broker.py
@@ -12,6 +12,7 @@
     Outcome,
     SlotLedger,
 )
+from poplarrelay.entry.slot_broker import REPLY_TIMEOUT_S
 from poplarrelay.identifiers import EndpointId, RequestId, TeamId
 from poplarrelay.testing.slot_network import Load, SlotNetwork
 from poplarrelay.testing.virtual_time import run_virtual
@@ -141,6 +142,28 @@
     run_virtual(scenario())
 
 
+def test_reply_that_arrives_with_the_timeout_counts():
+    # Guards against refusals after a node stood still for longer than the timeout.
+    network = SlotNetwork(2, endpoints=1)
+
+    async def scenario():
+        network.start()
+        coordinator = network.coordinator("e0")
+        (sender,) = network.brokers.keys() - {coordinator}
+        broker = network.brokers[sender]
+        (row,) = network.tables[sender].rows.values()
+        network.down.add(coordinator)
+        message = ["reply", *row.run, "r", "granted", 0.0, 1]
+        loop = asyncio.get_running_loop()
+        timeout_at = loop.time() + REPLY_TIMEOUT_S
+        loop.call_at(timeout_at, broker.receive, coordinator, [message])
+        call = asyncio.create_task(broker.acquire(row, make_waiting("r", 0.5)))
+        reply = await call
+        assert reply is not None and reply.granted
+
+    run_virtual(scenario())
+
+
 def test_slots_of_long_requests_stay_taken():
     # Guards against slots that expire while their requests still run.
     network = SlotNetwork(3, endpoints=1, slots=1, service_s=3 * GRANT_EXPIRY_S)
