Confirm all slots in use, and report no end of rejected requests

Cause: found in the read-through: a node with more than 40 long requests at an endpoint confirmed 40 of them, and the slots of the others expired while they ran; each rejected request sent an end that had no effect. Change: confirmations in several messages; no end after a rejection. The test of long requests has a case with 120 slots, which fails without it.

--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -201,11 +201,8 @@
 
     def _mark_share(self, context: RequestContext, now: float) -> None:
         """Count a prompt for its team, and compare it with the team's share."""
-        request, state, configuration = (
-            context.request,
-            self._state,
-            self._state.configuration,
-        )
+        request, state = context.request, self._state
+        configuration = state.configuration
         if not request.prompt_tokens or configuration is None or not state.fair_shares:
             return
         context.work = state.demand.cost(
@@ -217,9 +214,10 @@
         marker = state.markers.get(context.service)
         if marker is not None:
             context.within_share = marker.mark(context.team_name, context.work)
-        context.urgent = context.priority <= configuration.most_urgent(
-            context.service
-        ) or self._patient.mark(context.service, PATIENT_SHARE, context.work)
+        most_urgent = configuration.most_urgent(context.service)
+        context.urgent = context.priority <= most_urgent or self._patient.mark(
+            context.service, PATIENT_SHARE, context.work
+        )
 
     # attempts
 
--- a/poplarrelay/entry/slot_broker.py
+++ b/poplarrelay/entry/slot_broker.py
@@ -157,9 +157,10 @@
             return answer
         finally:
             del self._pending[key]
+            rejected = reply.done() and not reply.result().granted
             if answer is not None and answer.granted:
                 self._held[key] = host
-            else:
+            elif not rejected:
                 self._send(host, [END, *row.run, waiting.request])
 
     def _note_unanswered(self, host: str) -> None:
@@ -207,7 +208,9 @@
             host = self._coordinator(run[0])
             for request in requests:
                 self._held[run, request] = host
-            self._send(host, [HELD, *run, requests[:MAX_CONFIRMED]])
+            for start in range(0, len(requests), MAX_CONFIRMED):
+                chunk = requests[start : start + MAX_CONFIRMED]
+                self._send(host, [HELD, *run, chunk])
 
     def gauges(self) -> dict[str, float]:
         """Return the counters by the names of the metrics."""
--- a/poplarrelay/entry/tests/test_slot_broker.py
+++ b/poplarrelay/entry/tests/test_slot_broker.py
@@ -12,7 +12,7 @@
     Outcome,
     SlotLedger,
 )
-from poplarrelay.entry.slot_broker import REPLY_TIMEOUT_S
+from poplarrelay.entry.slot_broker import MAX_CONFIRMED, REPLY_TIMEOUT_S
 from poplarrelay.identifiers import EndpointId, RequestId, TeamId
 from poplarrelay.testing.slot_network import Load, SlotNetwork
 from poplarrelay.testing.virtual_time import run_virtual
@@ -164,11 +164,12 @@
     run_virtual(scenario())
 
 
-def test_slots_of_long_requests_stay_taken():
+@pytest.mark.parametrize("slots", [1, 3 * MAX_CONFIRMED])
+def test_slots_of_long_requests_stay_taken(slots):
     # Guards against slots that expire while their requests still run.
-    network = SlotNetwork(3, endpoints=1, slots=1, service_s=3 * GRANT_EXPIRY_S)
-    play(network, [Load("a", 1.0, (0, 1, 2), max_wait_s=6.0)], seconds=8.0)
-    assert network.most_running == 1
+    network = SlotNetwork(3, endpoints=1, slots=slots, service_s=3 * GRANT_EXPIRY_S)
+    play(network, [Load("a", 1.0 * slots, (0, 1), max_wait_s=6.0)], seconds=8.0)
+    assert network.most_running == slots
 
 
 def test_coordinator_that_does_not_list_the_endpoint_yet_doubles_no_slots():
