--- a/bench/scheduling_safeguards.py
+++ b/bench/scheduling_safeguards.py
@@ -112,7 +112,7 @@
     Safeguard(
         "a caller that leaves gives up its place",
         f"{ENTRY}/slot_broker.py",
-        "            else:\n"
+        "            elif not rejected:\n"
         "                self._send(host, [END, *row.run, waiting.request])\n",
         "",
         "test_slot_broker.py",
