--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -137,8 +137,8 @@
         the requests of all nodes. It takes effect if the configuration has several
         teams or priorities.
     forecast_quantile : float
-        Share of the admitted prompts whose first event must not come after its
-        forecast; with 0, prompts are admitted by the plain forecast.
+        Share of the prompts admitted to a service that is short whose first event must
+        not come after its forecast; with 0, they are admitted by the plain forecast.
     """
 
     fair_shares: bool = False
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -195,17 +195,19 @@
         self, context: RequestContext, choice: Choice, now: float
     ) -> FirstEventForecast:
         state, service = self._state, context.service
-        share = state.settings.scheduling.forecast_quantile
-        limit_share = 1.0
-        if state.fair_shares:
-            limit_share = queue_limit_share(context.within_share, context.urgent)
-        return FirstEventForecast(
+        forecast = FirstEventForecast(
             waited_s=now - context.request.started_at,
             queue_s=choice.queue_s,
             prefill_s=choice.prefill_s,
             target_s=context.route.target_s,
+        )
+        if service not in state.markers:
+            return forecast
+        share = state.settings.scheduling.forecast_quantile
+        return replace(
+            forecast,
             error_s=state.forecast_errors.quantile(service, share, now) if share else 0,
-            limit_share=limit_share,
+            limit_share=queue_limit_share(context.within_share, context.urgent),
         )
 
     def _known_accepting(self, rows: Sequence[Endpoint], now: float) -> list[Endpoint]:
