--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -663,7 +663,7 @@
             bucket.reported = bucket.used
         me.used = {team: bucket.used for team, bucket in state.buckets.items()}
         me.demand = state.demand.rates(monotonic())
-        if state.fair_shares:
+        if state.prompt_shares:
             me.demand |= state.team_demand.report(state.markers, monotonic())
         me.loads = {
             row.endpoint: row.running
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -203,7 +203,11 @@
         """Count a prompt for its team, and compare it with the team's share."""
         request, state = context.request, self._state
         configuration = state.configuration
-        if not request.prompt_tokens or configuration is None or not state.fair_shares:
+        if (
+            not request.prompt_tokens
+            or configuration is None
+            or not state.prompt_shares
+        ):
             return
         context.work = state.demand.cost(
             context.service, request.prompt_tokens, request.max_output_tokens or 0
--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -136,12 +136,15 @@
         their quotas. One node per endpoint then grants the slots of plain services to
         the requests of all nodes. It takes effect if the configuration has several
         teams or priorities.
+    prompt_shares : bool
+        Whether `fair_shares` also limits the queues of prompts at engines.
     forecast_quantile : float
         Share of the prompts admitted to a service that is short whose first event must
         not come after its forecast; with 0, they are admitted by the plain forecast.
     """
 
     fair_shares: bool = False
+    prompt_shares: bool = False
     forecast_quantile: float = Field(default=0.0, ge=0, lt=1)
 
 
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -276,12 +276,17 @@
             return False
         return self.settings.scheduling.fair_shares
 
+    @property
+    def prompt_shares(self) -> bool:
+        """Return whether the queues of prompts at engines are divided as well."""
+        return self.fair_shares and self.settings.scheduling.prompt_shares
+
     def update_shares(self, now: float) -> None:
         """Compute the shares of the teams in the services that are short."""
         sums: Counter[ServiceName] = Counter()
         for report in [self.me, *self.peers.rows_and_summaries(now)]:
             sums.update(report.demand)
-        contended = contended_services(sums) if self.fair_shares else set()
+        contended = contended_services(sums) if self.prompt_shares else set()
         for service in [each for each in self.markers if each not in contended]:
             del self.markers[service]
         teams = {} if self.configuration is None else self.configuration.teams
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -285,7 +285,9 @@
                 "cloud": self.cloud.address,
             },
             "bounds": {"lease_ms": 300, "usage_window_s": 1, **changes},
-            "scheduling": {"fair_shares": self.fair_shares},
+            "scheduling": dict.fromkeys(
+                ("fair_shares", "prompt_shares"), self.fair_shares
+            ),
         }
 
     async def add_node(self, name: str, seeds: str = "", **changes: Any) -> EntryNode:
