--- a/poplarrelay/entry/scheduling/fair_queue.py
+++ b/poplarrelay/entry/scheduling/fair_queue.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from poplarrelay.identifiers import RequestId, TeamId
@@ -119,9 +118,6 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def __iter__(self) -> Iterator[Waiting]:
-        return iter(self._waiting.values())
-
     def __contains__(self, request: RequestId) -> bool:
         return request in self._waiting
 
@@ -173,14 +169,14 @@
             (w for w in self._waiting.values() if w.priority == chosen),
             key=lambda each: each.order,
         )
-        self._count_served(head, chosen == priorities[0], len(priorities) > 1)
+        self._count_served(chosen == priorities[0], len(priorities) > 1)
         del self._waiting[head.request]
         self._tags.note_served(chosen, head._start)
         if not self._waiting:
             self._tags.clear()
         return head
 
-    def _count_served(self, head: Waiting, urgent: bool, contended: bool) -> None:
+    def _count_served(self, urgent: bool, contended: bool) -> None:
         if not urgent:
             self._patient_credit -= 1
         elif contended:
