Log whether an attempt used a kept connection, and who reports an engine gone

Cause: the logs of RECOVER do not tell whether a request was sent on a connection from before the cut, nor whether nodes without a path told a coordinator that an engine is gone. Change: reused on attempt lines, a line engine reported gone at the coordinator.

--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -122,6 +122,7 @@
     _last_event_at: float = 0.0
     _events: int = 0
     _moved: bool = False
+    _reused: bool = False
 
     @property
     def sent_at(self) -> float:
@@ -145,6 +146,11 @@
         """Return whether the request has been sent."""
         return self._sent_at > 0
 
+    @property
+    def reused(self) -> bool:
+        """Return whether the request was sent on a kept connection."""
+        return self._reused
+
     @property
     def moved(self) -> bool:
         """Return whether `move` has broken off the attempt."""
@@ -234,6 +240,7 @@
             self.request.method, self.request.target, headers, self.request.body
         )
         self._sent_at = monotonic()
+        self._reused = self._connection.request_count > 1
 
     async def _collect(self, head: ResponseHead) -> AttemptResult:
         """Return a complete answer; a truncated answer must never count as complete."""
--- a/poplarrelay/entry/backlog_client.py
+++ b/poplarrelay/entry/backlog_client.py
@@ -274,7 +274,7 @@
         self, host: str, endpoint: EndpointId, request: RequestId, end: PromptEnd
     ) -> None:
         if host == self.own_host:
-            self.table.remove_prompt(endpoint, request, end, self.monotonic())
+            self._remove(host, endpoint, request, end)
         else:
             message = [REMOVED, endpoint, request, end.value]
             self.sender.send_backlog(host, message, self._counts([endpoint]))
@@ -321,16 +321,22 @@
             self.table.add_prompt(host, Placement.decode(rest), self.monotonic())
         elif kind == REMOVED:
             endpoint, request, end = rest
-            self.table.remove_prompt(
-                EndpointId(str(endpoint)),
-                RequestId(str(request)),
-                PromptEnd(end),
-                self.monotonic(),
+            self._remove(
+                host, EndpointId(str(endpoint)), RequestId(str(request)), PromptEnd(end)
             )
         else:
             raise ValueError(f"unknown message kind: {kind!r}")
         self.table.report_requests(host, decoded, self.monotonic())
 
+    def _remove(
+        self, host: str, endpoint: EndpointId, request: RequestId, end: PromptEnd
+    ) -> None:
+        """Remove a prompt of a node from an engine's queue."""
+        self.table.remove_prompt(endpoint, request, end, self.monotonic())
+        if end is PromptEnd.ENGINE_GONE:
+            extra = {"endpoint": endpoint, "reported_by": host}
+            _LOG.info("engine reported gone", extra=extra)
+
     def receive_counts(self, host: str, counts: Mapping[str, Any]) -> None:
         """Store the numbers of a peer's requests; raise `ValueError` if malformed."""
         self.table.report_requests(host, _decode_counts(counts), self.monotonic())
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -444,6 +444,7 @@
                 "states_leaving": notice.leaving,
                 "backoff_s": notice.backoff_s,
                 "avoided": row.health.avoided_until > sent_at,
+                "reused": attempt.reused,
                 "result": type(result).__name__,
                 "why": result.why,
                 "took_ms": _to_milliseconds(monotonic() - sent_at),
