Let tests cut the path between one node and one endpoint, with a failing test

Cause: all nodes of a test site used one address per endpoint and one source address, so no test could cut one node's path. Change: source_host in the settings is the address that connections to endpoints come from; test nodes use their own.

--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from poplarrelay.entry.http.dialing import Dialer
 from poplarrelay.entry.http.sockets import enable_dead_peer_detection
 from poplarrelay.exception import ExchangeFailed
 
@@ -94,7 +95,9 @@
         self.request_count = 0
 
     @classmethod
-    async def open(cls, host: str, port: int, timeout_s: float) -> Connection:
+    async def open(
+        cls, host: str, port: int, timeout_s: float, dialer: Dialer | None = None
+    ) -> Connection:
         """Connect to a server.
 
         Raises
@@ -102,13 +105,12 @@
         ExchangeFailed
             If connecting fails or times out.
         """
-        loop = asyncio.get_running_loop()
+        dialer = dialer or Dialer()
         try:
             async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(cls, host, port)
+                return await dialer.connect(cls, (host, port))
         except (OSError, TimeoutError) as error:
             raise ExchangeFailed(f"cannot connect: {error!r}", sent=False) from error
-        return connection
 
     # asyncio's callbacks
 
--- a/poplarrelay/entry/http/pool.py
+++ b/poplarrelay/entry/http/pool.py
@@ -10,11 +10,10 @@
     Headers,
     fetch,
 )
+from poplarrelay.entry.http.dialing import Address, Dialer
 
 __all__ = ["Address", "ConnectionPool", "JsonClient"]
 
-Address = tuple[str, int]
-
 #: Largest number of idle connections to one address.
 MAX_IDLE = 16
 
@@ -26,10 +25,13 @@
     ----------
     connect_timeout_s : float
         Timeout of a new connection in seconds.
+    dialer : Dialer or None
+        Opens the connections.
     """
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(self, connect_timeout_s: float, dialer: Dialer | None = None) -> None:
         self._connect_timeout_s = connect_timeout_s
+        self._dialer = dialer
         self._idle: dict[Address, list[Connection]] = {}
         self._opened = 0
 
@@ -61,7 +63,7 @@
         if connection is not None:
             return connection
         self._opened += 1
-        return await Connection.open(*address, self._connect_timeout_s)
+        return await Connection.open(*address, self._connect_timeout_s, self._dialer)
 
     def release(
         self, address: Address, connection: Connection, headers: Headers
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -27,6 +27,7 @@
 from poplarrelay.entry.endpoint_reader import EndpointReader
 from poplarrelay.entry.gossip import Gossip
 from poplarrelay.entry.host_directory import HostDirectory
+from poplarrelay.entry.http.dialing import Dialer
 from poplarrelay.entry.http.listener import Handler, Listener
 from poplarrelay.entry.http.pool import ConnectionPool
 from poplarrelay.entry.list_exchange import EXCHANGE_DELAY_S, ListExchange
@@ -115,7 +116,8 @@
             self._state.eras,
         )
         self._metrics = EntryMetrics()
-        self._pool = ConnectionPool(ENDPOINT_CONNECT_S)
+        self._dialer = Dialer(settings.source_host)
+        self._pool = ConnectionPool(ENDPOINT_CONNECT_S, self._dialer)
         self._endpoints_dependency = DependencyLog("store: endpoints")
         self._configuration_dependency = DependencyLog("store: configuration")
         self._gossip = Gossip(
--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -23,6 +23,10 @@
 ]
 
 
+#: IPv4 address.
+IP_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}$"
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Return the host and the port of ``host:port``.
 
@@ -161,6 +165,9 @@
         Control addresses of up to three other nodes, joined by commas.
     first_start : bool
         Whether the complete system starts for the first time.
+    source_host : str or None
+        IP address from which the node connects to endpoints and tunnels; None to let
+        the system choose it.
     """
 
     node: str = Field(pattern=NAME_PATTERN)
@@ -169,6 +176,7 @@
     listeners: EntryListeners
     seeds: str = ""
     first_start: bool = True
+    source_host: str | None = Field(default=None, pattern=IP_PATTERN)
     platform: StoreSettings
     bounds: BoundSettings = BoundSettings()
     scheduling: SchedulingSettings = SchedulingSettings()
--- /dev/null
+++ b/poplarrelay/entry/tests/test_lost_paths.py
@@ -0,0 +1,69 @@
+"""Nodes that have lost their own paths to endpoints that others reach."""
+
+from __future__ import annotations
+
+from time import monotonic
+
+import pytest
+
+from poplarrelay.testing.entry_site import run_entry_site, run_scenario
+from poplarrelay.testing.links import PathFault
+from poplarrelay.testing.path_faults import (
+    KINDS,
+    add_endpoints,
+    send_requests,
+    served_share,
+)
+
+#: Seconds from the start of a cut within which its nodes must serve again.
+CONTACT_S = 3.0
+#: Smallest served share at nodes without a path, as a part of that at the others.
+MIN_RELATIVE_SHARE = 2 / 3
+
+FAULTS = [fault for fault in PathFault if fault is not PathFault.NONE]
+
+
+def refuse(*args):
+    raise ConnectionRefusedError(111, "Connect call failed")
+
+
+async def send_across_cut(site, cut, cut_s=CONTACT_S + 4.0, per_s=12):
+    """Send requests to all nodes before and during a cut; return the later ones."""
+    await add_endpoints(site)
+    await send_requests(site, list(site.nodes), 1.0, per_s)
+    cut()
+    start = monotonic()
+    requests = await send_requests(site, list(site.nodes), cut_s, per_s)
+    return [each for each in requests if each.at >= start + CONTACT_S]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_callers_of_nodes_without_a_path_are_served_like_others(fault):
+    # Guards against nodes that fail requests which any peer could have sent.
+    async def scenario():
+        async with run_entry_site(nodes=4, use_links=True) as site:
+            requests = await send_across_cut(site, lambda: site.set_paths("ab", fault))
+            for kind in KINDS:
+                others = served_share(requests, "cd", kind)
+                share = served_share(requests, "ab", kind)
+                assert share >= MIN_RELATIVE_SHARE * others, kind
+                assert others > 0.9
+
+    run_scenario(scenario)
+
+
+def test_node_whose_new_connections_are_refused_is_served():
+    # Guards against a refused connection that counts as the end of the endpoint.
+    async def scenario():
+        async with run_entry_site(nodes=3, use_links=True) as site:
+
+            def cut():
+                site.nodes["a"]._dialer.connect = refuse  # type: ignore[method-assign]
+                site.set_paths("a", PathFault.RESET)
+
+            requests = await send_across_cut(site, cut)
+            for kind in KINDS:
+                assert served_share(requests, "a", kind) >= MIN_RELATIVE_SHARE, kind
+                assert served_share(requests, "bc", kind) > 0.9
+
+    run_scenario(scenario)
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import time
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
@@ -32,7 +32,7 @@
     StoreListener,
     StoreStandIn,
 )
-from poplarrelay.testing.links import Link
+from poplarrelay.testing.links import Link, PathFault
 from poplarrelay.testing.site import free_address, loopback_host
 
 __all__ = [
@@ -278,6 +278,7 @@
         return {
             "node": name,
             "failure_domain": "north",
+            "source_host": host,
             "listeners": listeners,
             "seeds": seeds,
             "platform": {
@@ -457,6 +458,14 @@
         ]
         return [(value["state"], value["target"]) for value in values]
 
+    def set_paths(
+        self, nodes: Iterable[str], fault: PathFault, endpoints: Iterable[str] = ()
+    ) -> None:
+        """Disturb the paths of some nodes to some endpoints, by default to all."""
+        hosts = [self.address(node)[0] for node in nodes]
+        for name in endpoints or self.runners:
+            self.links[name].set_path(hosts, fault)
+
     def unlist_runner(self, name: str) -> None:
         """Remove an endpoint's record."""
         self.store.put_raw("keyed.servers", bytes([len(name)]) + name.encode())
@@ -574,13 +583,14 @@
 
 @contextlib.asynccontextmanager
 async def run_entry_site(
-    nodes: int = 1, fair_shares: bool = False, **changes: Any
+    nodes: int = 1, fair_shares: bool = False, use_links: bool = False, **changes: Any
 ) -> AsyncIterator[EntrySite]:
     """Run a site with the example configuration and some nodes, and stop it on exit."""
     site = EntrySite(
         StoreStandIn(),
         CloudStandIn("127.0.0.1"),
         fair_shares=fair_shares,
+        use_links=use_links,
     )
     await site.cloud.start()
     site.configure(1)
