Connect to endpoints through peers where a node's own paths are lost

Cause: a request could leave a node only by the node's own connections, and each failure counted as the endpoint's. Class: what one host sees of its own path is taken as a fact about another host. Evidence: seven refused connections to six engines in 20 ms, while the other nodes' streams at these engines went on; no request ended for slots. Change: a connection to an endpoint is direct or a tunnel through a peer, as in docs/design/paths-through-peers.md (entry/paths.py, reachability.py, carriers.py, http/tunnels.py). Only a peer that connects shows that a path is lost. An engine is reported gone only if a peer with a working path found it refused too; failures on a lost path are no evidence on health, crashes or roll-outs. Expired idle connections are now closed. Why it works: the path is a matter of the connection, so quotas, budgets, slots and at-most-once stay at one node.

--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -16,8 +16,8 @@
     ResponseHead,
     header_value,
 )
+from poplarrelay.entry.http.dialing import Address
 from poplarrelay.entry.http.listener import Exchange
-from poplarrelay.entry.http.pool import Address, ConnectionPool
 from poplarrelay.entry.notices import EndpointNotice
 from poplarrelay.entry.outcomes import (
     Answered,
@@ -27,9 +27,10 @@
     StreamBroken,
     Streamed,
 )
+from poplarrelay.entry.paths import EndpointPaths
 from poplarrelay.entry.rate_limits import StatedLimit
 from poplarrelay.entry.requests import CallerRequest
-from poplarrelay.exception import ExchangeFailed
+from poplarrelay.exception import EndpointDown, ExchangeFailed
 from poplarrelay.identifiers import TeamId
 from poplarrelay.platform.headers import (
     AttemptHeaders,
@@ -64,6 +65,8 @@
     silence_timeout_s : float or None
         Seconds without data after which the attempt fails. None means no limit: if
         no further attempt is allowed, ending this one early has no benefit.
+    repeatable : bool
+        Whether the request may run more than once.
     """
 
     endpoint: Endpoint
@@ -73,6 +76,7 @@
     priority: int | None
     fetch_from: Address | None = None
     pass_credentials: bool = False
+    repeatable: bool = True
 
 
 @dataclass(slots=True)
@@ -111,7 +115,7 @@
     request: CallerRequest
     exchange: Exchange
     plan: AttemptPlan
-    pool: ConnectionPool
+    paths: EndpointPaths
     on_started: Callable[[float], None]
     on_limit: Callable[[StatedLimit, float], None]
     on_head: Callable[[int, EndpointNotice], None]
@@ -123,6 +127,7 @@
     _events: int = 0
     _moved: bool = False
     _reused: bool = False
+    _carrier: str | None = None
 
     @property
     def sent_at(self) -> float:
@@ -151,6 +156,11 @@
         """Return whether the request was sent on a kept connection."""
         return self._reused
 
+    @property
+    def carrier(self) -> str | None:
+        """Return the host of the peer that relays it, None for a direct connection."""
+        return self._carrier
+
     @property
     def moved(self) -> bool:
         """Return whether `move` has broken off the attempt."""
@@ -170,8 +180,7 @@
         try:
             return await self._run()
         except ExchangeFailed as failure:
-            refused = isinstance(failure.__cause__, ConnectionRefusedError)
-            if refused and not failure.sent:
+            if isinstance(failure, EndpointDown):
                 return NotRun(str(failure), arrived=False, gone=True)
             return self._failed(str(failure), failure.sent, closed=failure.closed)
         except TimeoutError:
@@ -216,7 +225,10 @@
 
     async def _send(self) -> None:
         plan = self.plan
-        self._connection = await self.pool.take(plan.endpoint.address)
+        self._connection = await self.paths.take(
+            plan.endpoint, plan.repeatable, plan.silence_timeout_s is not None
+        )
+        self._carrier = self._connection.carrier
         if not plan.endpoint.accepts_work:
             # The endpoint left while this node connected, which takes up to 0.6 s.
             # Nothing has been sent, so the request can go to any other endpoint.
@@ -311,7 +323,7 @@
             # Another run may listen at the same address. A request sent over this
             # connection would be lost, and its outcome would be unknown.
             return
-        self.pool.release(self.plan.endpoint.address, self._connection, headers)
+        self.paths.release(self.plan.endpoint, self._connection, headers)
         self._connection = None
 
 
--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from poplarrelay.entry.configuration import ServiceName
-from poplarrelay.entry.http.pool import Address
+from poplarrelay.entry.http.dialing import Address
 from poplarrelay.entry.scheduling.occupancy import Load
 from poplarrelay.identifiers import DomainId, EndpointId, SoftwareVersion, StartTime
 
@@ -286,6 +286,10 @@
         row = self.rows.get(endpoint)
         return 0 if row is None else row.running
 
+    def at_address(self, address: Address) -> Endpoint | None:
+        """Return the endpoint that is listed at an address, None if there is none."""
+        return next((r for r in self.rows.values() if r.address == address), None)
+
     def of(self, service: ServiceName) -> list[Endpoint]:
         """Return the endpoints of a service."""
         return list(self.by_service.get(service, {}).values())
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -196,6 +196,11 @@
         self._transport = transport
         self._port = transport.get_extra_info("sockname")[1]
 
+    @property
+    def port(self) -> int:
+        """Return the number of the node's datagram port."""
+        return self._port
+
     def stop(self) -> None:
         """Close the port."""
         if self._transport is not None:
--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass
+from time import monotonic
+from typing import Protocol
 
 import h11
 
@@ -15,6 +17,7 @@
 __all__ = [
     "CompleteResponse",
     "Connection",
+    "ConnectionObserver",
     "Headers",
     "ResponseHead",
     "fetch",
@@ -69,6 +72,16 @@
     body: bytes
 
 
+class ConnectionObserver(Protocol):
+    """Observes a connection."""
+
+    def heard(self) -> None:
+        """Note that the server has sent bytes."""
+
+    def lost(self, error: Exception | None) -> None:
+        """Note the end of the connection."""
+
+
 class Connection(asyncio.Protocol):
     """One HTTP/1.1 connection to a server.
 
@@ -76,6 +89,10 @@
     ----------
     request_count : int
         Number of requests sent on it.
+    carrier : str or None
+        Host of the peer that relays the connection, None for a direct connection.
+    observer : ConnectionObserver or None
+        Observer of the connection.
     """
 
     def __init__(self) -> None:
@@ -92,7 +109,27 @@
         self._sent = False
         self._reading_paused = False
         self._idle_until = 0.0
+        self._retired = False
+        self._sent_at = 0.0
+        self._received_at = 0.0
         self.request_count = 0
+        self.carrier: str | None = None
+        self.observer: ConnectionObserver | None = None
+
+    @property
+    def unanswered_since(self) -> float | None:
+        """Return the monotonic time of a request without any answer yet, else None."""
+        if not self._sent or self._received_at >= self._sent_at:
+            return None
+        return self._sent_at
+
+    @property
+    def quiet_since(self) -> float | None:
+        """Return the monotonic time of the last byte sent or received for a request.
+
+        None if no request is in progress.
+        """
+        return max(self._sent_at, self._received_at) if self._sent else None
 
     @classmethod
     async def open(
@@ -122,6 +159,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes."""
+        self._received_at = monotonic()
+        if self.observer is not None:
+            self.observer.heard()
         if not self._busy:
             # Without a request in progress, bytes such as a second answer to the last
             # request would be mistaken for the answer to the next one.
@@ -144,6 +184,8 @@
             # show that the server closed the connection.
             self._closed = True
         self._fail(f"connection lost: {exc!r}")
+        if self.observer is not None:
+            self.observer.lost(exc)
 
     # reading
 
@@ -221,6 +263,7 @@
         parts.append(self._http.send(h11.EndOfMessage()) or b"")
         self._busy = True
         self._sent = True
+        self._sent_at = monotonic()
         self.request_count += 1
         self._transport.write(b"".join(parts))
 
@@ -283,6 +326,9 @@
         """
         if self._failure is not None or self._transport is None:
             return False
+        if self._retired:
+            self.abort()
+            return False
         pending, _ = self._http.trailing_data
         if (
             self._http.our_state is not h11.DONE
@@ -298,13 +344,23 @@
         self._idle_until = now + _idle_s(response_headers)
         return True
 
+    def keep_idle(self, now: float) -> None:
+        """Allow a new connection to wait for its first request."""
+        self._idle_until = now + DEFAULT_IDLE_S
+
     def usable(self, now: float) -> bool:
         """Return whether an idle connection can be used for a request now."""
         return self._failure is None and now < self._idle_until
 
-    def abort(self) -> None:
+    def retire(self) -> None:
+        """Abort the connection, or after the request in progress."""
+        self._retired = True
+        if not self._busy:
+            self.abort()
+
+    def abort(self, reason: str = "dropped") -> None:
         """Abort the connection."""
-        self._fail("dropped")
+        self._fail(reason)
 
 
 def _idle_s(headers: Headers) -> float:
--- a/poplarrelay/entry/http/pool.py
+++ b/poplarrelay/entry/http/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from time import monotonic
 
 from poplarrelay.entry.http.connection import (
@@ -71,11 +72,35 @@
         """Keep a connection after a complete response if it can be reused."""
         if not connection.prepare_reuse(headers, monotonic()):
             return
+        self._keep(address, connection)
+
+    def add_idle(self, address: Address, connection: Connection) -> None:
+        """Keep a new connection that has not been used."""
+        connection.keep_idle(monotonic())
+        self._keep(address, connection)
+
+    def _keep(self, address: Address, connection: Connection) -> None:
         idle = self._idle.setdefault(address, [])
         idle.append(connection)
         if len(idle) > MAX_IDLE:
             idle.pop(0).abort()
 
+    def abort_idle(
+        self, address: Address, applies: Callable[[Connection], bool]
+    ) -> None:
+        """Abort the idle connections to an address to which a condition applies."""
+        idle = self._idle.get(address, [])
+        ended = [each for each in idle if applies(each)]
+        self._idle[address] = [each for each in idle if each not in ended]
+        for connection in ended:
+            connection.abort()
+
+    def prune(self) -> None:
+        """Abort the idle connections that are too old to be used."""
+        now = monotonic()
+        for address in list(self._idle):
+            self.abort_idle(address, lambda each: not each.usable(now))
+
     def forget(self, address: Address) -> None:
         """Abort all idle connections to an address."""
         for connection in self._idle.pop(address, ()):
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -9,11 +9,15 @@
 import secrets
 import signal
 import time
+from collections.abc import Callable
+from http import HTTPStatus
 from pathlib import Path
 from random import Random
 from time import monotonic
+from typing import TypeVar
 
 from poplarrelay.entry.backlog_client import BacklogClient
+from poplarrelay.entry.carriers import Carriers
 from poplarrelay.entry.cells import CellSummary
 from poplarrelay.entry.clock import FreezeDetector
 from poplarrelay.entry.configuration import CallerLimits
@@ -29,10 +33,15 @@
 from poplarrelay.entry.host_directory import HostDirectory
 from poplarrelay.entry.http.dialing import Dialer
 from poplarrelay.entry.http.listener import Handler, Listener
-from poplarrelay.entry.http.pool import ConnectionPool
+from poplarrelay.entry.http.tunnels import (
+    TunnelListener,
+    TunnelRefused,
+    TunnelTarget,
+)
 from poplarrelay.entry.list_exchange import EXCHANGE_DELAY_S, ListExchange
 from poplarrelay.entry.metrics import EntryMetrics
 from poplarrelay.entry.node_handlers import NodeHandlers
+from poplarrelay.entry.paths import EndpointPaths, TunnelPolicy
 from poplarrelay.entry.peer_rows import NodeState, PeerRow, reporter_of
 from poplarrelay.entry.peer_sync import PeerSync
 from poplarrelay.entry.permits import PermitBroker
@@ -74,8 +83,6 @@
 #: whether the node had contact with its peers; the cost of six lines a minute is
 #: negligible.
 STATUS_S = 10.0
-#: Timeout in seconds of a new connection to an endpoint.
-ENDPOINT_CONNECT_S = 0.6
 #: Shortest gap in seconds between two ticks that counts as a freeze of the process.
 FROZEN_S = 0.8
 #: Seconds between reads of the settings file, which can change without a signal.
@@ -91,6 +98,9 @@
 FLUSH_S = 0.2
 
 
+ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
+
+
 class EntryNode:
     """One entry node.
 
@@ -117,7 +127,17 @@
         )
         self._metrics = EntryMetrics()
         self._dialer = Dialer(settings.source_host)
-        self._pool = ConnectionPool(ENDPOINT_CONNECT_S, self._dialer)
+        self._paths = EndpointPaths(
+            self._dialer,
+            Carriers(
+                self._state.me.domain,
+                lambda: self._state.peers.alive(monotonic()),
+                self._rng,
+            ),
+            self._tunnel_policy,
+            self._state.endpoints.at_address,
+        )
+        self._tunnels = TunnelListener(self._open_for_peer, self._is_path_lost)
         self._endpoints_dependency = DependencyLog("store: endpoints")
         self._configuration_dependency = DependencyLog("store: configuration")
         self._gossip = Gossip(
@@ -152,7 +172,7 @@
         )
         self._relay = Relay(
             self._state,
-            self._pool,
+            self._paths,
             self._metrics.observe,
             self._announce,
             self._backlog_client,
@@ -164,7 +184,7 @@
             self._endpoints_dependency.lost_s,
             self._on_change,
             self._on_departure,
-            lambda row: self._pool.forget(row.address),
+            lambda row: self._paths.abort_idle(row.address),
         )
         self._follower = ConfigurationFollower(
             self._store,
@@ -323,6 +343,7 @@
             await listener.start()
         host, _ = parse_address(self._settings.listeners.control)
         await self._gossip.start(host, self._settings.listeners.gossip_port)
+        await self._tunnels.start((host, self._gossip.port))
         _LOG.info(
             "started",
             extra={
@@ -376,6 +397,7 @@
         self._state.me.state = NodeState.DRAINING
         for listener in self._listeners.values():
             listener.drain()
+        self._tunnels.retire()
         self._gossip_to_all()
         _LOG.info("stopping", extra={"busy": self._listeners["callers"].busy})
         if self._duties is not None:
@@ -393,7 +415,8 @@
         grace_s = self._settings.bounds.stop_grace_s
         if elapsed_s >= grace_s - CLOSE_MARGIN_S:
             return True
-        return elapsed_s >= MIN_DRAIN_S and self._listeners["callers"].busy == 0
+        busy = self._listeners["callers"].busy + self._tunnels.busy
+        return elapsed_s >= MIN_DRAIN_S and busy == 0
 
     async def _shut_down(self) -> None:
         busy = self._listeners["callers"].busy
@@ -416,13 +439,38 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._pool.close()
+        self._paths.close()
+        self._tunnels.stop()
         self._store.close()
         for timer in (self._exchange_timer, self._announce_timer):
             if timer is not None:
                 timer.cancel()
         self._gossip.stop()
 
+    # tunnels of peers
+
+    def _tunnel_policy(self) -> TunnelPolicy:
+        tunnels = self._settings.tunnels
+        return TunnelPolicy(tunnels.enabled, self._gossip.port, tunnels.max_carried)
+
+    async def _open_for_peer(
+        self, target: TunnelTarget, make_protocol: Callable[[], ProtocolT]
+    ) -> ProtocolT:
+        """Open a connection to an endpoint for a peer; raises `TunnelRefused`."""
+        policy = self._tunnel_policy()
+        if self._state.me.state is not NodeState.READY or not policy.enabled:
+            raise TunnelRefused("not ready", HTTPStatus.SERVICE_UNAVAILABLE)
+        if self._tunnels.busy >= policy.max_carried:
+            raise TunnelRefused("too many tunnels", HTTPStatus.SERVICE_UNAVAILABLE)
+        row = self._state.endpoints.rows.get(target.endpoint)
+        if row is None or row.address != target.address:
+            raise TunnelRefused("endpoint not listed", HTTPStatus.NOT_FOUND)
+        return await self._paths.connect_for_peer(row, make_protocol)
+
+    async def _is_path_lost(self, target: TunnelTarget) -> bool:
+        row = self._state.endpoints.rows.get(target.endpoint)
+        return row is not None and await self._paths.check_reset(row)
+
     # settings
 
     def reload(self) -> None:
@@ -508,6 +556,7 @@
         elif state.crashes.urgent:
             self._gossip.send_crashes()
         self._backlog_client.check_coordinators()
+        self._paths.tick(now)
         state.rollouts.move_streams()
         if state.rollouts.urgent:
             state.rollouts.urgent = False
@@ -606,6 +655,8 @@
         self._refresh_own_row()
         peers.forget(now)
         self._endpoints.forget(now)
+        rows = state.endpoints.rows.values()
+        self._paths.forget({row.address for row in rows})
         state.crashes.forget(now)
         state.departures.forget(now)
         state.backoffs.forget(now)
@@ -732,7 +783,11 @@
         """Return the values of gauges that only the process can read."""
         return {
             "store_calls": float(self._store.calls),
-            "endpoint_connections_opened": float(self._pool.opened),
+            **self._paths.gauges(),
+            "tunnels_carried": float(self._tunnels.carried),
+            "tunnels_refused": float(self._tunnels.refused),
+            "tunnels_carried_now": float(self._tunnels.busy),
+            "tunnel_bytes_carried": float(self._tunnels.carried_bytes),
             "gossip_bytes_sent": float(self._gossip.sent_bytes),
             "gossip_bytes_received": float(self._gossip.received_bytes),
             "gossip_datagrams_sent": float(self._gossip.sent_datagrams),
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -21,7 +21,6 @@
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.health import note_failure, note_success, note_success_time
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest
-from poplarrelay.entry.http.pool import ConnectionPool
 from poplarrelay.entry.notices import EndpointNotice
 from poplarrelay.entry.outcomes import (
     Answered,
@@ -33,6 +32,7 @@
     StreamBroken,
     Streamed,
 )
+from poplarrelay.entry.paths import EndpointPaths
 from poplarrelay.entry.permits import PermitBroker
 from poplarrelay.entry.rate_limits import StatedLimit
 from poplarrelay.entry.request_context import RequestContext
@@ -87,7 +87,7 @@
     ----------
     state : EntryState
         The node's tables.
-    pool : ConnectionPool
+    paths : EndpointPaths
         Connections to endpoints.
     observe : callable
         Called with route, status and seconds of each request, for the metrics.
@@ -104,7 +104,7 @@
     def __init__(
         self,
         state: EntryState,
-        pool: ConnectionPool,
+        paths: EndpointPaths,
         observe: Callable[[str, str, float], None],
         announce: Callable[[], None],
         backlog_client: BacklogClient,
@@ -112,7 +112,7 @@
         slot_broker: SlotBroker,
     ) -> None:
         self._state = state
-        self._pool = pool
+        self._paths = paths
         self._response_writer = ResponseWriter(state, observe)
         self._quota_charges = QuotaCharges(state, announce)
         self._backlog_client = backlog_client
@@ -345,6 +345,7 @@
             priority=context.priority if context.streams else None,
             fetch_from=choice.fetch_from,
             pass_credentials=not context.teams_configured,
+            repeatable=context.route.repeatable,
         )
 
         queued_tokens = choice.unread_tokens
@@ -389,7 +390,7 @@
             context.request,
             context.exchange,
             plan,
-            self._pool,
+            self._paths,
             on_begun,
             on_limit,
             on_head,
@@ -409,7 +410,8 @@
         finally:
             row.prefill_tokens -= queued_tokens
             self._state.rollouts.remove_stream(row, id(attempt))
-            if context.remaining_s <= 0:
+            path_lost = self._paths.reachability.is_lost(row.address)
+            if context.remaining_s <= 0 and not path_lost:
                 note_deadline(self._state.rollouts, context.route, row)
             if attempt.sent:
                 self.slot_allocator.release_slot(context, row)
@@ -419,10 +421,12 @@
                 self._report_end(context, row, end, first_event_s is not None)
         if isinstance(result, NotRun):
             context.may_have_run = ran_before
-        if not attempt.moved:
+        path_failed = await self._path_failed(row, attempt, result)
+        if not attempt.moved and not path_failed:
             self._update_health(context, row, result)
             self._note_crash_or_answer(context, row, result)
-        note_attempt(self._state, context.route, row, attempt, result)
+        if not path_failed:
+            note_attempt(self._state, context.route, row, attempt, result)
         _LOG.info(
             "attempt",
             extra={
@@ -445,6 +449,8 @@
                 "backoff_s": notice.backoff_s,
                 "avoided": row.health.avoided_until > sent_at,
                 "reused": attempt.reused,
+                "carrier": attempt.carrier,
+                "path_failed": path_failed,
                 "result": type(result).__name__,
                 "why": result.why,
                 "took_ms": _to_milliseconds(monotonic() - sent_at),
@@ -454,6 +460,23 @@
         )
         return result
 
+    async def _path_failed(
+        self, row: Endpoint, attempt: Attempt, result: AttemptResult
+    ) -> bool:
+        """Return whether an attempt failed for its path, not for its endpoint."""
+        if isinstance(result, Answered | Streamed) or attempt.moved:
+            return False
+        if isinstance(result, NotRun):
+            unsent = not result.arrived and not result.gone
+            return unsent and self._paths.reachability.is_lost(row.address)
+        if attempt.carrier is not None:
+            if not result.closed:
+                self._paths.carriers.note_refused(attempt.carrier, monotonic())
+            return not result.closed
+        if result.closed and not row.departing:
+            return await self._paths.check_reset(row)
+        return self._paths.reachability.is_lost(row.address)
+
     def _note_first_event(
         self, context: RequestContext, choice: Choice, took_s: float
     ) -> None:
@@ -572,7 +595,7 @@
         # shows the new run.
         certain = isinstance(result, NotRun)
         if certain:
-            self._pool.forget(row.address)
+            self._paths.abort_idle(row.address)
         run_ended = isinstance(result, NotRun) and result.arrived and result.gone
         if note_failure(row, peers, now, certain, run_ended):
             _LOG.warning(
--- a/poplarrelay/entry/scheduling/choosing.py
+++ b/poplarrelay/entry/scheduling/choosing.py
@@ -10,7 +10,7 @@
 from statistics import mean, median
 
 from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.entry.http.pool import Address
+from poplarrelay.entry.http.dialing import Address
 from poplarrelay.identifiers import DomainId, EndpointId
 
 __all__ = [
--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -19,6 +19,7 @@
     "EntrySettings",
     "SchedulingSettings",
     "StoreSettings",
+    "TunnelSettings",
     "parse_address",
 ]
 
@@ -152,6 +153,22 @@
     forecast_quantile: float = Field(default=0.0, ge=0, lt=1)
 
 
+class TunnelSettings(StrictModel):
+    """Connections to endpoints that peers relay for each other.
+
+    Attributes
+    ----------
+    enabled : bool
+        Whether the node connects through peers where its own paths are lost, and
+        relays connections of its peers.
+    max_carried : int
+        Most connections of peers that the node relays at the same time.
+    """
+
+    enabled: bool = True
+    max_carried: int = Field(default=500, ge=0)
+
+
 class EntrySettings(StrictModel):
     """Settings of one entry node.
 
@@ -180,6 +197,7 @@
     platform: StoreSettings
     bounds: BoundSettings = BoundSettings()
     scheduling: SchedulingSettings = SchedulingSettings()
+    tunnels: TunnelSettings = TunnelSettings()
     log_level: str = Field(default="INFO", pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")
 
     @classmethod
--- a/poplarrelay/entry/tests/test_backoff.py
+++ b/poplarrelay/entry/tests/test_backoff.py
@@ -9,7 +9,7 @@
 import pytest
 
 from poplarrelay.entry.http.connection import CompleteResponse, header_value
-from poplarrelay.entry.http.pool import ConnectionPool
+from poplarrelay.entry.paths import EndpointPaths
 from poplarrelay.exception import ExchangeFailed
 from poplarrelay.identifiers import EndpointId
 from poplarrelay.standins.users.runner import RunnerStandIn
@@ -231,15 +231,15 @@
             runners = await add_endpoints(site, CALLS, [None, None])
             node = site.nodes["a"]
             row = node.state.endpoints.rows[EndpointId("r0")]
-            take = ConnectionPool.take
+            take = EndpointPaths.take
 
-            async def take_and_pause(pool, address):
-                connection = await take(pool, address)
-                if address == row.address:
+            async def take_and_pause(paths, endpoint, *args):
+                connection = await take(paths, endpoint, *args)
+                if endpoint is row:
                     node.state.backoffs.add(row, 30.0, monotonic())
                 return connection
 
-            monkeypatch.setattr(ConnectionPool, "take", take_and_pause)
+            monkeypatch.setattr(EndpointPaths, "take", take_and_pause)
             for _ in range(6):
                 assert (await site.call("/book/x")).status == 200
             assert row.in_backoff(monotonic())
--- a/poplarrelay/entry/tests/test_departures.py
+++ b/poplarrelay/entry/tests/test_departures.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from poplarrelay.entry.http.pool import ConnectionPool
+from poplarrelay.entry.paths import EndpointPaths
 from poplarrelay.entry.state import EntryState
 from poplarrelay.identifiers import EndpointId
 from poplarrelay.testing.entry_site import (
@@ -116,15 +116,15 @@
             await start(site)
             rows = site.nodes["a"].state.endpoints.rows
             left = rows[EndpointId("r1")]
-            take = ConnectionPool.take
+            take = EndpointPaths.take
 
-            async def take_and_mark_leaving(pool, address):
-                connection = await take(pool, address)
-                if address == left.address:
+            async def take_and_mark_leaving(paths, endpoint, *args):
+                connection = await take(paths, endpoint, *args)
+                if endpoint is left:
                     left.leaving = True
                 return connection
 
-            monkeypatch.setattr(ConnectionPool, "take", take_and_mark_leaving)
+            monkeypatch.setattr(EndpointPaths, "take", take_and_mark_leaving)
             for _ in range(6):
                 assert (await site.call("/book/x")).status == 200
             assert left.leaving
--- a/poplarrelay/entry/tests/test_lost_paths.py
+++ b/poplarrelay/entry/tests/test_lost_paths.py
@@ -23,8 +23,16 @@
 FAULTS = [fault for fault in PathFault if fault is not PathFault.NONE]
 
 
-def refuse(*args):
-    raise ConnectionRefusedError(111, "Connect call failed")
+def refuse_endpoints(dialer):
+    """Refuse a node's connections to endpoints, but not those to its peers."""
+    connect = dialer.connect
+
+    async def connect_to_peers(make_protocol, address):
+        if address[0] == "127.0.0.1":
+            raise ConnectionRefusedError(111, "Connect call failed")
+        return await connect(make_protocol, address)
+
+    dialer.connect = connect_to_peers
 
 
 async def send_across_cut(site, cut, cut_s=CONTACT_S + 4.0, per_s=12):
@@ -58,7 +66,7 @@
         async with run_entry_site(nodes=3, use_links=True) as site:
 
             def cut():
-                site.nodes["a"]._dialer.connect = refuse  # type: ignore[method-assign]
+                refuse_endpoints(site.nodes["a"]._dialer)
                 site.set_paths("a", PathFault.RESET)
 
             requests = await send_across_cut(site, cut)
--- a/poplarrelay/exception.py
+++ b/poplarrelay/exception.py
@@ -19,6 +19,7 @@
     "ConfigurationConflict",
     "ConfigurationUnconfirmed",
     "EndpointBroken",
+    "EndpointDown",
     "EndpointError",
     "EndpointRefused",
     "ExchangeFailed",
@@ -241,6 +242,13 @@
         self.closed = closed
 
 
+class EndpointDown(ExchangeFailed):
+    """No process listens at the endpoint's address, also as seen by a peer."""
+
+    def __init__(self, problem: str) -> None:
+        super().__init__(problem, sent=False)
+
+
 class EndpointError(PoplarrelayError):
     """An attempt at an endpoint failed."""
 
