Avoid an endpoint that was silent for one second at most

What callers saw: a sound endpoint that was silent for a second got no requests of a node for up to 4 s after it. Cause: each request that waits through one silence counted as a further failure in a row, and each doubled the time. Class: one event that is counted once a request. Change: failures by silence lengthen the avoidance to 1 s at most; refused connections and wrong answers still double it.

--- a/poplarrelay/entry/health.py
+++ b/poplarrelay/entry/health.py
@@ -22,6 +22,9 @@
 #: Seconds for which an endpoint is avoided at first. Each further consecutive failure
 #: doubles the time.
 FIRST_AVOIDANCE_S = 0.5
+#: Longest avoidance, in seconds, of an endpoint that was silent. A sound endpoint can
+#: be silent for a moment, in which the requests of many callers fail.
+MAX_SILENT_AVOIDANCE_S = 1.0
 #: Longest avoidance, in seconds, of a run that may be alive. An endpoint that has
 #: recovered gets requests again within this time.
 MAX_AVOIDANCE_S = 4.0
@@ -53,6 +56,7 @@
     now: float,
     certain: bool,
     run_ended: bool = False,
+    silent: bool = False,
 ) -> bool:
     """Count a failed attempt, and return whether an avoidance begins.
 
@@ -70,6 +74,8 @@
     run_ended : bool
         Whether the failure shows that this run of the endpoint has ended: another run
         has answered at its address.
+    silent : bool
+        Whether the endpoint had sent nothing.
     """
     health = row.health
     health.failures_in_row += 1
@@ -86,9 +92,8 @@
     if not (certain or exceeds_failure_rate or in_row):
         return False
     further_failures = max(0, health.failures_in_row - CONSECUTIVE_FAILURE_LIMIT)
-    avoidance_s = min(
-        MAX_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2 ** min(further_failures, 6)
-    )
+    longest_s = MAX_SILENT_AVOIDANCE_S if silent else MAX_AVOIDANCE_S
+    avoidance_s = min(longest_s, FIRST_AVOIDANCE_S * 2 ** min(further_failures, 6))
     if run_ended:
         avoidance_s = ENDED_RUN_AVOIDANCE_S
     was_avoided = health.avoided_until > now
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -597,7 +597,8 @@
         if certain:
             self._paths.abort_idle(row.address)
         run_ended = isinstance(result, NotRun) and result.arrived and result.gone
-        if note_failure(row, peers, now, certain, run_ended):
+        silent = isinstance(result, Broken | StreamBroken) and result.silent
+        if note_failure(row, peers, now, certain, run_ended, silent):
             _LOG.warning(
                 "endpoint avoided",
                 extra={
