Let connections with a request outlive two seconds of an endpoint's silence

Cause: sockets.py set TCP_USER_TIMEOUT to 1,800 ms beside probes of 1 s and a count of 2. On Linux the count is then not used: a connection broke at the first probe due after 1.8 s with one probe unanswered, so at 2 s, and a silence of little more than 1 s around a probe was enough. The docstrings said 3 s. Seen with a socket filter that drops the packets of an established connection: ETIMEDOUT after 2.04 s. Change: 3.5 s while a request is in progress at an endpoint, also on tunnels; idle connections still end after 2 s, since a request sent on a silenced one is lost. The number of probes is no longer set. Docstrings say what holds.

--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from dataclasses import dataclass
 from time import monotonic
@@ -11,7 +12,11 @@
 import h11
 
 from poplarrelay.entry.http.dialing import Dialer
-from poplarrelay.entry.http.sockets import enable_dead_peer_detection
+from poplarrelay.entry.http.sockets import (
+    BUSY_SILENCE_MS,
+    IDLE_SILENCE_MS,
+    enable_dead_peer_detection,
+)
 from poplarrelay.exception import ExchangeFailed
 
 __all__ = [
@@ -348,6 +353,16 @@
         """Allow a new connection to wait for its first request."""
         self._idle_until = now + DEFAULT_IDLE_S
 
+    def expect_silence(self, expected: bool = True) -> None:
+        """Keep the connection while the server is silent for some seconds, or not.
+
+        An idle connection must end sooner: a request sent on it would be lost.
+        """
+        if self._transport is not None and self._failure is None:
+            sock = self._transport.get_extra_info("socket")
+            limit_ms = BUSY_SILENCE_MS if expected else IDLE_SILENCE_MS
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
     def usable(self, now: float) -> bool:
         """Return whether an idle connection can be used for a request now."""
         return self._failure is None and now < self._idle_until
--- a/poplarrelay/entry/http/sockets.py
+++ b/poplarrelay/entry/http/sockets.py
@@ -4,29 +4,40 @@
 
 import socket
 
-__all__ = ["enable_dead_peer_detection"]
+__all__ = ["BUSY_SILENCE_MS", "IDLE_SILENCE_MS", "enable_dead_peer_detection"]
 
-#: Milliseconds after which unacknowledged bytes break a connection. Long enough
-#: for one retransmission after loss, shorter than the callers' timeout of 2 s.
-UNACKNOWLEDGED_MS = 1800
+#: Milliseconds of silence after which a connection breaks. Long enough for one
+#: retransmission after loss, shorter than the callers' timeout of 2 s.
+IDLE_SILENCE_MS = 1800
+#: The same for a connection to an endpoint with a request in progress. A sound endpoint
+#: can be silent for two seconds, and a probe or a retransmission after that must still
+#: find it.
+BUSY_SILENCE_MS = 3500
 #: Seconds of silence before the first keep-alive probe, and between probes.
 PROBE_S = 1
-#: Number of unanswered probes after which the connection breaks.
-PROBES = 2
 
 
-def enable_dead_peer_detection(sock: socket.socket) -> None:
+def enable_dead_peer_detection(
+    sock: socket.socket, silence_ms: int = IDLE_SILENCE_MS
+) -> None:
     """Let the kernel break a connection whose peer has become unreachable.
 
+    Parameters
+    ----------
+    sock : socket.socket
+        Socket of the connection.
+    silence_ms : int
+        Milliseconds of silence after which the connection breaks.
+
     Notes
     -----
     A peer that is without power or partitioned sends no reset: writes succeed, and
-    reads wait forever. Keep-alive probes detect this on an idle connection within
-    three seconds. The timeout of unacknowledged bytes detects it on a busy connection
-    within two seconds.
+    reads wait forever. Once ``TCP_USER_TIMEOUT`` is set, Linux ignores the number of
+    unanswered keep-alive probes. It breaks an idle connection at the first probe that
+    is due after the timeout, and a connection with unacknowledged bytes at the first
+    retransmission that is due then. See tcp(7).
     """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
--- a/poplarrelay/entry/http/tunnels.py
+++ b/poplarrelay/entry/http/tunnels.py
@@ -23,7 +23,7 @@
 
 from poplarrelay.entry.http.connection import Connection, header_value
 from poplarrelay.entry.http.dialing import Address, Dialer
-from poplarrelay.entry.http.sockets import enable_dead_peer_detection
+from poplarrelay.entry.http.sockets import BUSY_SILENCE_MS, enable_dead_peer_detection
 from poplarrelay.exception import ExchangeFailed
 from poplarrelay.identifiers import EndpointId
 
@@ -264,7 +264,8 @@
         """Set the socket's options."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        enable_dead_peer_detection(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        enable_dead_peer_detection(sock, BUSY_SILENCE_MS)
 
     def data_received(self, data: bytes) -> None:
         """Send the endpoint's bytes to the peer."""
--- a/poplarrelay/entry/paths.py
+++ b/poplarrelay/entry/paths.py
@@ -159,6 +159,7 @@
         use = self._direct.get(connection)
         if use is not None:
             use.abandonable = abandonable
+        connection.expect_silence()
         return connection
 
     def release(self, row: Endpoint, connection: Connection, headers: Headers) -> None:
@@ -168,6 +169,7 @@
             # The path was lost or has returned meanwhile.
             connection.abort()
         else:
+            connection.expect_silence(False)
             self._idle.release(row.address, connection, headers)
 
     def abort_idle(self, address: Address) -> None:
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -75,7 +75,7 @@
 #: this node's cell.
 ANY_CELL_SHARE = 0.3
 #: Seconds that a read of the configuration waits for a change. Longer waits cost
-#: fewer calls. Keep-alive probes find a dead connection within three seconds,
+#: fewer calls. Keep-alive probes find a dead connection within two seconds,
 #: `StoreContact` ends reads that an outage has left without an answer, and the gossip
 #: of peers carries the newest version meanwhile.
 CONFIGURATION_WAIT_S = 10.0
