--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -18,6 +18,9 @@
     "SentNotice",
 ]
 
+#: Seconds between looks for room for a waiting request.
+QUEUE_POLL_S = 0.002
+
 
 class Fault(Enum):
     """How an endpoint handles a request incorrectly.
@@ -161,6 +164,20 @@
         Number of requests in progress.
     notices : list of SentNotice
         Statements about new requests in the responses, in order.
+    capacity : int or None
+        Number of requests that it runs at the same time, None for no limit.
+    queue : int
+        Number of requests that wait while it runs that many; it refuses others.
+    brittle : str or None
+        Value of the ``Server-Brittle`` header in responses, None to omit it. If it
+        refuses more requests in a second than the value says, it falls over: it resets
+        all connections and stops.
+    rejected_at : list of float
+        Monotonic times of the requests that it refused for want of room.
+    falls : list of float
+        Monotonic times at which it fell over.
+    on_fall : callable or None
+        Called after a fall.
     """
 
     endpoint: str
@@ -182,6 +199,13 @@
     bad_answers: list[float] = field(default_factory=list)
     active: int = 0
     notices: list[SentNotice] = field(default_factory=list)
+    capacity: int | None = None
+    queue: int = 0
+    brittle: str | None = None
+    rejected_at: list[float] = field(default_factory=list)
+    falls: list[float] = field(default_factory=list)
+    on_fall: Callable[[], None] | None = None
+    _waiting: int = 0
     _server: asyncio.Server | None = None
     _port: int = 0
     _crashed: bool = False
@@ -262,6 +286,7 @@
             fault = Fault.SHED
         target_instance = headers.get("x-poplarrelay-target-instance", self.endpoint)
         runs = fault is not Fault.SHED and target_instance == self.endpoint
+        runs = runs and await self._wait_for_room()
         self.received.append(
             ReceivedRequest(
                 monotonic(),
@@ -275,8 +300,11 @@
         attempt = headers.get("x-poplarrelay-attempt-id", "")
         if target_instance != self.endpoint:
             return self._answer(http, writer, 421, attempt, b"", refused=True)
-        if fault is Fault.SHED:
-            return self._answer(http, writer, 503, attempt, b"", refused=True)
+        if not runs:
+            more = self._answer(http, writer, 503, attempt, b"", refused=True)
+            if fault is not Fault.SHED:
+                self._note_rejection()
+            return more
         if body in self.crash_bodies:
             self._crash(http, writer, attempt)
             return False
@@ -297,6 +325,32 @@
             self.active -= 1
         return self._answer(http, writer, 200, attempt, self.body_of(attempt))
 
+    async def _wait_for_room(self) -> bool:
+        """Wait until a request can run; return whether there was room for it."""
+        if self.capacity is None or self.active < self.capacity:
+            return True
+        if self._waiting >= self.queue:
+            return False
+        self._waiting += 1
+        try:
+            while self.active >= self.capacity:
+                await asyncio.sleep(QUEUE_POLL_S)
+        finally:
+            self._waiting -= 1
+        return True
+
+    def _note_rejection(self) -> None:
+        """Count a request that was refused for want of room, and perhaps fall over."""
+        now = monotonic()
+        self.rejected_at.append(now)
+        if self.brittle is None or not self.brittle.isdigit():
+            return
+        if sum(now - at <= 1.0 for at in self.rejected_at) > int(self.brittle):
+            self.falls.append(now)
+            self.stop()
+            if self.on_fall is not None:
+                self.on_fall()
+
     def _bad_version(self, target: str) -> BadVersion | None:
         """Return the software's fault if it concerns the latest request."""
         bad = self.bad_version
@@ -336,6 +390,8 @@
             self.notices.append(SentNotice(monotonic(), attempt, self.leaving, pause))
         if self.leaving:
             headers.append(("Server-Leaving", "1"))
+        if self.brittle is not None:
+            headers.append(("Server-Brittle", self.brittle))
         if self.limit is not None and not refused:
             headers.append(("Server-Limit", self.limit))
         if pause is not None:
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -418,6 +418,23 @@
 
         runner.on_crash = start_recovery
 
+    def recover_from_falls(self, name: str, service: str, recovery_s: float) -> None:
+        """Start a brittle endpoint again some seconds after each of its falls."""
+        fallen = self.runners[name]
+
+        async def recover() -> None:
+            await asyncio.sleep(recovery_s)
+            restarted = await self.restart_runner(name, service)
+            restarted.capacity, restarted.queue = fallen.capacity, fallen.queue
+            restarted.brittle, restarted.falls = fallen.brittle, fallen.falls
+            restarted.received = fallen.received
+            self.recover_from_falls(name, service, recovery_s)
+
+        def start_recovery() -> None:
+            self._recoveries.append(asyncio.create_task(recover()))
+
+        fallen.on_fall = start_recovery
+
     async def restore_store(
         self, copy: StoreCopy, away_s: float = 0.3, rewrite_s: float = 0.3
     ) -> None:
