Send to brittle endpoints only what their coordinators grant

Cause: nothing read the header. Each node learned of a full endpoint from its own rejection, so nodes together caused as many rejections as there are nodes; requests went to slots by counts that were 0.4 s old, and after a fall to the endpoints that were left. Class: a bound of an outside system over all nodes that no node enforces. While a service is brittle, every request needs a slot that the coordinator of its endpoint has granted, prompts too, with fair shares or without. A rejection is told at once: the endpoint gets less from then on, more is tried one by one, and after half of the rejections that it survives it gets nothing for a second. A coordinator that has just taken over grants nothing until all nodes have confirmed their slots. What is over is refused at once. It ends when answers no longer state it.

--- a/poplarrelay/entry/notices.py
+++ b/poplarrelay/entry/notices.py
@@ -1,8 +1,10 @@
-"""Notices in which an endpoint states that it is leaving or wants a pause."""
+"""Notices of endpoints: that they leave, want a pause, or are brittle."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from poplarrelay.entry.brittleness import StatedBrittleness
 
 __all__ = ["EndpointNotice"]
 
@@ -20,8 +22,11 @@
         asks for no pause.
     readable : bool
         False if the answer asks for a pause without a valid length.
+    brittleness : StatedBrittleness
+        How many rejections the endpoint survives.
     """
 
     leaving: bool = False
     backoff_s: float | None = None
     readable: bool = True
+    brittleness: StatedBrittleness = field(default_factory=StatedBrittleness)
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -169,6 +169,7 @@
             self._state.coordinators,
             self._gossip,
             monotonic,
+            self._state.brittleness,
         )
         self._relay = Relay(
             self._state,
@@ -784,6 +785,7 @@
         return {
             "store_calls": float(self._store.calls),
             **self._paths.gauges(),
+            "brittleness_unreadable": float(self._state.brittleness.unreadable),
             "tunnels_carried": float(self._tunnels.carried),
             "tunnels_refused": float(self._tunnels.refused),
             "tunnels_carried_now": float(self._tunnels.busy),
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -379,6 +379,11 @@
             notice = stated
             if stated.leaving:
                 self._note_departure(row, status)
+            if status != HTTPStatus.MISDIRECTED_REQUEST:
+                # Otherwise another endpoint at the address has answered.
+                self._state.brittleness.note(
+                    row, stated.brittleness, attempt.sent_at, monotonic()
+                )
             if stated.backoff_s is not None:
                 self.slot_allocator.note_backoff(row, stated.backoff_s)
             if not stated.readable:
@@ -403,8 +408,10 @@
         # cancel this method in the middle of the attempt.
         context.may_have_run = True
         end = PromptEnd.NOT_BEGUN
+        rejected = False
         try:
             result = await attempt.run()
+            rejected = isinstance(result, NotRun) and result.arrived and not result.gone
             if isinstance(result, NotRun) and result.gone:
                 end = PromptEnd.ENGINE_GONE
         finally:
@@ -414,7 +421,7 @@
             if context.remaining_s <= 0 and not path_lost:
                 note_deadline(self._state.rollouts, context.route, row)
             if attempt.sent:
-                self.slot_allocator.release_slot(context, row)
+                self.slot_allocator.release_slot(context, row, rejected)
             else:
                 self.slot_allocator.release_unused_slot(context, row)
             if context.request.prompt_tokens:
--- a/poplarrelay/entry/scheduling/request_queue.py
+++ b/poplarrelay/entry/scheduling/request_queue.py
@@ -15,6 +15,7 @@
 from poplarrelay.identifiers import TeamId
 
 __all__ = [
+    "MIN_RETURN_S",
     "RequestQueue",
     "NO_TEAM",
     "QueuedRequest",
--- a/poplarrelay/entry/scheduling/slot_ledger.py
+++ b/poplarrelay/entry/scheduling/slot_ledger.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 
 from poplarrelay.entry.scheduling.fair_queue import FairQueue, Waiting
 from poplarrelay.identifiers import RequestId
@@ -22,6 +23,13 @@
 #: Part of the wait that a request accepts which the forecast may reach. Requests of
 #: teams that ask for less can still go ahead of it.
 FORECAST_SHARE = 0.8
+#: Seconds after which one more request than fitted last time is sent to a brittle
+#: endpoint, if it survives at least that many rejections in a second. An endpoint that
+#: survives fewer is tried less often.
+GROWTH_INTERVAL_S, SAFE_REJECTIONS_PER_S, MIN_SURVIVED = 1.0, 4.0, 0.1
+#: Part of the rejections that a brittle endpoint survives after which it gets no
+#: further requests for a second.
+PAUSE_SHARE = 0.5
 
 
 class Outcome(Enum):
@@ -61,6 +69,10 @@
     regretted : int
         Requests that were rejected although a slot came free while they would have
         waited.
+    survives_per_s : float or None
+        Rejections in a second that the endpoint survives, None if it is not brittle.
+    opens_at : float
+        Monotonic time from which slots are granted.
 
     Notes
     -----
@@ -72,6 +84,13 @@
     slots: int
     queue: FairQueue = field(default_factory=FairQueue)
     regretted: int = 0
+    survives_per_s: float | None = None
+    opens_at: float = -inf
+    _room: int | None = None
+    _room_at: float = -inf
+    _endpoint_rejections: deque[float] = field(
+        default_factory=lambda: deque(maxlen=MAX_REJECTED)
+    )
     _rejected: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_REJECTED))
     _granted: dict[RequestId, _Grant] = field(default_factory=dict)
     _hold_s: float = 0.0
@@ -86,16 +105,44 @@
         """Return the number of requests that run or wait."""
         return len(self._granted) + len(self.queue)
 
+    def capacity(self, now: float) -> int:
+        """Return how many requests the endpoint may have now.
+
+        Notes
+        -----
+        A brittle endpoint that has rejected a request takes less than its slots. More
+        is tried one by one, so slowly that rejections stay far below what it survives.
+        """
+        if now < self.opens_at:
+            return 0
+        if self.survives_per_s is None or self._room is None:
+            return self.slots
+        interval_s = GROWTH_INTERVAL_S
+        if self.survives_per_s < SAFE_REJECTIONS_PER_S:
+            interval_s *= SAFE_REJECTIONS_PER_S / max(MIN_SURVIVED, self.survives_per_s)
+        return min(self.slots, self._room + int((now - self._room_at) / interval_s))
+
+    def note_rejection(self, request: RequestId, now: float) -> None:
+        """Note that the endpoint has rejected a request for want of room."""
+        self._granted.pop(request, None)
+        self._room, self._room_at = max(1, min(self.capacity(now), self.taken)), now
+        self._endpoint_rejections.append(now)
+        recent = sum(now - at <= 1.0 for at in self._endpoint_rejections)
+        survives = self.survives_per_s
+        if survives is not None and recent >= PAUSE_SHARE * survives:
+            self.opens_at = max(self.opens_at, now + 1.0)
+
     def end_rate(self) -> float:
         """Return the rate at which all slots become free, per second; 0 if unknown."""
         return self.slots / self._hold_s if self._hold_s > 0 else 0.0
 
     def wait_s(self, waiting: Waiting, now: float) -> float:
         """Return the expected wait of a request that joins now, in seconds."""
-        if self.taken < self.slots and not len(self.queue):
+        if self.taken < self.capacity(now) and not len(self.queue):
             return 0.0
         rate = self.end_rate()
-        return (self.queue.cost_ahead(waiting) + 1) / rate if rate > 0 else 0.0
+        wait_s = (self.queue.cost_ahead(waiting) + 1) / rate if rate > 0 else 0.0
+        return max(wait_s, self.opens_at - now)
 
     def join(self, waiting: Waiting, now: float) -> Decision:
         """Grant a slot, queue the request, or reject it if it would wait too long."""
@@ -103,7 +150,7 @@
             return Decision(Outcome.GRANTED)
         if waiting.request in self.queue:
             return Decision(Outcome.QUEUED)
-        if self.taken < self.slots and not len(self.queue):
+        if self.taken < self.capacity(now) and not len(self.queue):
             self._grant(waiting, now)
             return Decision(Outcome.GRANTED)
         wait_s = self.wait_s(waiting, now)
@@ -119,7 +166,7 @@
     def grant_free(self, now: float) -> list[Waiting]:
         """Grant the free slots; return the requests that get one."""
         granted = []
-        while self.taken < self.slots:
+        while self.taken < self.capacity(now):
             waiting = self.queue.pop()
             if waiting is None:
                 self._count_regretted(now)
--- a/poplarrelay/entry/slot_broker.py
+++ b/poplarrelay/entry/slot_broker.py
@@ -8,8 +8,10 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any, Protocol
 
+from poplarrelay.entry.brittleness import BrittlenessTable
 from poplarrelay.entry.endpoints import Endpoint, EndpointTable, RunKey
 from poplarrelay.entry.scheduling.coordinators import choose_coordinator
 from poplarrelay.entry.scheduling.fair_queue import Waiting
@@ -27,11 +29,15 @@
 UNANSWERED_PAUSE_S = 0.5
 #: Seconds between confirmations of the requests that hold slots.
 CONFIRM_INTERVAL_S = 1.0
+#: Seconds after a change of the nodes in which a new coordinator of a brittle endpoint
+#: grants nothing. All nodes have confirmed their slots by then.
+TAKEOVER_S = 1.5
 #: Most requests in one confirmation.
 MAX_CONFIRMED = 40
 
 #: Message kinds, sent as the first element of each message.
 JOIN, REPLY, END, HELD = "join", "reply", "end", "held"
+REJECTED, BRITTLE = "rejected", "brittle"
 
 
 class SlotSender(Protocol):
@@ -97,6 +103,8 @@
         Table of endpoints.
     nodes : callable
         Returns the hosts of all nodes that can be coordinators by id.
+    brittleness : BrittlenessTable
+        Brittleness of the endpoints.
 
     Notes
     -----
@@ -110,6 +118,7 @@
     nodes: Callable[[], Mapping[NodeId, str]]
     sender: SlotSender
     monotonic: Callable[[], float]
+    brittleness: BrittlenessTable
     statistics: SlotStatistics = field(default_factory=SlotStatistics)
     _ledgers: dict[RunKey, SlotLedger] = field(default_factory=dict)
     _pending: dict[tuple[RunKey, RequestId], _Pending] = field(default_factory=dict)
@@ -117,6 +126,11 @@
     _skip_until: dict[str, float] = field(default_factory=dict)
     _hosts: dict[EndpointId, str] = field(default_factory=dict)
     _confirm_at: float = 0.0
+    _known_hosts: set[str] = field(default_factory=set)
+    _nodes_changed_at: float = -inf
+
+    def __post_init__(self) -> None:
+        self.brittleness.on_change = self._announce_brittleness
 
     # Requests of this node
 
@@ -174,6 +188,19 @@
         if host is not None:
             self._send(host, [END, *row.run, request])
 
+    def reject(self, row: Endpoint, request: RequestId) -> None:
+        """Report that a brittle endpoint has rejected a request."""
+        host = self._held.pop((row.run, request), None)
+        self._send(
+            host or self._coordinator(row.endpoint), [REJECTED, *row.run, request]
+        )
+
+    def _announce_brittleness(self, row: Endpoint, per_s: float | None) -> None:
+        """Tell all nodes what an endpoint has stated."""
+        for host in self.nodes().values():
+            if host != self.own_host:
+                self._send(host, [BRITTLE, *row.run, per_s, 0.0])
+
     def _coordinator(self, endpoint: EndpointId) -> str:
         host = self._hosts.get(endpoint)
         if host is None:
@@ -186,6 +213,8 @@
         """Confirm the slots in use, and drop the state of endpoints that are gone."""
         now = self.monotonic()
         self._hosts.clear()
+        self._note_nodes(now)
+        self.brittleness.forget(now)
         for run, ledger in list(self._ledgers.items()):
             self.statistics.expired += len(ledger.expire(now))
             self._grant_free(run, ledger, now)
@@ -200,6 +229,24 @@
             self._confirm_at = now + CONFIRM_INTERVAL_S
             self._confirm_held()
 
+    def _note_nodes(self, now: float) -> None:
+        hosts = set(self.nodes().values())
+        if hosts != self._known_hosts:
+            self._known_hosts, self._nodes_changed_at = hosts, now
+
+    def _ledger(self, run: RunKey, slots: int, now: float) -> SlotLedger:
+        """Return the ledger of an endpoint; create it if necessary."""
+        row = self.endpoints.rows.get(run[0])
+        survives = None if row is None else self.brittleness.of(row.service, now)
+        ledger = self._ledgers.get(run)
+        if ledger is None:
+            ledger = self._ledgers[run] = SlotLedger(slots)
+            self._note_nodes(now)
+            if survives is not None:
+                ledger.opens_at = self._nodes_changed_at + TAKEOVER_S
+        ledger.slots, ledger.survives_per_s = max(1, slots), survives
+        return ledger
+
     def _confirm_held(self) -> None:
         by_run: dict[RunKey, list[RequestId]] = defaultdict(list)
         for run, request in self._held:
@@ -249,14 +296,17 @@
                 self._receive_end(run, *rest)
             elif kind == HELD:
                 self._receive_held(run, *rest)
+            elif kind == REJECTED:
+                self._receive_rejected(run, *rest)
+            elif kind == BRITTLE:
+                self._receive_brittleness(host, run, *rest)
             else:
                 raise ValueError(f"unknown message kind: {kind!r}")
 
     def _receive_join(self, host: str, run: RunKey, slots: int, *rest: Any) -> None:
         now = self.monotonic()
         waiting = _decode(host, now, *rest)
-        ledger = self._ledgers.setdefault(run, SlotLedger(int(slots)))
-        ledger.slots = max(1, int(slots))
+        ledger = self._ledger(run, int(slots), now)
         decision = ledger.join(waiting, now)
         self.statistics.decisions[decision.outcome] += 1
         self._reply(run, waiting, decision, ledger.load)
@@ -307,13 +357,32 @@
             ledger.end(RequestId(str(request)), now)
             self._grant_free(run, ledger, now)
 
+    def _receive_rejected(self, run: RunKey, request: str) -> None:
+        row = self.endpoints.rows.get(run[0])
+        if row is None or row.run != run:
+            return
+        now = self.monotonic()
+        ledger = self._ledger(run, row.slots, now)
+        ledger.note_rejection(RequestId(str(request)), now)
+        self._grant_free(run, ledger, now)
+
+    def _receive_brittleness(
+        self, host: str, run: RunKey, per_s: Any, age_s: float
+    ) -> None:
+        row = self.endpoints.rows.get(run[0])
+        if row is None or row.run != run:
+            return
+        stated = None if per_s is None else max(0.0, float(per_s))
+        stated_at = self.monotonic() - max(0.0, float(age_s))
+        self.brittleness.receive(row, stated, stated_at, host)
+
     def _receive_held(self, run: RunKey, requests: Sequence[str]) -> None:
         row = self.endpoints.rows.get(run[0])
         ledger = self._ledgers.get(run)
         if ledger is None:
             if row is None or row.run != run:
                 return
-            ledger = self._ledgers[run] = SlotLedger(row.slots)
+            ledger = self._ledger(run, row.slots, self.monotonic())
         known = [RequestId(str(request)) for request in requests]
         ledger.confirm(known, self.monotonic())
 
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -32,6 +32,7 @@
 )
 from poplarrelay.entry.scheduling.fair_queue import Waiting
 from poplarrelay.entry.scheduling.request_queue import (
+    MIN_RETURN_S,
     NO_TEAM,
     RequestQueue,
     SlotUnavailable,
@@ -141,7 +142,8 @@
         rows = self._eligible(context.service, now)
         self._prepare_permits(rows, now)
         rng = self._state.rng
-        has_room = Endpoint.has_queue_room
+        brittle = self._state.brittleness.of(context.service, now) is not None
+        has_room = Endpoint.has_room if brittle else Endpoint.has_queue_room
         accepting = self._known_accepting(rows, now)
         candidates = sample_candidates(accepting, criteria, now, rng, has_room)
         candidates = candidates or sample_candidates(rows, criteria, now, rng, has_room)
@@ -159,7 +161,8 @@
                 cached_tokens[row.endpoint] = backlog.cached_tokens_at(prefix)
         assume_mean(candidates, backlogs.keys(), now)
         # Endpoints may have left or become full while the coordinators replied.
-        available = [r for r in candidates if r.accepts_work and _has_room(r, now)]
+        room_now = Endpoint.has_room if brittle else _has_room
+        available = [r for r in candidates if r.accepts_work and room_now(r, now)]
         available = [row for row in available if row.endpoint not in down] or available
         if not available:
             return None
@@ -226,10 +229,15 @@
         """Acquire a slot for a request; wait in the queue if no slot is free."""
         criteria = self._criteria(context, tuple(context.tried))
         choice: Choice | Refusal | None
+        survives = self._state.brittleness.of(context.service, monotonic())
+        if survives is not None and not self._is_limited(context.service):
+            return await self._acquire_brittle(context, criteria, survives)
         if criteria.is_prompt:
             choice = await self._choose_engine(context, criteria)
         else:
-            choice = await self._acquire_granted(context, criteria)
+            choice = None
+            if self._state.fair_shares:
+                choice = await self._acquire_granted(context, criteria)
             choice = choice or self._choose(context.service, criteria)
             if choice is None and self._state.fair_shares:
                 has_room = Endpoint.is_unused_here
@@ -248,6 +256,98 @@
             return Refusal(503, RefusalReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_S)
         return await self._wait_for_slot(context, criteria)
 
+    def _is_limited(self, service: ServiceName) -> bool:
+        """Return whether endpoints of a service state a limit on requests."""
+        rows = self._state.endpoints.accepting(service)
+        return any(row.limit_per_s is not None for row in rows)
+
+    async def _acquire_brittle(
+        self, context: RequestContext, criteria: SelectionCriteria, survives: float
+    ) -> Choice | Refusal:
+        """Acquire a granted slot at an endpoint that must not reject many requests.
+
+        Parameters
+        ----------
+        context : RequestContext
+            The request.
+        criteria : SelectionCriteria
+            Properties of the request.
+        survives : float
+            Rejections in a second that an endpoint of the service survives.
+        """
+        if criteria.is_prompt:
+            choice = await self._acquire_granted_engine(context, criteria)
+        else:
+            choice = await self._acquire_granted(context, criteria)
+        if choice is not None:
+            return choice
+        state = self._state
+        nodes = sorted({state.me.node, *state.coordinators()})
+        rank, wall = nodes.index(state.me.node), state.clock.now()
+        if state.brittleness.take_unconfirmed(
+            context.service, survives, rank, len(nodes), wall
+        ):
+            choice = self._choose(context.service, criteria)
+        if choice is not None:
+            return choice
+        return self._refuse_full(context, 0.0, "no slot is granted")
+
+    async def _acquire_granted_engine(
+        self, context: RequestContext, criteria: SelectionCriteria
+    ) -> Choice | Refusal | None:
+        """Choose an engine for a prompt, and obtain a slot from its coordinator.
+
+        Returns
+        -------
+        Choice, Refusal or None
+            None if no coordinator replies or no engine has room.
+        """
+        wait_s = 0.0
+        for _ in range(MAX_ASKED):
+            choice = await self._choose_engine(context, criteria)
+            if not isinstance(choice, Choice):
+                return choice
+            row = choice.endpoint
+            reply = None
+            try:
+                reply = await self._slot_broker.acquire(row, self._waiting(context))
+                if reply is not None and reply.granted and row.accepts_work:
+                    return choice
+            finally:
+                if reply is None or not reply.granted or not row.accepts_work:
+                    self.release_unused_slot(context, row)
+            if reply is None:
+                return None
+            wait_s = reply.wait_s
+            criteria = replace(criteria, tried=(*criteria.tried, row.endpoint))
+        return self._refuse_full(context, wait_s, f"{wait_s:.3f} s queue time")
+
+    def _waiting(self, context: RequestContext) -> Waiting:
+        """Return the request as it waits at a coordinator."""
+        wait_s = max_queue_wait(context.route, context.remaining_s)
+        since = monotonic()
+        if self._state.brittleness.of(context.service, since) is not None:
+            # A request that a brittle endpoint has rejected does not wait once more.
+            since = context.request.started_at
+        return Waiting(
+            context.request.request,
+            self._state.me.host,
+            context.team_name,
+            context.priority,
+            1.0,
+            self._weight(context),
+            since + wait_s,
+        )
+
+    def _refuse_full(
+        self, context: RequestContext, wait_s: float, detail: str
+    ) -> Refusal:
+        if context.may_have_run:
+            return Refusal(502, RefusalReason.UNKNOWN, detail="other endpoints full")
+        retry_s = spread_return(wait_s or MIN_RETURN_S, self._state.rng)
+        retry_s = bound_retry_after(retry_s, context.remaining_s)
+        return Refusal(503, RefusalReason.FULL, retry_s, detail)
+
     async def _acquire_granted(
         self, context: RequestContext, criteria: SelectionCriteria
     ) -> Choice | Refusal | None:
@@ -259,24 +359,15 @@
             None if slots are not coordinated, or if no coordinator replies.
         """
         request = context.request.request
-        if not self._state.fair_shares or not request:
+        if not request:
             return None
         wait_s = 0.0
         asked: list[EndpointId] = []
-        expires_at = monotonic() + max_queue_wait(context.route, context.remaining_s)
+        waiting = self._waiting(context)
         while len(asked) < MAX_ASKED:
             row = self._choose_to_ask(context, criteria, asked)
             if row is None:
                 break
-            waiting = Waiting(
-                request,
-                self._state.me.host,
-                context.team_name,
-                context.priority,
-                1.0,
-                self._weight(context),
-                expires_at,
-            )
             reply = await self._slot_broker.acquire(row, waiting)
             if reply is None:
                 return None
@@ -448,10 +539,26 @@
             if unavailable is not None and now + unavailable.wait_s > queued.expires_at:
                 queued.future.set_result(unavailable)
 
-    def release_slot(self, context: RequestContext, row: Endpoint) -> None:
-        """Release a request's slot and assign it to a queued request."""
+    def release_slot(
+        self, context: RequestContext, row: Endpoint, rejected: bool = False
+    ) -> None:
+        """Release a request's slot and assign it to a queued request.
+
+        Parameters
+        ----------
+        context : RequestContext
+            The request.
+        row : Endpoint
+            The endpoint.
+        rejected : bool
+            Whether the endpoint has rejected the request.
+        """
         row.running -= 1
-        self._slot_broker.end(row, context.request.request)
+        brittle = self._state.brittleness.of(context.service, monotonic()) is not None
+        if rejected and brittle:
+            self._slot_broker.reject(row, context.request.request)
+        else:
+            self._slot_broker.end(row, context.request.request)
         self.dispatch_queued(context.service)
 
     def release_unused_slot(self, context: RequestContext, row: Endpoint) -> None:
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -9,6 +9,7 @@
 from time import monotonic
 
 from poplarrelay.entry.backoff import BackoffTable
+from poplarrelay.entry.brittleness import BrittlenessTable
 from poplarrelay.entry.budgets import RetryBudget
 from poplarrelay.entry.clock import ClusterClock
 from poplarrelay.entry.configuration import Configuration, ServiceName, Team
@@ -83,6 +84,8 @@
         Runs of endpoints that have stated their departure in an answer.
     backoffs : BackoffTable
         Pauses that endpoints have asked this node for.
+    brittleness : BrittlenessTable
+        Endpoints that fall over when they must reject many requests.
     crashes : CrashTable
         Crashes of endpoints during requests.
     rollouts : RolloutTable
@@ -113,6 +116,7 @@
     eras: EraTracker = field(init=False)
     departures: DepartureTable = field(init=False)
     backoffs: BackoffTable = field(init=False)
+    brittleness: BrittlenessTable = field(init=False)
     crashes: CrashTable = field(default_factory=CrashTable)
     stopping_at: float | None = None
     started_at: float = field(default_factory=monotonic)
@@ -123,6 +127,7 @@
         self.eras = EraTracker(self.clock.now)
         self.departures = DepartureTable(self.endpoints.rows)
         self.backoffs = BackoffTable(self.endpoints.rows)
+        self.brittleness = BrittlenessTable(self.endpoints)
 
     @classmethod
     def from_settings(
--- a/poplarrelay/platform/headers.py
+++ b/poplarrelay/platform/headers.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import UTC
 from email.utils import parsedate_to_datetime
 from http import HTTPStatus
 from math import isfinite
 
+from poplarrelay.entry.brittleness import StatedBrittleness
 from poplarrelay.entry.http.connection import Headers, header_value
 from poplarrelay.entry.http.listener import IncomingRequest
 from poplarrelay.entry.http.pool import Address
@@ -42,6 +43,9 @@
 _LAST_EVENT = b"Last-Event-Id"
 #: Number of requests per second that an endpoint accepts from all nodes together.
 _LIMIT = b"server-limit"
+#: Number of rejections in a second, over the requests of all nodes, that an endpoint
+#: survives.
+_BRITTLE = b"server-brittle"
 #: Set to 1 in all answers of an endpoint that is leaving.
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
@@ -278,13 +282,14 @@
     -----
     If the header occurs several times, the lowest valid value applies.
     """
-    values = [value for name, value in headers if name.lower() == _LIMIT]
-    if not values:
-        return StatedLimit()
+    return StatedLimit(*_lowest_rate(headers, _LIMIT))
+
+
+def _lowest_rate(headers: Headers, name: bytes) -> tuple[float | None, bool]:
+    """Return the lowest valid value of a header, and whether a stated one is valid."""
+    values = [value for other, value in headers if other.lower() == name]
     rates = [rate for rate in map(_rate, values) if rate is not None]
-    if not rates:
-        return StatedLimit(readable=False)
-    return StatedLimit(min(rates))
+    return min(rates, default=None), bool(rates) or not values
 
 
 def endpoint_notice(status: int, headers: Headers, wall: float) -> EndpointNotice:
@@ -307,17 +312,19 @@
     leaving = any(
         name.lower() == _LEAVING and value.strip() == b"1" for name, value in headers
     )
+    brittleness = StatedBrittleness(*_lowest_rate(headers, _BRITTLE))
+    notice = EndpointNotice(leaving, brittleness=brittleness)
     if status not in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS):
-        return EndpointNotice(leaving)
+        return notice
     values = [value for name, value in headers if name.lower() == _RETRY_AFTER]
     if not values:
-        return EndpointNotice(leaving)
+        return notice
     date = _date(header_value(headers, b"date") or b"")
     pauses = [_pause_s(value, wall if date is None else date) for value in values]
     valid = [pause_s for pause_s in pauses if pause_s is not None]
     if not valid:
-        return EndpointNotice(leaving, readable=False)
-    return EndpointNotice(leaving, min(max(valid), MAX_BACKOFF_S))
+        return replace(notice, readable=False)
+    return replace(notice, backoff_s=min(max(valid), MAX_BACKOFF_S))
 
 
 def _pause_s(value: bytes, wall: float) -> float | None:
--- a/poplarrelay/testing/slot_network.py
+++ b/poplarrelay/testing/slot_network.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Any
 
+from poplarrelay.entry.brittleness import BrittlenessTable
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.endpoints import Endpoint, EndpointTable
 from poplarrelay.entry.scheduling.coordinators import choose_coordinator
@@ -96,6 +97,7 @@
                 lambda: {NodeId(h): h for h in hosts if h not in self.known_down},
                 _Sender(self, host),
                 loop.time,
+                BrittlenessTable(table),
             )
 
     def deliver(self, sender: str, host: str, messages: list[list[Any]]) -> None:
