--- a/poplarrelay/entry/http/tunnels.py
+++ b/poplarrelay/entry/http/tunnels.py
@@ -39,6 +39,8 @@
 MAX_FRAME_BYTES = 1 << 24
 #: Largest size of a request for a tunnel in bytes.
 MAX_HEAD_BYTES = 4096
+#: Largest port number.
+MAX_PORT = 65_535
 #: Seconds within which a request for a tunnel must arrive.
 HEAD_TIMEOUT_S = 1.0
 
@@ -471,7 +473,8 @@
     host, _, port = request.target.decode("latin-1").rpartition(":")
     headers = [(bytes(name), bytes(value)) for name, value in request.headers]
     endpoint = header_value(headers, _ENDPOINT.lower())
-    if request.method != b"CONNECT" or not host or not port.isdigit() or not endpoint:
+    valid_port = port.isdigit() and 0 < int(port) <= MAX_PORT
+    if request.method != b"CONNECT" or not host or not valid_port or not endpoint:
         return None
     return TunnelTarget(EndpointId(endpoint.decode("latin-1")), (host, int(port)))
 
--- a/poplarrelay/entry/tests/test_days.py
+++ b/poplarrelay/entry/tests/test_days.py
@@ -39,4 +39,4 @@
                 assert 0 <= value <= (NUMBERS[field] or float("inf"))
             else:
                 assert isinstance(value, str)
-                assert re.fullmatch(r"@[csz]0|[a-z_ ]+", value)
+                assert re.fullmatch(r"@[csz][01]|[a-z_ ]+", value)
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -12,6 +12,7 @@
     "FIRST_KINDS",
     "FOURTH_KINDS",
     "SECOND_KINDS",
+    "SEVENTH_KINDS",
     "SIXTH_KINDS",
     "THIRD_KINDS",
     "FaultKind",
@@ -80,6 +81,12 @@
         One team sends requests of one kind to some nodes without a pause.
     ENDPOINT_SLOW
         An endpoint becomes slow, and its record has only a few slots.
+    PATHS_LOST
+        Some nodes lose their paths to some or all endpoints, at once or again and
+        again.
+    ENDPOINTS_BRITTLE
+        The endpoints of a service take few requests, and fall over when they must
+        reject many. They are back a moment later.
     """
 
     KILL = "kill"
@@ -107,6 +114,8 @@
     STORE_RESTORED = "store restored"
     TEAM_FLOODS = "team floods"
     ENDPOINT_SLOW = "endpoint slow"
+    PATHS_LOST = "paths lost"
+    ENDPOINTS_BRITTLE = "endpoints brittle"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
@@ -121,9 +130,11 @@
 FOURTH_KINDS = tuple(FaultKind)[:20]
 #: Kinds before ``STORE_RESTORED`` was added.
 FIFTH_KINDS = tuple(FaultKind)[:22]
-#: Kinds before ``TEAM_FLOODS`` and ``ENDPOINT_SLOW`` were added. These tuples depend on
-#: the order of the enum: append new kinds at its end.
+#: Kinds before ``TEAM_FLOODS`` and ``ENDPOINT_SLOW`` were added.
 SIXTH_KINDS = tuple(FaultKind)[:23]
+#: Kinds before ``PATHS_LOST`` and ``ENDPOINTS_BRITTLE`` were added. These tuples depend
+#: on the order of the enum: append new kinds at its end.
+SEVENTH_KINDS = tuple(FaultKind)[:25]
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -29,7 +29,7 @@
     EntrySite,
     entry_configuration,
 )
-from poplarrelay.testing.links import LinkState
+from poplarrelay.testing.links import LinkState, PathFault
 from poplarrelay.testing.soak.callers import (
     KEYS,
     REQUEST_KINDS,
@@ -95,12 +95,18 @@
 FLOOD_GAP_S = 0.02
 #: Factors by which endpoints become slow.
 SLOWDOWNS = (3.0, 10.0)
+#: Share of the lost paths that concern some endpoints only, and numbers of cuts in one
+#: fault.
+PARTIAL_CUT_SHARE, CUTS = 0.4, (1, 1, 4)
+#: ``Server-Brittle`` values of endpoints. The last two are unreadable.
+BRITTLENESS = ("0", "1", "4", "-1", "many")
 #: Minimum time for a roll-out, and time after its deadline in which its end is awaited.
 MIN_ROLLOUT_S = 3.0
 ROLLOUT_GRACE_S = 1.0
 #: Ways in which an endpoint can mishandle a request.
 _ENDPOINT_FAULTS = list(Fault)
 _LINK_STATES = [state for state in LinkState if state is not LinkState.INTACT]
+_PATH_FAULTS = [fault for fault in PathFault if fault is not PathFault.NONE]
 _OUTAGES = [outage for outage in Outage if outage is not Outage.NONE]
 
 
@@ -234,7 +240,7 @@
         """Record a run of an endpoint, and arrange its restart after a crash."""
         self.runners.append(runner)
         runner.crash_bodies = self.crash_bodies
-        runner.on_crash = lambda: self.recoveries.append(
+        runner.on_crash = runner.on_fall = lambda: self.recoveries.append(
             asyncio.create_task(self._restart_after_crash(name))
         )
 
@@ -280,6 +286,8 @@
             FaultKind.STORE_RESTORED: self._restore_store,
             FaultKind.TEAM_FLOODS: self._flood,
             FaultKind.ENDPOINT_SLOW: self._slow_endpoint,
+            FaultKind.PATHS_LOST: self._lose_paths,
+            FaultKind.ENDPOINTS_BRITTLE: self._make_brittle,
         }
         try:
             await injectors[fault.kind](rng, fault.duration_s)
@@ -467,6 +475,39 @@
         if name in self.listed:
             self.site.list_runner(name, service)
 
+    async def _lose_paths(self, rng: Random, duration_s: float) -> None:
+        names = sorted(self.site.processes)
+        nodes = rng.sample(names, rng.randint(1, len(names)))
+        endpoints = sorted(self.listed)
+        if rng.random() < PARTIAL_CUT_SHARE:
+            endpoints = rng.sample(endpoints, rng.randint(1, len(endpoints)))
+        fault, cuts = rng.choice(_PATH_FAULTS), rng.choice(CUTS)
+        with contextlib.ExitStack() as stack:
+            for node in nodes:
+                stack.enter_context(self._disruption(node))
+            for _ in range(cuts):
+                self.site.set_paths(nodes, fault, endpoints)
+                await asyncio.sleep(duration_s / cuts / 2)
+                self.site.set_paths(nodes, PathFault.NONE, endpoints)
+                await asyncio.sleep(duration_s / cuts / 2)
+
+    async def _make_brittle(self, rng: Random, duration_s: float) -> None:
+        service = rng.choice((CALLS, STREAMS))
+        names = [name for name, other in self.listed.items() if other == service]
+        slots, brittle = rng.randint(1, 3), rng.choice(BRITTLENESS)
+        for name in names:
+            runner = self.site.runners[name]
+            runner.capacity, runner.queue, runner.brittle = slots, slots, brittle
+            self.site.list_runner(name, service, slots=slots)
+        await asyncio.sleep(duration_s / 2)
+        for name in names:
+            self.site.runners[name].queue = 0
+        await asyncio.sleep(duration_s / 2)
+        for name in names:
+            self.site.runners[name].capacity = self.site.runners[name].brittle = None
+            if name in self.listed:
+                self.site.list_runner(name, service)
+
     async def _roll_out(self, rng: Random, duration_s: float) -> None:
         service = rng.choice((CALLS, STREAMS))
         version = f"v{rng.randrange(1_000_000)}"
@@ -506,8 +547,10 @@
         self.site.store.write_again()
         self.crash_bodies.clear()
         await asyncio.gather(*self.recoveries)
+        hosts = [self.site.address(name)[0] for name in self.site.processes]
         for link in self.site.links.values():
             link.set_state(LinkState.INTACT)
+            link.set_path(hosts, PathFault.NONE)
         for store_listener in self.site.store_listeners.values():
             store_listener.outage = Outage.NONE
             store_listener.lose_answers = False
@@ -517,6 +560,7 @@
             runner.limit = None
             runner.pause = None
             runner.bad_version = None
+            runner.capacity = runner.brittle = None
         end = monotonic() + RECOVERY_S
         waiting = set(self.site.processes)
         while waiting and monotonic() < end:
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -23,6 +23,7 @@
     FIRST_KINDS,
     FOURTH_KINDS,
     SECOND_KINDS,
+    SEVENTH_KINDS,
     SIXTH_KINDS,
     THIRD_KINDS,
     FaultKind,
@@ -49,7 +50,9 @@
 #: A seed whose plan has two restores of the store.
 SEED_OF_RESTORES = 17
 #: A seed whose plan has the flood of a team and a slow endpoint.
-SEED_OF_ALL_KINDS = 44
+SEED_OF_FLOODS = 44
+#: A seed whose plan has lost paths and brittle endpoints.
+SEED_OF_ALL_KINDS = 12
 
 
 def make_runner(name="r1", *request_ids, **headers):
@@ -224,6 +227,7 @@
         (SEED_OF_ROLLOUTS, FOURTH_KINDS),
         (SEED_OF_NOTICES, FIFTH_KINDS),
         (SEED_OF_RESTORES, SIXTH_KINDS),
+        (SEED_OF_FLOODS, SEVENTH_KINDS),
         (SEED_OF_ALL_KINDS, tuple(FaultKind)),
     ],
 )
