Count a prompt's shared parts as cached only once it has begun

Cause: a coordinator noted the parts of each placed prompt as cached, also when the prompt never reached the engine. Class: what one host sees of its own path becomes a fact for all. Change: parts of queued prompts count while they are queued, and afterwards only if the prompt has begun or the report of its end is missing.

--- a/poplarrelay/entry/backlogs.py
+++ b/poplarrelay/entry/backlogs.py
@@ -192,12 +192,18 @@
         those queued before it.
     placed_at : float
         Monotonic time of the placement.
+    parts : tuple of str
+        Ids of its shared parts.
+    placed_tokens : int
+        Total length of the prompts placed at the engine, up to this one.
     """
 
     node: str
     tokens: int
     tokens_to_first_event: float
     placed_at: float
+    parts: tuple[str, ...]
+    placed_tokens: int
 
 
 @dataclass(slots=True)
@@ -215,7 +221,7 @@
     _prefill_began_at : float
         Monotonic time at which the prefill of the first queued prompt began.
     _part_last_used : dict of str to int
-        Value of `_placed_tokens` at the last use of each shared part.
+        Value of `_placed_tokens` at the last start of a prompt with each shared part.
     _placed_tokens : int
         Total length of all prompts that have been placed at the engine.
     """
@@ -257,12 +263,15 @@
         if not self._queue:
             self._prefill_began_at = now
         tokens_to_first_event = self.tokens(now) + placement.tokens
+        self._placed_tokens += placement.prompt_tokens
         self._queue[placement.request] = _QueuedPrompt(
-            node, placement.tokens, tokens_to_first_event, now
+            node,
+            placement.tokens,
+            tokens_to_first_event,
+            now,
+            placement.parts,
+            self._placed_tokens,
         )
-        self._placed_tokens += placement.prompt_tokens
-        for part in placement.parts:
-            self._part_last_used[part] = self._placed_tokens
 
     def remove_prompt(self, request: RequestId, end: PromptEnd, now: float) -> None:
         """Remove a prompt and update the engine's speed and its `down_until`."""
@@ -277,6 +286,11 @@
         if end is PromptEnd.BEGAN:
             self.down_until = 0.0
             self.speed.note(prompt.tokens_to_first_event, now - prompt.placed_at)
+            self._note_cached(prompt)
+
+    def _note_cached(self, prompt: _QueuedPrompt) -> None:
+        for part in prompt.parts:
+            self._part_last_used[part] = self._placed_tokens
 
     def has_requests(self, now: float) -> bool:
         """Return whether requests are queued or running at the engine."""
@@ -285,14 +299,23 @@
     def _drop_stale(self, now: float) -> None:
         for request, prompt in list(self._queue.items()):
             if now - prompt.placed_at > PROMPT_EXPIRY_S:
+                # The report of its start can have been lost.
+                self._note_cached(prompt)
                 self.remove_prompt(request, PromptEnd.NOT_BEGUN, now)
 
     def count_cached(self, parts: Iterable[str]) -> int:
-        """Return how many shared parts, counted from the first, are cached."""
+        """Return how many shared parts, counted from the first, are cached.
+
+        Parts of queued prompts count, since they will be. Prompts that do not begin
+        leave nothing: a node without a path would make engines look warm to all nodes.
+        """
         oldest = self._placed_tokens - EVICTION_TOKENS
+        queued = {}
+        for prompt in self._queue.values():
+            queued.update(dict.fromkeys(prompt.parts, prompt.placed_tokens))
         cached = 0
         for part in parts:
-            last_used = self._part_last_used.get(part)
+            last_used = queued.get(part, self._part_last_used.get(part))
             if last_used is None or last_used < oldest:
                 break
             cached += 1
--- a/poplarrelay/entry/tests/test_backlogs.py
+++ b/poplarrelay/entry/tests/test_backlogs.py
@@ -15,6 +15,7 @@
     DOWN_S,
     EVICTION_TOKENS,
     PROMPT_EXPIRY_S,
+    Backlog,
     BacklogTable,
     BacklogView,
     Placement,
@@ -227,6 +228,20 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("end", [PromptEnd.NOT_BEGUN, PromptEnd.ENGINE_GONE])
+def test_prompt_that_has_not_begun_leaves_nothing_cached(end):
+    # Guards against a node without a path that makes engines look warm to all nodes.
+    backlog = Backlog()
+    for request, parts in (("q1", ("a",)), ("q2", ("a", "b")), ("q3", ("b", "c"))):
+        placement = Placement(EndpointId("e"), RequestId(request), 9_000, parts, 9_000)
+        backlog.add_prompt("n", placement, 1.0)
+    backlog.remove_prompt(RequestId("q1"), PromptEnd.BEGAN, 1.1)
+    backlog.remove_prompt(RequestId("q2"), end, 1.2)
+    assert [backlog.count_cached(part) for part in "abc"] == [1, 1, 1]
+    backlog.remove_prompt(RequestId("q3"), end, 1.3)
+    assert [backlog.count_cached(part) for part in "abc"] == [1, 0, 0]
+
+
 def test_coordinator_that_does_not_answer_delays_one_request():
     # A coordinator is unreachable, and the other nodes do not know it yet. The first
     # request waits some hundredths of a second for its reply and then uses the replies
