Trust a kept tunnel only while its peer is heard, and stop early at unreachable endpoints

A request that must not be repeated could go on a kept tunnel whose carrier is frozen or cut off; an endpoint that a peer with intact paths cannot reach either held an attempt for 0.6 s; a check of one silent endpoint always opened a second connection.

--- a/poplarrelay/commands/explain.py
+++ b/poplarrelay/commands/explain.py
@@ -15,7 +15,13 @@
 __all__ = ["Explanation", "explain", "explain_request", "read_lines", "read_logs"]
 
 #: Messages about the state of one endpoint. They concern a request that used it.
-ENDPOINT_STATE_MESSAGES = ("endpoint", "endpoint avoided")
+ENDPOINT_STATE_MESSAGES = (
+    "endpoint",
+    "endpoint avoided",
+    "endpoint brittle",
+    "path",
+    "tunnel refused",
+)
 #: Messages about requests with one fingerprint. They concern a request that has it.
 FINGERPRINT_STATE_MESSAGES = ("request blocked", "request unblocked")
 #: Messages about the state of a service. They concern a request for it.
--- a/poplarrelay/commands/tests/test_explain.py
+++ b/poplarrelay/commands/tests/test_explain.py
@@ -15,6 +15,8 @@
   9.5 n-1 {"time": "t7", "message": "request blocked", "node": "n-1", "fingerprint": "f-1", "crashes": 3, "source": "n-2"}
   9.6 n-1 {"time": "t7", "message": "request blocked", "node": "n-1", "fingerprint": "f-2", "crashes": 3, "source": "n-2"}
   9.7 n-1 {"time": "t8", "message": "request", "node": "n-1", "request": "r-9", "fingerprint": "f-1", "status": 503, "outcome": "endpoints have crashed under this request"}
+  10.0 n-1 {"time": "t9", "message": "path", "node": "n-1", "endpoint": "e-3", "service": "s", "state": "lost", "isolated": true}
+  10.1 n-1 {"time": "t9", "message": "attempt", "node": "n-1", "request": "r-10", "endpoint": "e-3", "carrier": "10.0.0.2", "result": "Answered"}
 a line of another program
 """.splitlines()  # noqa: E501
 
@@ -45,6 +47,12 @@
     assert [(line["fingerprint"], line["crashes"]) for line in blocked] == [("f-1", 3)]
 
 
+def test_tunnelled_request_is_shown_with_the_loss_of_its_path():
+    explanation = explain_request("r-10", read_lines(RECORDED))
+    assert [line["carrier"] for line in explanation.lines] == ["10.0.0.2"]
+    assert any(line.get("state") == "lost" for line in explanation.known_state)
+
+
 def test_request_without_log_lines_is_reported():
     explanation = explain_request("r-0", read_lines(RECORDED))
     assert explanation.text() == ["no line tells of request r-0"]
--- a/poplarrelay/entry/carriers.py
+++ b/poplarrelay/entry/carriers.py
@@ -40,6 +40,7 @@
     peers: Callable[[], Sequence[PeerRow | CellMember]]
     rng: Random
     _refused_until: dict[str, float] = field(default_factory=dict)
+    _heard_at: dict[str, float] = field(default_factory=dict)
 
     def choose(self, now: float) -> list[str]:
         """Return the hosts to ask for a tunnel, in order."""
@@ -59,6 +60,14 @@
     def _is_local(self, peer: PeerRow | CellMember) -> bool:
         return isinstance(peer, PeerRow) and peer.domain == self.domain
 
+    def note_heard(self, host: str, now: float) -> None:
+        """Note bytes that a peer has relayed."""
+        self._heard_at[host] = now
+
+    def heard_since(self, host: str, since: float) -> bool:
+        """Return whether a peer has relayed bytes since a monotonic time."""
+        return self._heard_at.get(host, -inf) >= since
+
     def note_refused(self, host: str, now: float) -> None:
         """Do not ask a peer again for a moment."""
         self._refused_until = {
--- a/poplarrelay/entry/http/pool.py
+++ b/poplarrelay/entry/http/pool.py
@@ -41,13 +41,23 @@
         """Return the number of connections opened so far."""
         return self._opened
 
-    def take_idle(self, address: Address) -> Connection | None:
-        """Return the most recently used idle connection, None if there is none."""
+    def take_idle(
+        self, address: Address, accepts: Callable[[Connection], bool] | None = None
+    ) -> Connection | None:
+        """Return the most recently used idle connection, None if there is none.
+
+        Parameters
+        ----------
+        address : tuple of str and int
+            Address of the server.
+        accepts : callable or None
+            Returns whether a connection may be used; others are aborted.
+        """
         idle = self._idle.get(address)
         now = monotonic()
         while idle:
             connection = idle.pop()
-            if connection.usable(now):
+            if connection.usable(now) and (accepts is None or accepts(connection)):
                 return connection
             connection.abort()
         return None
--- a/poplarrelay/entry/paths.py
+++ b/poplarrelay/entry/paths.py
@@ -20,7 +20,7 @@
 from poplarrelay.entry.http.pool import ConnectionPool
 from poplarrelay.entry.http.tunnels import TunnelRefused, TunnelTarget, open_tunnel
 from poplarrelay.entry.racing import first_success
-from poplarrelay.entry.reachability import QUIET_S, Reachability
+from poplarrelay.entry.reachability import QUIET_S, RECENT_S, Reachability
 from poplarrelay.exception import EndpointDown, ExchangeFailed
 
 __all__ = ["EndpointPaths", "TunnelPolicy"]
@@ -40,7 +40,7 @@
 #: which it must stay open.
 CHECK_TIMEOUT_S, SETTLE_S = 0.15, 0.02
 #: Seconds between two checks of paths that have been silent.
-CHECK_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 1.5
 #: Seconds without bytes of an endpoint in which this node's own view of other endpoints
 #: is no proof for a peer.
 PROOF_S = 0.3
@@ -94,6 +94,21 @@
         self.paths.note_ended(self, error)
 
 
+@dataclass(frozen=True, slots=True)
+class _Tunnel:
+    """Observer of a tunnel."""
+
+    carriers: Carriers
+    host: str
+
+    def heard(self) -> None:
+        """Note bytes that the peer has relayed."""
+        self.carriers.note_heard(self.host, monotonic())
+
+    def lost(self, error: Exception | None) -> None:
+        """Do nothing: a tunnel shows nothing about this node's own paths."""
+
+
 @dataclass(slots=True)
 class EndpointPaths:
     """Connections of one node to endpoints.
@@ -152,8 +167,9 @@
         """
         lost = self.reachability.is_lost(row.address)
         connection = None
-        if lost or repeatable or self._trusted(monotonic()):
-            connection = self._idle.take_idle(row.address)
+        if repeatable or lost or self._trusted(monotonic()):
+            accepts = None if repeatable else self._carrier_is_heard
+            connection = self._idle.take_idle(row.address, accepts)
         if connection is None:
             connection = await self._open(row, lost)
         use = self._direct.get(connection)
@@ -193,6 +209,11 @@
         oldest = min((at for at in unanswered if at is not None), default=inf)
         return self.reachability.can_trust(oldest, now)
 
+    def _carrier_is_heard(self, connection: Connection) -> bool:
+        """Return whether a kept tunnel can be trusted with a request."""
+        host = connection.carrier
+        return host is None or self.carriers.heard_since(host, monotonic() - RECENT_S)
+
     async def _open(self, row: Endpoint, lost: bool) -> Connection:
         """Open a connection by the first way that succeeds.
 
@@ -209,10 +230,12 @@
         ways = (through_peer,) if lost else (direct, through_peer)
         try:
             connection = await first_success(
-                ways, DIRECT_HEAD_START_S, Connection.abort, _is_down
+                ways, DIRECT_HEAD_START_S, Connection.abort, _is_unreached
             )
         except TunnelRefused as refusal:
-            raise EndpointDown(str(refusal)) from refusal
+            if refusal.status == HTTPStatus.BAD_GATEWAY:
+                raise EndpointDown(str(refusal)) from refusal
+            raise ExchangeFailed(str(refusal), sent=False) from refusal
         except ExceptionGroup as failures:
             error = min(failures.exceptions, key=lambda e: isinstance(e, TunnelRefused))
             refused = isinstance(error.__cause__, ConnectionRefusedError)
@@ -260,6 +283,8 @@
                 self.carriers.note_refused(host, monotonic())
             raise
         self.statistics["tunnels_opened"] += 1
+        connection.observer = _Tunnel(self.carriers, host)
+        connection.observer.heard()
         return connection
 
     # lost and returned paths
@@ -383,12 +408,15 @@
             return
         self._next_check_at = now + CHECK_INTERVAL_S
         self._silent.clear()
-        # A second path shows whether more than one endpoint is concerned.
         others = {use.row.address for use in self._direct.values()} - silent
-        for address in [*list(silent)[:2], *others][:2]:
-            row = self.find_row(address)
-            if row is not None:
-                self._run(self.check(row))
+        rows = [self.find_row(address) for address in (*silent, *others)]
+        self._run(self._check_in_turn([row for row in rows if row is not None]))
+
+    async def _check_in_turn(self, rows: list[Endpoint]) -> None:
+        """Check paths until one is intact or this node is isolated."""
+        for row in rows:
+            if self.reachability.isolated or not await self.check(row):
+                return
 
     async def _probe(self, row: Endpoint) -> None:
         reached = await self._reach_directly(row)
@@ -444,9 +472,5 @@
         }
 
 
-def _is_down(error: Exception) -> bool:
-    return isinstance(error, TunnelRefused) and error.status == HTTPStatus.BAD_GATEWAY
-
-
 def _is_unreached(error: Exception) -> bool:
     return isinstance(error, TunnelRefused) and error.status in _UNREACHED
