Let a peer blame an endpoint only if it reaches another one of the service now

Cause: two nodes without a path to one service confirmed to each other that its engines refuse connections, since the peer had heard an endpoint of the other service, or of this one before the cut; coordinators then took the engines for gone for all nodes (2 and 3 such reports in 4 s). Change: after a refusal the peer must hear, or reach directly, another endpoint of the same service.

--- a/poplarrelay/entry/http/tunnels.py
+++ b/poplarrelay/entry/http/tunnels.py
@@ -243,6 +243,7 @@
         raise TunnelRefused(f"no tunnel: {error!r}", None) from error
     finally:
         if protocol is not None and connection.carrier is None:
+            protocol.opened.cancel()
             protocol.abort()
 
 
--- a/poplarrelay/entry/paths.py
+++ b/poplarrelay/entry/paths.py
@@ -14,7 +14,7 @@
 from typing import Any, TypeVar
 
 from poplarrelay.entry.carriers import Carriers
-from poplarrelay.entry.endpoints import Endpoint
+from poplarrelay.entry.endpoints import Endpoint, EndpointTable
 from poplarrelay.entry.http.connection import Connection, Headers
 from poplarrelay.entry.http.dialing import Address, Dialer
 from poplarrelay.entry.http.pool import ConnectionPool
@@ -35,20 +35,18 @@
 #: Seconds after which a further peer is asked, and timeout of one peer's tunnel.
 CARRIER_STAGGER_S, CARRIER_TIMEOUT_S = 0.1, 0.3
 #: Timeout in seconds of a connection that this node opens for a peer.
-CARRIED_CONNECT_S = 0.2
+CARRIED_CONNECT_S = 0.1
 #: Timeout in seconds of a direct connection that only checks the path, and seconds for
 #: which it must stay open.
 CHECK_TIMEOUT_S, SETTLE_S = 0.15, 0.02
 #: Seconds between two checks of paths that have been silent.
 CHECK_INTERVAL_S = 1.5
-#: Seconds without bytes of an endpoint in which this node's own view of other endpoints
-#: is no proof for a peer.
-PROOF_S = 0.3
 #: Statuses with which a peer with intact paths states that it does not reach the
 #: endpoint either.
 _UNREACHED = (HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT)
 
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
+ResultT = TypeVar("ResultT")
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,22 +119,22 @@
         Peers that can carry tunnels.
     policy : callable
         Returns the policy in force.
-    find_row : callable
-        Returns the listed endpoint at an address, None if there is none.
+    endpoints : EndpointTable
+        Table of endpoints.
     """
 
     dialer: Dialer
     carriers: Carriers
     policy: Callable[[], TunnelPolicy]
-    find_row: Callable[[Address], Endpoint | None]
+    endpoints: EndpointTable
     reachability: Reachability = field(default_factory=Reachability)
     statistics: Counter[str] = field(default_factory=Counter)
     _idle: ConnectionPool = field(
         default_factory=lambda: ConnectionPool(ENDPOINT_CONNECT_S)
     )
     _direct: dict[Connection, _DirectConnection] = field(default_factory=dict)
-    _checked: set[Address] = field(default_factory=set)
-    _looked_at: set[Address] = field(default_factory=set)
+    _checks: dict[Address, asyncio.Task[bool]] = field(default_factory=dict)
+    _second_looks: dict[Address, asyncio.Task[bool]] = field(default_factory=dict)
     _silent: set[Address] = field(default_factory=set)
     _next_check_at: float = -inf
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
@@ -165,7 +163,7 @@
         ExchangeFailed
             If no connection can be opened.
         """
-        lost = self.reachability.is_lost(row.address)
+        lost = self.is_lost(row)
         connection = None
         if repeatable or lost or self._trusted(monotonic()):
             accepts = None if repeatable else self._carrier_is_heard
@@ -181,13 +179,17 @@
     def release(self, row: Endpoint, connection: Connection, headers: Headers) -> None:
         """Keep a connection after a complete response if it can be reused."""
         tunnelled = connection.carrier is not None
-        if tunnelled is not self.reachability.is_lost(row.address):
+        if tunnelled is not self.is_lost(row):
             # The path was lost or has returned meanwhile.
             connection.abort()
         else:
             connection.expect_silence(False)
             self._idle.release(row.address, connection, headers)
 
+    def is_lost(self, row: Endpoint) -> bool:
+        """Return whether this node reaches an endpoint through peers only."""
+        return self.reachability.is_lost(row.address, monotonic())
+
     def abort_idle(self, address: Address) -> None:
         """Abort the idle connections to an address."""
         self._idle.forget(address)
@@ -309,7 +311,7 @@
         if not self.reachability.note_lost(row.address, now):
             return
         self.statistics["paths_lost"] += 1
-        isolated = self.reachability.isolated
+        isolated = self.reachability.isolated(now)
         extra = {"endpoint": row.endpoint, "service": row.service}
         _LOG.warning("path", extra={**extra, "state": "lost", "isolated": isolated})
         for use in list(self._direct.values()):
@@ -321,7 +323,7 @@
             quiet_since = use.connection.quiet_since
             if quiet_since is None:
                 self._idle.abort_idle(address, lambda each: each.carrier is None)
-            elif use.abandonable and now - quiet_since > QUIET_S:
+            elif isolated and use.abandonable and now - quiet_since > QUIET_S:
                 use.connection.abort("path lost")
 
     async def _reach_directly(self, row: Endpoint, keep: bool = False) -> bool:
@@ -340,49 +342,58 @@
 
     async def _look_again(self, row: Endpoint) -> bool:
         """Count a path as lost if it still fails after a peer has connected."""
-        since = monotonic()
-        if self.reachability.is_lost(row.address):
+        if self.is_lost(row):
             return True
-        if row.address in self._looked_at:
+        return await self._share(self._second_looks, row, self._fails_again)
+
+    async def _fails_again(self, row: Endpoint) -> bool:
+        since = monotonic()
+        if await self._reach_directly(row, keep=True):
             return False
-        self._looked_at.add(row.address)
-        try:
-            if await self._reach_directly(row, keep=True):
-                return False
-            self._lose(row, since)
-            return True
-        finally:
-            self._looked_at.discard(row.address)
+        self._lose(row, since)
+        return True
 
     async def check(self, row: Endpoint) -> bool:
         """Return whether this node's path to an endpoint is lost."""
-        if self.reachability.is_lost(row.address):
+        if self.is_lost(row):
             return True
-        if not self.policy().enabled or row.address in self._checked:
+        if not self.policy().enabled:
+            return False
+        return await self._share(self._checks, row, self._compare_with_peer)
+
+    async def _compare_with_peer(self, row: Endpoint) -> bool:
+        if await self._reach_directly(row, keep=True):
             return False
-        self._checked.add(row.address)
         try:
-            if await self._reach_directly(row, keep=True):
-                return False
-            try:
-                tunnel = await self._open_through_peer(row)
-            except TunnelRefused:
-                return False
-            lost = await self._look_again(row)
-            if lost:
-                self._idle.add_idle(row.address, tunnel)
-            else:
-                tunnel.abort()
-            return lost
-        finally:
-            self._checked.discard(row.address)
+            tunnel = await self._open_through_peer(row)
+        except TunnelRefused:
+            return False
+        lost = await self._look_again(row)
+        if lost:
+            self._idle.add_idle(row.address, tunnel)
+        else:
+            tunnel.abort()
+        return lost
+
+    async def _share(
+        self,
+        running: dict[Address, asyncio.Task[bool]],
+        row: Endpoint,
+        look: Callable[[Endpoint], Coroutine[Any, Any, bool]],
+    ) -> bool:
+        """Return the result of a look at a path, of the running one if there is one."""
+        task = running.get(row.address)
+        if task is None:
+            task = running[row.address] = self._run(look(row))
+            task.add_done_callback(lambda _: running.pop(row.address, None))
+        return await asyncio.shield(task)
 
     async def check_reset(self, row: Endpoint) -> bool:
         """Return whether the path, not the endpoint, has reset a connection."""
         if not self.policy().enabled:
             return False
         for address in self.reachability.note_reset(row.address, monotonic()):
-            other = self.find_row(address)
+            other = self.endpoints.at_address(address)
             if other is not None and address != row.address:
                 self._run(self.check(other))
         return await self.check(row)
@@ -393,7 +404,7 @@
             return
         self._check_silent(now)
         address = self.reachability.next_probe(now)
-        row = None if address is None else self.find_row(address)
+        row = None if address is None else self.endpoints.at_address(address)
         if row is not None:
             self._run(self._probe(row))
 
@@ -409,13 +420,14 @@
         self._next_check_at = now + CHECK_INTERVAL_S
         self._silent.clear()
         others = {use.row.address for use in self._direct.values()} - silent
-        rows = [self.find_row(address) for address in (*silent, *others)]
+        rows = [self.endpoints.at_address(each) for each in (*silent, *others)]
         self._run(self._check_in_turn([row for row in rows if row is not None]))
 
     async def _check_in_turn(self, rows: list[Endpoint]) -> None:
         """Check paths until one is intact or this node is isolated."""
         for row in rows:
-            if self.reachability.isolated or not await self.check(row):
+            isolated = self.reachability.isolated(monotonic())
+            if isolated or not await self.check(row):
                 return
 
     async def _probe(self, row: Endpoint) -> None:
@@ -423,15 +435,16 @@
         restored = self.reachability.note_probe(row.address, reached, monotonic())
         for address in restored:
             self._idle.abort_idle(address, lambda each: each.carrier is not None)
-            found = self.find_row(address)
+            found = self.endpoints.at_address(address)
             if found is not None:
                 extra = {"endpoint": found.endpoint, "service": found.service}
                 _LOG.info("path", extra={**extra, "state": "direct"})
 
-    def _run(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+    def _run(self, coroutine: Coroutine[Any, Any, ResultT]) -> asyncio.Task[ResultT]:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     # tunnels of peers
 
@@ -444,16 +457,17 @@
         ------
         TunnelRefused
             If this node does not reach the endpoint. The status blames the endpoint
-            only if this node has just heard of another one.
+            only if this node reaches another one of the same service now.
         """
-        if self.reachability.is_lost(row.address):
+        if self.is_lost(row):
             raise TunnelRefused("path lost", HTTPStatus.SERVICE_UNAVAILABLE)
+        since = monotonic()
         try:
             async with asyncio.timeout(CARRIED_CONNECT_S):
                 protocol = await self.dialer.connect(make_protocol, row.address)
         except (OSError, TimeoutError) as error:
             status = HTTPStatus.SERVICE_UNAVAILABLE
-            if monotonic() - self.reachability.heard_at <= PROOF_S:
+            if await self._reaches_another(row, since):
                 status = HTTPStatus.GATEWAY_TIMEOUT
                 if isinstance(error, ConnectionRefusedError):
                     status = HTTPStatus.BAD_GATEWAY
@@ -461,6 +475,21 @@
         self.reachability.note_heard(row.address, monotonic())
         return protocol
 
+    async def _reaches_another(self, row: Endpoint, since: float) -> bool:
+        """Return whether this node reaches another endpoint of a service.
+
+        Parameters
+        ----------
+        row : Endpoint
+            The endpoint that is not reached.
+        since : float
+            Monotonic time before which bytes of others prove nothing.
+        """
+        others = [r for r in self.endpoints.accepting(row.service) if r is not row]
+        if any(self.reachability.heard_since(r.address, since) for r in others):
+            return True
+        return bool(others) and await self._reach_directly(others[0], keep=True)
+
     def gauges(self) -> dict[str, float]:
         """Return the counters by the names of the metrics."""
         names = ("tunnels_opened", "tunnels_failed", "paths_lost")
@@ -468,7 +497,7 @@
             "endpoint_connections_opened": float(self.statistics["direct_opened"]),
             **{name: float(self.statistics[name]) for name in names},
             "paths_lost_now": float(len(self.reachability.lost)),
-            "isolated": float(self.reachability.isolated),
+            "isolated": float(self.reachability.isolated(monotonic())),
         }
 
 
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -135,7 +135,7 @@
                 self._rng,
             ),
             self._tunnel_policy,
-            self._state.endpoints.at_address,
+            self._state.endpoints,
         )
         self._tunnels = TunnelListener(self._open_for_peer, self._is_path_lost)
         self._endpoints_dependency = DependencyLog("store: endpoints")
--- a/poplarrelay/entry/reachability.py
+++ b/poplarrelay/entry/reachability.py
@@ -89,16 +89,17 @@
         """Return the addresses of the endpoints with lost paths."""
         return [address for address, record in self._records.items() if record.lost]
 
-    @property
-    def isolated(self) -> bool:
+    def isolated(self, now: float) -> bool:
         """Return whether this node seems to reach no endpoint at all."""
         lost_at = [record.lost_at for record in self._records.values() if record.lost]
-        return len(lost_at) >= ISOLATED_PATHS and self.heard_at < min(lost_at)
+        if len(lost_at) < ISOLATED_PATHS or now - self.heard_at <= QUIET_S:
+            return False
+        return self.heard_at < min(lost_at)
 
-    def is_lost(self, address: Address) -> bool:
+    def is_lost(self, address: Address, now: float) -> bool:
         """Return whether connections to an endpoint must start at a peer."""
         record = self._records.get(address)
-        return (record is not None and record.lost) or self.isolated
+        return (record is not None and record.lost) or self.isolated(now)
 
     def heard_since(self, address: Address, since: float) -> bool:
         """Return whether the endpoint has sent bytes on a direct connection since."""
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -417,7 +417,7 @@
         finally:
             row.prefill_tokens -= queued_tokens
             self._state.rollouts.remove_stream(row, id(attempt))
-            path_lost = self._paths.reachability.is_lost(row.address)
+            path_lost = self._paths.is_lost(row)
             if context.remaining_s <= 0 and not path_lost:
                 note_deadline(self._state.rollouts, context.route, row)
             if attempt.sent:
@@ -475,14 +475,14 @@
             return False
         if isinstance(result, NotRun):
             unsent = not result.arrived and not result.gone
-            return unsent and self._paths.reachability.is_lost(row.address)
+            return unsent and self._paths.is_lost(row)
         if attempt.carrier is not None:
             if not result.closed:
                 self._paths.carriers.note_refused(attempt.carrier, monotonic())
             return not result.closed
         if result.closed and not row.departing:
             return await self._paths.check_reset(row)
-        return self._paths.reachability.is_lost(row.address)
+        return self._paths.is_lost(row)
 
     def _note_first_event(
         self, context: RequestContext, choice: Choice, took_s: float
--- a/poplarrelay/entry/tests/test_lost_paths.py
+++ b/poplarrelay/entry/tests/test_lost_paths.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import logging
 from time import monotonic
 
 import pytest
 
-from poplarrelay.testing.entry_site import run_entry_site, run_scenario
+from poplarrelay.testing.entry_site import STREAMS, run_entry_site, run_scenario
 from poplarrelay.testing.links import PathFault
 from poplarrelay.testing.path_faults import (
     KINDS,
@@ -23,12 +24,13 @@
 FAULTS = [fault for fault in PathFault if fault is not PathFault.NONE]
 
 
-def refuse_endpoints(dialer):
-    """Refuse a node's connections to endpoints, but not those to its peers."""
+def refuse_endpoints(dialer, addresses=None):
+    """Refuse a node's connections to endpoints, by default all, not those to peers."""
     connect = dialer.connect
 
     async def connect_to_peers(make_protocol, address):
-        if address[0] == "127.0.0.1":
+        name = f"{address[0]}:{address[1]}"
+        if name in addresses if addresses else address[0] == "127.0.0.1":
             raise ConnectionRefusedError(111, "Connect call failed")
         return await connect(make_protocol, address)
 
@@ -75,3 +77,25 @@
                 assert served_share(requests, "bc", kind) > 0.9
 
     run_scenario(scenario)
+
+
+def test_endpoint_is_not_gone_because_two_nodes_have_lost_their_paths(caplog):
+    # Guards against a peer without a path of its own that confirms an endpoint's end.
+    caplog.set_level(logging.INFO, "poplarrelay.entry.survey")
+
+    async def scenario():
+        async with run_entry_site(nodes=4, use_links=True) as site:
+            names = await add_endpoints(site)
+            await send_requests(site, "abcd", 1.0, 20)
+            engines = [name for name in names if name.startswith(STREAMS)]
+            for node in "ab":
+                addresses = {site.links[name].address for name in engines}
+                refuse_endpoints(site.nodes[node]._dialer, addresses)
+            site.set_paths("ab", PathFault.RESET, engines)
+            requests = await send_requests(site, "abcd", 4.0, 20)
+            gone = [r for r in caplog.records if r.message == "engine reported gone"]
+            assert gone == []
+            assert served_share(requests, "cd") > 0.95
+            assert served_share(requests, "ab") > 0.8
+
+    run_scenario(scenario)
--- a/poplarrelay/entry/tests/test_reachability.py
+++ b/poplarrelay/entry/tests/test_reachability.py
@@ -23,8 +23,8 @@
     def test_one_lost_path_concerns_one_endpoint(self):
         paths = Reachability()
         paths.note_lost(A, 10.0)
-        assert paths.is_lost(A)
-        assert not paths.is_lost(B)
+        assert paths.is_lost(A, 10.0)
+        assert not paths.is_lost(B, 10.0)
 
     def test_node_without_direct_bytes_and_two_lost_paths_is_isolated(self):
         # Guards against a slow first connection to each endpoint in turn.
@@ -32,10 +32,18 @@
         paths.note_heard(C, 9.0)
         paths.note_lost(A, 10.0)
         paths.note_lost(B, 10.1)
-        assert paths.is_lost(C)
+        assert paths.is_lost(C, 10.1)
         paths.note_heard(C, 10.2)
-        assert not paths.is_lost(C)
-        assert paths.is_lost(A)
+        assert not paths.is_lost(C, 10.3)
+        assert paths.is_lost(A, 10.3)
+
+    def test_node_that_has_just_heard_an_endpoint_is_not_isolated(self):
+        # Guards against open streams that end as only new connections are refused.
+        paths = Reachability()
+        paths.note_heard(C, 9.99)
+        paths.note_lost(A, 10.0)
+        paths.note_lost(B, 10.0)
+        assert not paths.is_lost(C, 10.0)
 
     @pytest.mark.parametrize(
         ("heard_at", "unanswered_at", "trusted"),
--- a/poplarrelay/testing/path_faults.py
+++ b/poplarrelay/testing/path_faults.py
@@ -12,8 +12,8 @@
 
 __all__ = ["KINDS", "Sent", "add_endpoints", "send_requests", "served_share"]
 
-#: Paths of an idempotent call, a call that must not be repeated, a stream that can be
-#: resumed, and a stream that cannot.
+#: Paths of an idempotent call, a call that must not be repeated, a prompt whose stream
+#: can be resumed, and one whose stream cannot.
 KINDS = ("/look/x", "/book/x", "/draft/x", "/brief/x")
 
 
@@ -43,8 +43,11 @@
 async def _send(site: EntrySite, node: str, kind: str) -> Sent:
     at = monotonic()
     status: int | None
+    headers = {"X_Poplarrelay_Deadline_Ms": "1500"}
+    if kind in KINDS[2:]:
+        headers["X_Poplarrelay_Token_Usage"] = "100,10"
     try:
-        status = (await site.call(kind, node, X_Poplarrelay_Deadline_Ms="1500")).status
+        status = (await site.call(kind, node, b"", **headers)).status
     except (ExchangeFailed, TimeoutError):
         status = None
     return Sent(node, kind, at, monotonic() - at, status)
