--- a/poplarrelay/entry/tests/test_lost_paths.py
+++ b/poplarrelay/entry/tests/test_lost_paths.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from time import monotonic
 
@@ -99,3 +100,21 @@
             assert served_share(requests, "ab") > 0.8
 
     run_scenario(scenario)
+
+
+def test_one_unanswered_request_shows_that_a_node_is_cut_off():
+    # Guards against cuts that are found only by the next requests that fail.
+    async def scenario():
+        async with run_entry_site(nodes=3, use_links=True) as site:
+            await add_endpoints(site)
+            await send_requests(site, "abc", 1.5, 20)
+            site.set_paths("a", PathFault.SILENT)
+            connection = await site.open("/book/x", "a")
+            reachability = site.nodes["a"]._paths.reachability
+            async with asyncio.timeout(1.5):
+                while not reachability.isolated(monotonic()):
+                    await asyncio.sleep(0.01)
+            assert (await site.call("/book/x", "a")).status == 200
+            connection.abort()
+
+    run_scenario(scenario)
