--- a/bench/path_safeguards.py
+++ b/bench/path_safeguards.py
@@ -90,7 +90,7 @@
     Safeguard(
         "a rejection lowers what a brittle endpoint gets",
         f"{ENTRY}/scheduling/slot_ledger.py",
-        "        if self.survives_per_s is None or self._room is None:\n",
+        "        if self.survives_per_s is None or self.room is None:\n",
         "        if True:\n",
         "test_brittleness.py",
     ),
--- a/poplarrelay/entry/http/tunnels.py
+++ b/poplarrelay/entry/http/tunnels.py
@@ -158,6 +158,8 @@
     def _refuse(self, problem: str, status: int | None) -> None:
         if not self.opened.done():
             self.opened.set_exception(TunnelRefused(problem, status))
+            # Nobody waits for it if the attempt was cancelled; asyncio would log that.
+            self.opened.exception()
         self.abort()
 
     def _read_frames(self, data: bytes) -> None:
@@ -197,8 +199,7 @@
 
         An error that is no `ConnectionError` shows this to `Connection`.
         """
-        if not self.opened.done():
-            self.opened.set_exception(TunnelRefused(f"peer closed: {exc!r}", None))
+        self._refuse(f"peer closed: {exc!r}", None)
         if self._open and not self._ended:
             self._connection.connection_lost(OSError(f"tunnel broke: {exc!r}"))
 
