Remove a parameter and a counter of the connection pool that nothing uses any more

Cause: EndpointPaths opens and counts the connections to endpoints, so the pool's dialer and its count of opened connections were dead; the pruning left an empty list for each address that was ever used. Behaviour is the same.

--- a/poplarrelay/entry/http/pool.py
+++ b/poplarrelay/entry/http/pool.py
@@ -11,7 +11,7 @@
     Headers,
     fetch,
 )
-from poplarrelay.entry.http.dialing import Address, Dialer
+from poplarrelay.entry.http.dialing import Address
 
 __all__ = ["Address", "ConnectionPool", "JsonClient"]
 
@@ -26,20 +26,11 @@
     ----------
     connect_timeout_s : float
         Timeout of a new connection in seconds.
-    dialer : Dialer or None
-        Opens the connections.
     """
 
-    def __init__(self, connect_timeout_s: float, dialer: Dialer | None = None) -> None:
+    def __init__(self, connect_timeout_s: float) -> None:
         self._connect_timeout_s = connect_timeout_s
-        self._dialer = dialer
         self._idle: dict[Address, list[Connection]] = {}
-        self._opened = 0
-
-    @property
-    def opened(self) -> int:
-        """Return the number of connections opened so far."""
-        return self._opened
 
     def take_idle(
         self, address: Address, accepts: Callable[[Connection], bool] | None = None
@@ -73,8 +64,7 @@
         connection = self.take_idle(address)
         if connection is not None:
             return connection
-        self._opened += 1
-        return await Connection.open(*address, self._connect_timeout_s, self._dialer)
+        return await Connection.open(*address, self._connect_timeout_s)
 
     def release(
         self, address: Address, connection: Connection, headers: Headers
@@ -99,9 +89,10 @@
         self, address: Address, applies: Callable[[Connection], bool]
     ) -> None:
         """Abort the idle connections to an address to which a condition applies."""
-        idle = self._idle.get(address, [])
+        idle = self._idle.pop(address, [])
         ended = [each for each in idle if applies(each)]
-        self._idle[address] = [each for each in idle if each not in ended]
+        if len(ended) < len(idle):
+            self._idle[address] = [each for each in idle if each not in ended]
         for connection in ended:
             connection.abort()
 
