Log the version that began a stream, and the try that a resumed stream names

Change: the Resumes header is decoded (and forwarded as before), and attempt lines have resumes and stream_version. No decision uses them yet.

--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -31,7 +31,7 @@
 from poplarrelay.entry.rate_limits import StatedLimit
 from poplarrelay.entry.requests import CallerRequest
 from poplarrelay.exception import EndpointDown, ExchangeFailed
-from poplarrelay.identifiers import TeamId
+from poplarrelay.identifiers import SoftwareVersion, TeamId
 from poplarrelay.platform.headers import (
     AttemptHeaders,
     attempt_headers,
@@ -88,11 +88,14 @@
     last_id : bytes or None
         Id of the last forwarded event, or the id after which the caller asked to
         resume.
+    version : SoftwareVersion or None
+        Version of the endpoint that sent the first event, None before that.
     """
 
     last_id: bytes | None
     forwarded_bytes: int = 0
     first_event_at: float | None = None
+    version: SoftwareVersion | None = None
 
 
 @dataclass(slots=True)
@@ -128,6 +131,7 @@
     _moved: bool = False
     _reused: bool = False
     _carrier: str | None = None
+    _version: SoftwareVersion | None = None
 
     @property
     def sent_at(self) -> float:
@@ -252,6 +256,7 @@
             self.request.method, self.request.target, headers, self.request.body
         )
         self._sent_at = monotonic()
+        self._version = plan.endpoint.version
         self._reused = self._connection.request_count > 1
 
     async def _collect(self, head: ResponseHead) -> AttemptResult:
@@ -310,6 +315,7 @@
     ) -> None:
         if self.progress.first_event_at is None:
             self.progress.first_event_at = monotonic()
+            self.progress.version = self._version
             self.on_started(self.progress.first_event_at - self._sent_at)
         self._start(head)
         if last_id is not None:
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -442,6 +442,8 @@
                 "endpoint": row.endpoint,
                 "service": context.service,
                 "version": row.version,
+                "stream_version": context.progress.version,
+                "resumes": context.request.resumes,
                 "reason": choice.reason,
                 "prompt_tokens": context.request.prompt_tokens,
                 "unread_tokens": choice.unread_tokens,
--- a/poplarrelay/entry/requests.py
+++ b/poplarrelay/entry/requests.py
@@ -61,6 +61,8 @@
         The prompt's parts in order; other requests do not share the last one.
     last_event_id : bytes or None
         Id of the event after which the caller resumes a stream.
+    resumes : RequestId or None
+        Id of the try that brought the first event of the resumed stream.
     """
 
     request: RequestId
@@ -79,6 +81,7 @@
     max_output_tokens: int | None = None
     prefix: tuple[PromptPart, ...] = field(default=())
     last_event_id: bytes | None = None
+    resumes: RequestId | None = None
 
     @property
     def tokens(self) -> int:
--- a/poplarrelay/platform/headers.py
+++ b/poplarrelay/platform/headers.py
@@ -41,6 +41,8 @@
 _USAGE = b"x-poplarrelay-token-usage"
 _PREFIX = b"x-poplarrelay-prefix-hash"
 _LAST_EVENT = b"Last-Event-Id"
+#: Id of the caller's try that brought the first event of a resumed stream.
+_RESUMES = b"resumes"
 #: Number of requests per second that an endpoint accepts from all nodes together.
 _LIMIT = b"server-limit"
 #: Number of rejections in a second, over the requests of all nodes, that an endpoint
@@ -52,6 +54,8 @@
 #: Longest pause in seconds that an endpoint can ask for. Without a limit, one corrupt
 #: value would exclude the endpoint until its next run.
 MAX_BACKOFF_S = 3600.0
+#: Longest id of a try that a resumed stream can name.
+MAX_REQUEST_ID_BYTES = 256
 #: Address of an endpoint from which the engine first fetches the prompt's KV cache.
 _FETCH_FROM = b"Kv-Fetch"
 
@@ -164,6 +168,14 @@
     return name if name and port.isdigit() else host
 
 
+def _resumed_request(value: bytes | None) -> RequestId | None:
+    """Return the id of the try that began a resumed stream, None if not stated."""
+    request = (value or b"").strip()
+    if not request or len(request) > MAX_REQUEST_ID_BYTES:
+        return None
+    return RequestId(request.decode("latin-1"))
+
+
 def decode_request(incoming: IncomingRequest) -> CallerRequest:
     """Decode a caller's HTTP request."""
     headers = incoming.headers
@@ -195,6 +207,7 @@
         max_output_tokens=max_output_tokens,
         prefix=_prefix(header_value(headers, _PREFIX)),
         last_event_id=header_value(headers, _LAST_EVENT.lower()),
+        resumes=_resumed_request(header_value(headers, _RESUMES)),
     )
 
 
