--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -178,6 +179,8 @@
         Monotonic times at which it fell over.
     on_fall : callable or None
         Called after a fall.
+    event_counts : Counter of str
+        Events sent, by the id of the try that began the stream.
     """
 
     endpoint: str
@@ -205,6 +208,7 @@
     rejected_at: list[float] = field(default_factory=list)
     falls: list[float] = field(default_factory=list)
     on_fall: Callable[[], None] | None = None
+    event_counts: Counter[str] = field(default_factory=Counter)
     _waiting: int = 0
     _server: asyncio.Server | None = None
     _port: int = 0
@@ -503,6 +507,7 @@
                     writer.transport.abort()
                     return False
                 writer.write(http.send(h11.Data(data=event)))
+                self.event_counts[headers.get("resumes", attempt)] += 1
                 await writer.drain()
         finally:
             self.active_streams -= 1
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -483,6 +483,14 @@
         for name in endpoints or self.runners:
             self.links[name].set_path(hosts, fault)
 
+    def stream_versions(self, stream: str) -> set[str]:
+        """Return the versions of the endpoints that have sent events of a stream."""
+        return {
+            self._versions[name]
+            for name, runner in self.runners.items()
+            if runner.event_counts[stream]
+        }
+
     def unlist_runner(self, name: str) -> None:
         """Remove an endpoint's record."""
         self.store.put_raw("keyed.servers", bytes([len(name)]) + name.encode())
