--- a/poplarrelay/entry/resumption.py
+++ b/poplarrelay/entry/resumption.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import asyncio
-import zlib
+import hashlib
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -140,9 +140,7 @@
         """Return the hosts of the peers that rendezvous hashing picks for a stream."""
         nodes = self.nodes()
         others = [node for node, host in nodes.items() if host != self.own_host]
-        picked = nlargest(
-            count, others, key=lambda node: (zlib.crc32(f"{node}|{key}".encode()), node)
-        )
+        picked = nlargest(count, others, key=lambda node: _weight(node, key))
         return [nodes[node] for node in picked]
 
     async def record(self, key: StreamKey, origin: StreamOrigin) -> None:
@@ -313,14 +311,20 @@
         self, host: str, key: StreamKey, covered_s: float, versions: list[str]
     ) -> None:
         known = {SoftwareVersion(_text(version)) for version in versions}
+        covered = float(covered_s)
         for lookup in self._lookups.get(key, ()):
             lookup.versions |= known
-            lookup.covered_s = max(lookup.covered_s, float(covered_s))
+            lookup.covered_s = max(lookup.covered_s, covered)
             lookup.unanswered.discard(host)
             if not lookup.unanswered:
                 lookup.done.set()
 
 
+def _weight(node: NodeId, key: StreamKey) -> bytes:
+    # A CRC is linear: the nodes that it picks for different streams are related.
+    return hashlib.blake2b(f"{node}|{key}".encode(), digest_size=8).digest()
+
+
 def _origin(service: Any, version: Any) -> StreamOrigin:
     return StreamOrigin(ServiceName(_text(service)), SoftwareVersion(_text(version)))
 
