--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -150,6 +150,11 @@
         """Return the seconds since the request was sent."""
         return monotonic() - self._sent_at
 
+    @property
+    def events(self) -> int:
+        """Return the number of complete events that the endpoint has sent."""
+        return self._events
+
     @property
     def event_interval_s(self) -> float | None:
         """Return the mean seconds between two events, None for less than two."""
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -464,7 +464,7 @@
         path_failed = await self._path_failed(row, attempt, result)
         if not path_failed:
             self._update_health(context, row, result)
-            self._note_crash_or_answer(context, row, result)
+            self._note_crash_or_answer(context, row, attempt, result)
         if not path_failed:
             note_attempt(self._state, context.route, row, attempt, result)
         _LOG.info(
@@ -549,7 +549,11 @@
         self._state.departures.add(rows, monotonic())
 
     def _note_crash_or_answer(
-        self, context: RequestContext, row: Endpoint, result: AttemptResult
+        self,
+        context: RequestContext,
+        row: Endpoint,
+        attempt: Attempt,
+        result: AttemptResult,
     ) -> None:
         """Record a crash of the endpoint, or its complete answer."""
         crashes, now = self._state.crashes, monotonic()
@@ -571,6 +575,8 @@
                 "fingerprint": fingerprint,
                 "endpoint": row.endpoint,
                 "service": context.service,
+                "shared_parts": [part.part for part in context.request.prefix[:-1]],
+                "events": attempt.events,
                 "crashes": crash_count,
             },
         )
