--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -45,6 +47,8 @@
     NO_LENGTH
         Send a response without a length, so that the end of the connection ends the
         body.
+    RESET_UNFRAMED
+        Reset the connection in the middle of a body without a length.
     """
 
     SHED = "shed"
@@ -56,6 +60,7 @@
     WRONG_ATTEMPT_ID = "stray"
     INVALID_BYTES = "noise"
     NO_LENGTH = "unframed"
+    RESET_UNFRAMED = "reset unframed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +160,11 @@
         refuses all requests.
     crash_bodies : set of bytes
         Request bodies that crash the endpoint when the request starts to run.
+    crash_parts : set of str
+        Ids of prompt parts that crash the endpoint when it begins to write the answer.
+    framed : bool
+        Whether answers and streams have a length or are chunked. Others end with their
+        connection.
     on_crash : callable or None
         Called after the first such crash.
     bad_version : BadVersion or None
@@ -197,6 +207,8 @@
     leaving: bool = False
     pause: str | None = None
     crash_bodies: set[bytes] = field(default_factory=set)
+    crash_parts: set[str] = field(default_factory=set)
+    framed: bool = True
     on_crash: Callable[[], None] | None = None
     bad_version: BadVersion | None = None
     bad_answers: list[float] = field(default_factory=list)
@@ -312,6 +324,10 @@
         if body in self.crash_bodies:
             self._crash(http, writer, attempt)
             return False
+        if self.crash_parts & _parts(headers):
+            await asyncio.sleep(self.pause_s)
+            self._crash(http, writer, attempt)
+            return False
         bad = self._bad_version(head.target.decode())
         if bad is not None and self._fails(bad):
             fault = Fault.ERROR
@@ -404,6 +420,13 @@
             return [*headers, ("X-Poplarrelay-Not-Executed", "1")]
         return [*headers, ("X-Poplarrelay-Response-Signature", f"sig-{self.endpoint}")]
 
+    def _write_unframed_head(
+        self, writer: asyncio.StreamWriter, headers: list[tuple[str, str]]
+    ) -> None:
+        """Write the head of an answer that ends with its connection."""
+        lines = [f"{name}: {value}\r\n" for name, value in headers]
+        writer.write(f"HTTP/1.1 200 OK\r\n{''.join(lines)}\r\n".encode())
+
     def _answer(
         self,
         http: h11.Connection,
@@ -413,6 +436,10 @@
         body: bytes,
         refused: bool = False,
     ) -> bool:
+        if not self.framed and status == 200:
+            self._write_unframed_head(writer, self._response_headers(attempt))
+            writer.write(body)
+            return False
         headers = self._response_headers(
             attempt, ("Content-Length", str(len(body))), refused=refused
         )
@@ -429,12 +456,7 @@
     ) -> None:
         """Close all connections and stop; a stream gets its response head first."""
         if self.events:
-            extra_headers = ("Content-Type", "text/event-stream")
-            headers = self._response_headers(
-                attempt, extra_headers, ("Transfer-Encoding", "chunked")
-            )
-            head = h11.Response(status_code=200, headers=headers)
-            writer.write(http.send(head) or b"")
+            self._begin_stream(http, writer, attempt)
         for open_writer in list(self._writers):
             open_writer.close()
         self.stop()
@@ -469,9 +491,12 @@
         elif fault is Fault.TRUNCATED:
             raw = f"HTTP/1.1 200 OK\r\nX-Poplarrelay-Attempt-Id: {attempt}\r\n"
             writer.write(f"{raw}Content-Length: 500\r\n\r\nhalf".encode())
-        elif fault is Fault.NO_LENGTH:
+        elif fault in (Fault.NO_LENGTH, Fault.RESET_UNFRAMED):
             raw = f"HTTP/1.1 200 OK\r\nX-Poplarrelay-Attempt-Id: {attempt}\r\n\r\n"
-            writer.write(raw.encode() + body)
+            if fault is Fault.NO_LENGTH:
+                writer.write(raw.encode() + body)
+            else:
+                await _write_and_reset(writer, raw.encode() + body[: len(body) // 2])
         return False
 
     async def _stream(
@@ -484,14 +509,7 @@
         pause_s: float,
     ) -> bool:
         first = int(headers.get("last-event-id", "0")) + 1
-        extra_headers = (
-            ("Content-Type", "text/event-stream"),
-            ("Transfer-Encoding", "chunked"),
-        )
-        head = h11.Response(
-            status_code=200, headers=self._response_headers(attempt, *extra_headers)
-        )
-        writer.write(http.send(head) or b"")
+        send = self._begin_stream(http, writer, attempt)
         disconnected = asyncio.ensure_future(reader.read(1))
         self.active_streams += 1
         try:
@@ -502,16 +520,50 @@
                     return False
                 event = self.event_of(number)
                 if self.break_after == number:
-                    writer.write(http.send(h11.Data(data=event[: len(event) // 2])))
+                    send(event[: len(event) // 2])
                     await writer.drain()
-                    writer.transport.abort()
+                    if self.framed:
+                        writer.transport.abort()
                     return False
-                writer.write(http.send(h11.Data(data=event)))
+                send(event)
                 self.event_counts[headers.get("resumes", attempt)] += 1
                 await writer.drain()
         finally:
             self.active_streams -= 1
             disconnected.cancel()
-        writer.write(http.send(h11.EndOfMessage()))
+        if self.framed:
+            writer.write(http.send(h11.EndOfMessage()) or b"")
         await writer.drain()
         return False
+
+    def _begin_stream(
+        self, http: h11.Connection, writer: asyncio.StreamWriter, attempt: str
+    ) -> Callable[[bytes], None]:
+        """Write the head of a stream, and return a function that writes its data."""
+        content_type = ("Content-Type", "text/event-stream")
+        if not self.framed:
+            headers = self._response_headers(attempt, content_type)
+            self._write_unframed_head(writer, headers)
+            return writer.write
+        encoding = ("Transfer-Encoding", "chunked")
+        headers = self._response_headers(attempt, content_type, encoding)
+        head = h11.Response(status_code=200, headers=headers)
+        writer.write(http.send(head) or b"")
+        return lambda data: writer.write(http.send(h11.Data(data=data)) or b"")
+
+
+def _parts(headers: dict[str, str]) -> set[str]:
+    """Return the ids of the parts of a prompt that other requests can share."""
+    entries = headers.get("x-poplarrelay-prefix-hash", "").split(",")
+    return {entry.strip().partition(":")[0] for entry in entries[:-1]}
+
+
+async def _write_and_reset(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write data, and reset the connection once it can have been read."""
+    writer.write(data)
+    await writer.drain()
+    await asyncio.sleep(QUEUE_POLL_S)
+    connected = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -391,13 +391,17 @@
         return restarted
 
     def crash_on(self, name: str, service: str, body: bytes, recovery_s: float) -> None:
-        """Make an endpoint crash on requests with the given body, and then restart.
+        """Make an endpoint crash on requests with the given body, and then restart."""
+        self.runners[name].crash_bodies = {body}
+        self.restart_after_crash(name, service, recovery_s)
 
-        Each run has the same address and a new id. `recovery_s` is the time in seconds
-        between a crash and the next run.
+    def restart_after_crash(self, name: str, service: str, recovery_s: float) -> None:
+        """Start the next run of an endpoint some seconds after each of its crashes.
+
+        Each run has the same address, a new id and the same causes of crashes.
+        `recovery_s` is the time in seconds between a crash and the next run.
         """
         runner = self.runners[name]
-        runner.crash_bodies = {body}
         port = int(runner.address.rsplit(":", 1)[1])
 
         async def recover() -> None:
@@ -410,8 +414,11 @@
                 port=port,
                 events=runner.events,
                 pause_s=runner.pause_s,
+                crash_bodies=runner.crash_bodies,
+                crash_parts=runner.crash_parts,
+                framed=runner.framed,
             )
-            self.crash_on(next_name, service, body, recovery_s)
+            self.restart_after_crash(next_name, service, recovery_s)
 
         def start_recovery() -> None:
             self._recoveries.append(asyncio.create_task(recover()))
