Pass resets on through the tests' links

The product's tunnels mark resets, so only the tests' proxy was at fault. Change: the link resets the other side; the test of such answers also runs behind links.

--- a/poplarrelay/entry/tests/test_unframed_answers.py
+++ b/poplarrelay/entry/tests/test_unframed_answers.py
@@ -22,10 +22,11 @@
     run_scenario(scenario)
 
 
-def test_reset_answer_without_a_length_is_not_passed_on():
+@pytest.mark.parametrize("use_links", [False, True])
+def test_reset_answer_without_a_length_is_not_passed_on(use_links):
     # Guards against a part of an answer that looks whole.
     async def scenario():
-        async with run_entry_site() as site:
+        async with run_entry_site(use_links=use_links) as site:
             runner = await site.add_runner("r1", CALLS, framed=False)
             await site.ready(endpoints=1)
             runner.faults.append(Fault.RESET_UNFRAMED)
--- a/poplarrelay/testing/links.py
+++ b/poplarrelay/testing/links.py
@@ -192,7 +192,12 @@
                         # TCP loses no bytes in the middle of a stream.
                         time.sleep(_POLL_S)
                         continue
-                    content = source.recv(_READ_BYTES)
+                    try:
+                        content = source.recv(_READ_BYTES)
+                    except ConnectionResetError:
+                        # The end of a connection can be the end of an answer.
+                        _reset_on_close(key.data)
+                        raise
                     if not content:
                         return
                     if not self._delay_or_drop(response):
