Let the soak serve streams by two versions, with callers that take them up

Two versions serve side by side without an order, and one of them leaves; four callers take up each broken stream at other nodes, up to four tries. New invariant: a stream has each event once, in order, of one version. Events carry the version's label. Older seeds keep their kinds.

--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -189,6 +189,8 @@
         Monotonic times at which it fell over.
     on_fall : callable or None
         Called after a fall.
+    label : str
+        Text at the end of each event, to tell versions apart.
     event_counts : Counter of str
         Events sent, by the id of the try that began the stream.
     """
@@ -220,6 +222,7 @@
     rejected_at: list[float] = field(default_factory=list)
     falls: list[float] = field(default_factory=list)
     on_fall: Callable[[], None] | None = None
+    label: str = ""
     event_counts: Counter[str] = field(default_factory=Counter)
     _waiting: int = 0
     _server: asyncio.Server | None = None
@@ -394,8 +397,8 @@
         return f"answer to {attempt} by {self.endpoint}".encode()
 
     def event_of(self, number: int) -> bytes:
-        """Return an event of a stream; it is the same at every endpoint."""
-        return f"id: {number}\ndata: token {number}\n\n".encode()
+        """Return an event of a stream; it is the same at every endpoint of a label."""
+        return f"id: {number}\ndata: token {number}{self.label}\n\n".encode()
 
     def _response_headers(
         self, attempt: str, *extra_headers: tuple[str, str], refused: bool = False
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -383,7 +383,11 @@
         port = int(previous.address.rsplit(":", 1)[1])
         previous.stop()
         restarted = RunnerStandIn(
-            name, previous.host, events=previous.events, pause_s=previous.pause_s
+            name,
+            previous.host,
+            events=previous.events,
+            pause_s=previous.pause_s,
+            label=previous.label,
         )
         await restarted.start(port)
         self.runners[name] = restarted
--- a/poplarrelay/testing/resuming_callers.py
+++ b/poplarrelay/testing/resuming_callers.py
@@ -46,7 +46,9 @@
     took_s: list[float] = field(default_factory=list)
     complete: bool = False
 
-    async def ask(self, node: str, attempt: str, **headers: str) -> None:
+    async def ask(
+        self, node: str, attempt: str, body: bytes = b"", **headers: str
+    ) -> None:
         """Ask a node for the stream, or for what follows the last event."""
         if self.last_id is not None:
             headers.setdefault("Last_Event_Id", self.last_id.decode())
@@ -57,7 +59,7 @@
         self.statuses.append(0)
         try:
             connection = await self.site.open(
-                self.path, node, b"", X_Poplarrelay_Attempt_Id=attempt, **headers
+                self.path, node, body, X_Poplarrelay_Attempt_Id=attempt, **headers
             )
         except (ExchangeFailed, OSError):
             return
--- a/poplarrelay/testing/soak/ledger.py
+++ b/poplarrelay/testing/soak/ledger.py
@@ -24,6 +24,7 @@
     "check_duties",
     "check_notices",
     "check_requests",
+    "check_stream",
     "count_endings",
 ]
 
@@ -50,6 +51,7 @@
     ONE_HOLDER = "a fencing token has one holder"
     LEFT_ALONE = "an endpoint that has told a node that it leaves gets none from it"
     PAUSE_KEPT = "an endpoint gets few requests of a node in a pause it has asked for"
+    ONE_VERSION = "a stream has each event once, in order, of one software version"
     SERVES_AGAIN = "all nodes serve, by the newest configuration, after the faults"
 
 
@@ -300,6 +302,28 @@
     return violations
 
 
+def check_stream(stream: str, content: bytes, last: int) -> list[Violation]:
+    """Return the violations of a stream, over all tries of its caller.
+
+    Parameters
+    ----------
+    stream : str
+        Id of the try that began it.
+    content : bytes
+        Complete events that the caller got.
+    last : int
+        Number of the last event of a whole stream, 0 if the stream is not complete.
+    """
+    events = [each for each in content.split(b"\n\n") if each]
+    numbers = [int(event.partition(b"\n")[0].removeprefix(b"id: ")) for event in events]
+    labels = {event.partition(b"token ")[2].partition(b" ")[2] for event in events}
+    whole = not last or len(events) == last
+    if len(labels) <= 1 and whole and numbers == list(range(1, len(events) + 1)):
+        return []
+    detail = f"{stream} has the events {numbers} of the versions {sorted(labels)}"
+    return [Violation(Invariant.ONE_VERSION, detail)]
+
+
 def check_duties(calls: Iterable[AcceptedCall]) -> list[Violation]:
     """Return the violations of the invariants on duties."""
     violations = []
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -8,6 +8,7 @@
 from random import Random
 
 __all__ = [
+    "EIGHTH_KINDS",
     "FIFTH_KINDS",
     "FIRST_KINDS",
     "FOURTH_KINDS",
@@ -87,6 +88,9 @@
     ENDPOINTS_BRITTLE
         The endpoints of a service take few requests, and fall over when they must
         reject many. They are back a moment later.
+    VERSIONS_SIDE_BY_SIDE
+        Endpoints of a new version serve streams beside the others, without an order,
+        and one of the two versions is taken away. Callers take up broken streams.
     """
 
     KILL = "kill"
@@ -116,6 +120,7 @@
     ENDPOINT_SLOW = "endpoint slow"
     PATHS_LOST = "paths lost"
     ENDPOINTS_BRITTLE = "endpoints brittle"
+    VERSIONS_SIDE_BY_SIDE = "versions side by side"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
@@ -132,9 +137,11 @@
 FIFTH_KINDS = tuple(FaultKind)[:22]
 #: Kinds before ``TEAM_FLOODS`` and ``ENDPOINT_SLOW`` were added.
 SIXTH_KINDS = tuple(FaultKind)[:23]
-#: Kinds before ``PATHS_LOST`` and ``ENDPOINTS_BRITTLE`` were added. These tuples depend
-#: on the order of the enum: append new kinds at its end.
+#: Kinds before ``PATHS_LOST`` and ``ENDPOINTS_BRITTLE`` were added.
 SEVENTH_KINDS = tuple(FaultKind)[:25]
+#: Kinds before ``VERSIONS_SIDE_BY_SIDE`` was added. These tuples depend on the order
+#: of the enum: append new kinds at its end.
+EIGHTH_KINDS = tuple(FaultKind)[:27]
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -30,6 +30,7 @@
     entry_configuration,
 )
 from poplarrelay.testing.links import LinkState, PathFault
+from poplarrelay.testing.resuming_callers import ResumingCaller
 from poplarrelay.testing.soak.callers import (
     KEYS,
     REQUEST_KINDS,
@@ -38,12 +39,14 @@
 )
 from poplarrelay.testing.soak.ledger import (
     Disruption,
+    Ending,
     Invariant,
     SentRequest,
     Violation,
     check_duties,
     check_notices,
     check_requests,
+    check_stream,
     count_endings,
 )
 from poplarrelay.testing.soak.plan import FaultKind, PlannedFault, draw_plan
@@ -93,6 +96,8 @@
 #: Callers of a flood, and seconds between two requests of one after a refusal.
 FLOOD_CALLERS = 12
 FLOOD_GAP_S = 0.02
+#: Callers that take up broken streams, tries of each, and events of a whole stream.
+RESUMING_CALLERS, MAX_TRIES, STREAM_EVENTS = 4, 4, 5
 #: Factors by which endpoints become slow.
 SLOWDOWNS = (3.0, 10.0)
 #: Share of the lost paths that concern some endpoints only, and numbers of cuts in one
@@ -171,6 +176,8 @@
         Tracebacks of faults that could not be injected: errors of the soak itself.
     crash_bodies : set of bytes
         Request bodies that crash endpoints; cleared when the faults end.
+    stream_violations : list of Violation
+        Violations on streams of callers that take them up.
     recoveries : list of asyncio.Task
         Pending and completed restarts of crashed endpoints.
     """
@@ -188,6 +195,8 @@
     disruptions: list[Disruption] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)
     crash_bodies: set[bytes] = field(default_factory=set)
+    stream_violations: list[Violation] = field(default_factory=list)
+    stream_numbers: count[int] = field(default_factory=lambda: count(1))
     recoveries: list[asyncio.Task[None]] = field(default_factory=list)
     endpoint_numbers: count[int] = field(default_factory=lambda: count(1))
 
@@ -233,6 +242,8 @@
         name = f"{service}-{next(self.endpoint_numbers)}"
         self.listed[name] = service
         runner = await self.site.add_runner(name, service, version=version)
+        if version != "1":
+            runner.label = f" of {version}"
         self._track_endpoint(name, runner)
         return name
 
@@ -288,6 +299,7 @@
             FaultKind.ENDPOINT_SLOW: self._slow_endpoint,
             FaultKind.PATHS_LOST: self._lose_paths,
             FaultKind.ENDPOINTS_BRITTLE: self._make_brittle,
+            FaultKind.VERSIONS_SIDE_BY_SIDE: self._serve_two_versions,
         }
         try:
             await injectors[fault.kind](rng, fault.duration_s)
@@ -419,6 +431,41 @@
             await caller.send_request(self._choose_node(rng), kind, body)
             await asyncio.sleep(CRASH_REQUEST_GAP_S)
 
+    async def _serve_two_versions(self, rng: Random, duration_s: float) -> None:
+        version = f"v{rng.randrange(1_000_000)}"
+        older = [name for name, service in self.listed.items() if service == STREAMS]
+        added = [await self.add_endpoint(STREAMS, version) for _ in older]
+        end = monotonic() + duration_s
+        callers = [self._take_up_streams(rng, end) for _ in range(RESUMING_CALLERS)]
+        await asyncio.gather(*callers)
+        for name in rng.choice((older, added)):
+            if self.listed.pop(name, None) is not None:
+                self.site.store.put("keyed.servers", name, None)
+                self.site.runners[name].stop()
+
+    async def _take_up_streams(self, rng: Random, end: float) -> None:
+        """Begin streams, and take up each broken one at other nodes."""
+        while monotonic() < end:
+            caller = ResumingCaller(self.site)
+            for _ in range(MAX_TRIES):
+                sent = SentRequest(
+                    f"stream-{next(self.stream_numbers)}",
+                    self._choose_node(rng),
+                    "draft",
+                    "alpha",
+                    repeatable=True,
+                    streams=True,
+                    ending=Ending.CUT,
+                )
+                self.requests.append(sent)
+                await caller.ask(sent.node, sent.request_id, sent.request_body)
+                if not caller.broken:
+                    break
+                await asyncio.sleep(rng.uniform(0, CRASH_REQUEST_GAP_S))
+            last = STREAM_EVENTS if caller.complete and caller.content else 0
+            self.stream_violations += check_stream(caller.stream, caller.content, last)
+            await asyncio.sleep(CRASH_REQUEST_GAP_S)
+
     async def _state_limits(self, rng: Random, duration_s: float) -> None:
         runner = self.site.runners[rng.choice(sorted(self.listed))]
         for limit in rng.choices(STATED_LIMITS, k=3):
@@ -641,6 +688,7 @@
     violations += check_requests(run.requests, run.runners, KEYS.values())
     violations += check_notices(run.requests, run.runners, run.disruptions)
     violations += check_duties(site.cloud.accepted)
+    violations += run.stream_violations
     faults = Counter(fault.kind.value for fault in plan)
     return SoakReport(seed, faults, count_endings(run.requests), violations)
 
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -19,6 +19,7 @@
     check_requests,
 )
 from poplarrelay.testing.soak.plan import (
+    EIGHTH_KINDS,
     FIFTH_KINDS,
     FIRST_KINDS,
     FOURTH_KINDS,
@@ -52,7 +53,9 @@
 #: A seed whose plan has the flood of a team and a slow endpoint.
 SEED_OF_FLOODS = 44
 #: A seed whose plan has lost paths and brittle endpoints.
-SEED_OF_ALL_KINDS = 12
+SEED_OF_LOST_PATHS = 12
+#: A seed whose plan has two versions side by side.
+SEED_OF_ALL_KINDS = 1
 #: A seed that has found a fault of the soak: a path that was lost in one direction for
 #: a moment dropped bytes in the middle of a stream, which TCP never does.
 SEED_OF_A_LOST_DIRECTION = 347
@@ -231,8 +234,9 @@
         (SEED_OF_NOTICES, FIFTH_KINDS),
         (SEED_OF_RESTORES, SIXTH_KINDS),
         (SEED_OF_FLOODS, SEVENTH_KINDS),
+        (SEED_OF_LOST_PATHS, EIGHTH_KINDS),
         (SEED_OF_ALL_KINDS, tuple(FaultKind)),
-        (SEED_OF_A_LOST_DIRECTION, tuple(FaultKind)),
+        (SEED_OF_A_LOST_DIRECTION, EIGHTH_KINDS),
     ],
 )
 def test_invariants_hold_under_random_faults(seed, kinds, tmp_path):
