Let the soak send prompts that share a part which crashes endpoints

Half of the prompts have the crashing part, all share another one, no two are alike; crashed endpoints restart.

--- a/poplarrelay/testing/soak/callers.py
+++ b/poplarrelay/testing/soak/callers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from itertools import count
 from random import Random
 from time import monotonic
@@ -86,7 +86,12 @@
                 connection.abort()
 
     async def send_request(
-        self, node: str, kind: str, body: bytes = b"", team: str | None = None
+        self,
+        node: str,
+        kind: str,
+        body: bytes = b"",
+        team: str | None = None,
+        headers: Sequence[tuple[bytes, bytes]] = (),
     ) -> SentRequest:
         """Send one request to a node, and wait until it ends.
 
@@ -105,7 +110,7 @@
             abandon_s = self._rng.uniform(0, MAX_ABANDON_S)
         try:
             async with asyncio.timeout(abandon_s or DEADLINE_S + MARGIN_S):
-                await self._exchange(sent)
+                await self._exchange(sent, headers)
         except ExchangeFailed:
             sent.ending = sent.ending or Ending.CUT
         except TimeoutError:
@@ -113,11 +118,13 @@
             sent.node_was_paused = self._was_paused(node, sent_at)
         return sent
 
-    async def _exchange(self, sent: SentRequest) -> None:
+    async def _exchange(
+        self, sent: SentRequest, more_headers: Sequence[tuple[bytes, bytes]]
+    ) -> None:
         connection = await self._connect(sent)
         reusable = False
         try:
-            reusable = await self._send_and_receive(connection, sent)
+            reusable = await self._send_and_receive(connection, sent, more_headers)
         finally:
             # This also runs when the caller abandons the request: the node notices it
             # only by the closed connection.
@@ -127,7 +134,10 @@
                 connection.abort()
 
     async def _send_and_receive(
-        self, connection: Connection, sent: SentRequest
+        self,
+        connection: Connection,
+        sent: SentRequest,
+        more_headers: Sequence[tuple[bytes, bytes]],
     ) -> bool:
         """Send a request and receive the response.
 
@@ -140,6 +150,7 @@
             (b"X-Poplarrelay-Deadline-Ms", str(int(1000 * DEADLINE_S)).encode()),
             (b"Authorization", f"Bearer {KEYS[sent.team]}".encode()),
             (b"Content-Length", str(len(body)).encode()),
+            *more_headers,
         ]
         connection.send(b"POST", f"/{sent.kind}/x".encode(), headers, body)
         response = await connection.complete_response(1_000_000)
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -91,6 +91,9 @@
     VERSIONS_SIDE_BY_SIDE
         Endpoints of a new version serve streams beside the others, without an order,
         and one of the two versions is taken away. Callers take up broken streams.
+    PROMPT_PART_CRASHES
+        Prompts, no two alike, share a part that crashes every endpoint. Others share
+        their other parts.
     """
 
     KILL = "kill"
@@ -121,6 +124,7 @@
     PATHS_LOST = "paths lost"
     ENDPOINTS_BRITTLE = "endpoints brittle"
     VERSIONS_SIDE_BY_SIDE = "versions side by side"
+    PROMPT_PART_CRASHES = "prompt part crashes endpoints"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
@@ -139,8 +143,8 @@
 SIXTH_KINDS = tuple(FaultKind)[:23]
 #: Kinds before ``PATHS_LOST`` and ``ENDPOINTS_BRITTLE`` were added.
 SEVENTH_KINDS = tuple(FaultKind)[:25]
-#: Kinds before ``VERSIONS_SIDE_BY_SIDE`` was added. These tuples depend on the order
-#: of the enum: append new kinds at its end.
+#: Kinds before ``VERSIONS_SIDE_BY_SIDE`` and ``PROMPT_PART_CRASHES`` were added. These
+#: tuples depend on the order of the enum: append new kinds at its end.
 EIGHTH_KINDS = tuple(FaultKind)[:27]
 
 
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -176,6 +176,8 @@
         Tracebacks of faults that could not be injected: errors of the soak itself.
     crash_bodies : set of bytes
         Request bodies that crash endpoints; cleared when the faults end.
+    crash_parts : set of str
+        Prompt parts that crash endpoints; cleared when the faults end.
     stream_violations : list of Violation
         Violations on streams of callers that take them up.
     recoveries : list of asyncio.Task
@@ -195,6 +197,7 @@
     disruptions: list[Disruption] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)
     crash_bodies: set[bytes] = field(default_factory=set)
+    crash_parts: set[str] = field(default_factory=set)
     stream_violations: list[Violation] = field(default_factory=list)
     stream_numbers: count[int] = field(default_factory=lambda: count(1))
     recoveries: list[asyncio.Task[None]] = field(default_factory=list)
@@ -251,6 +254,7 @@
         """Record a run of an endpoint, and arrange its restart after a crash."""
         self.runners.append(runner)
         runner.crash_bodies = self.crash_bodies
+        runner.crash_parts = self.crash_parts
         runner.on_crash = runner.on_fall = lambda: self.recoveries.append(
             asyncio.create_task(self._restart_after_crash(name))
         )
@@ -300,6 +304,7 @@
             FaultKind.PATHS_LOST: self._lose_paths,
             FaultKind.ENDPOINTS_BRITTLE: self._make_brittle,
             FaultKind.VERSIONS_SIDE_BY_SIDE: self._serve_two_versions,
+            FaultKind.PROMPT_PART_CRASHES: self._send_poison_prompts,
         }
         try:
             await injectors[fault.kind](rng, fault.duration_s)
@@ -431,6 +436,19 @@
             await caller.send_request(self._choose_node(rng), kind, body)
             await asyncio.sleep(CRASH_REQUEST_GAP_S)
 
+    async def _send_poison_prompts(self, rng: Random, duration_s: float) -> None:
+        bad, other = (f"{rng.randrange(1_000_000):x}" for _ in range(2))
+        kind = rng.choice(sorted(REQUEST_KINDS))
+        self.crash_parts.add(bad)
+        caller = Caller(self.site, self.requests, self.was_paused, rng)
+        end = monotonic() + duration_s
+        while monotonic() < end:
+            first = rng.choice((bad, other))
+            prefix = f"{first}:10,{other}:10,{rng.randrange(1_000_000):x}:10"
+            headers = [(b"X-Poplarrelay-Prefix-Hash", prefix.encode())]
+            await caller.send_request(self._choose_node(rng), kind, headers=headers)
+            await asyncio.sleep(CRASH_REQUEST_GAP_S)
+
     async def _serve_two_versions(self, rng: Random, duration_s: float) -> None:
         version = f"v{rng.randrange(1_000_000)}"
         older = [name for name, service in self.listed.items() if service == STREAMS]
@@ -593,6 +611,7 @@
         """End all faults, and return the nodes that do not serve again in time."""
         self.site.store.write_again()
         self.crash_bodies.clear()
+        self.crash_parts.clear()
         await asyncio.gather(*self.recoveries)
         hosts = [self.site.address(name)[0] for name in self.site.processes]
         for link in self.site.links.values():
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -54,7 +54,7 @@
 SEED_OF_FLOODS = 44
 #: A seed whose plan has lost paths and brittle endpoints.
 SEED_OF_LOST_PATHS = 12
-#: A seed whose plan has two versions side by side.
+#: A seed whose plan has two versions side by side and a crashing prompt part.
 SEED_OF_ALL_KINDS = 1
 #: A seed that has found a fault of the soak: a path that was lost in one direction for
 #: a moment dropped bytes in the middle of a stream, which TCP never does.
