--- a/bench/path_safeguards.py
+++ b/bench/path_safeguards.py
@@ -83,7 +83,10 @@
     Safeguard(
         "requests to brittle endpoints need a granted slot",
         f"{ENTRY}/slots.py",
-        "        if survives is not None and self._needs_grant(context.service):\n",
+        """        if survives is not None and self._needs_grant(
+            context.service, criteria.version
+        ):
+""",
         "        if False:\n",
         "test_brittle_endpoints.py",
     ),
--- /dev/null
+++ b/bench/version_safeguards.py
@@ -0,0 +1,96 @@
+"""Remove each safeguard of streams' versions, and check that tests fail.
+
+    python -m bench.version_safeguards CLONE
+
+CLONE is a separate clone of this repository. The run changes its files and restores
+them. The exit code is 0 only if the tests fail for every removal.
+"""
+
+from __future__ import annotations
+
+from bench.entry_safeguards import ENTRY, Safeguard, main
+
+SAFEGUARDS = (
+    Safeguard(
+        "a stream goes on at the version that began it",
+        f"{ENTRY}/slots.py",
+        "            version=context.progress.version,\n        )",
+        "        )",
+        "test_sticky_versions.py",
+    ),
+    Safeguard(
+        "an unknown stream is refused",
+        f"{ENTRY}/relaying.py",
+        "        if origin is None or origin.service not in services:\n",
+        "        if origin is None:\n            return None\n        if False:\n",
+        "test_sticky_versions.py",
+    ),
+    Safeguard(
+        "the version of the first event is copied to peers",
+        f"{ENTRY}/resumption.py",
+        "        hosts = self._peers(key, COPIES)\n",
+        "        hosts: list[str] = []\n",
+        "test_resumption.py",
+    ),
+    Safeguard(
+        "copies are sent again",
+        f"{ENTRY}/resumption.py",
+        "            self._send_copy(key, pending)\n",
+        "",
+        "test_resumption.py",
+    ),
+    Safeguard(
+        "more peers are asked than have a copy",
+        f"{ENTRY}/resumption.py",
+        "MAX_ASKED = 8\n",
+        "MAX_ASKED = 3\n",
+        "test_resumption.py",
+    ),
+    Safeguard(
+        "a history with a gap proves nothing",
+        f"{ENTRY}/resumption.py",
+        "        if max(lookup.covered_s, history.covered_s(asked_at)) < "
+        "STREAM_MEMORY_S:\n",
+        "        if False:\n",
+        "test_resumption.py",
+    ),
+    Safeguard(
+        "versions that only peers list count",
+        f"{ENTRY}/resumption.py",
+        "            versions = lookup.versions | history.versions(service, now)\n",
+        "            versions = history.versions(service, now)\n",
+        "test_resumption.py",
+    ),
+    Safeguard(
+        "the list of endpoints is later than the lookup",
+        f"{ENTRY}/resumption.py",
+        "            if now - self.list_age_s(now) > asked_at:\n",
+        "            if True:\n",
+        "test_resumption.py",
+    ),
+    Safeguard(
+        "versions that have left are remembered",
+        f"{ENTRY}/stream_versions.py",
+        "if now - at <= STREAM_MEMORY_S}",
+        "if now - at <= 0.05}",
+        "test_sticky_versions.py",
+    ),
+    Safeguard(
+        "the key has the team",
+        f"{ENTRY}/stream_versions.py",
+        'content = f"{len(team)}|{team}|{request}".encode()',
+        "content = request.encode()",
+        "test_resumption.py",
+    ),
+    Safeguard(
+        "a barred version finishes its streams",
+        f"{ENTRY}/endpoints.py",
+        "        return sticky or not self.barred\n",
+        "        return not self.barred\n",
+        "test_sticky_versions.py",
+    ),
+)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main(SAFEGUARDS))
--- a/poplarrelay/entry/responses.py
+++ b/poplarrelay/entry/responses.py
@@ -133,6 +133,9 @@
             "configuration": context.version,
             "configuration_age_s": round(now - self._state.configuration_at, 1),
         }
+        if context.request.resumes is not None:
+            extra["resumes"] = context.request.resumes
+            extra["stream_version"] = context.progress.version
         if context.quota_left is not None:
             extra["quota_cost"] = context.quota_cost
             extra["quota_left"] = round(context.quota_left)
