--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -452,7 +452,7 @@
     Safeguard(
         "requests are not sent to endpoints that left during connect",
         f"{ENTRY}/attempts.py",
-        "        if not plan.endpoint.accepts_work:\n",
+        "        if not plan.endpoint.accepts(plan.sticky):\n",
         "        if False:\n",
         "test_departures.py",
     ),
