--- a/bench/entry_safeguards.py
+++ b/bench/entry_safeguards.py
@@ -91,8 +91,8 @@
     Safeguard(
         "crash records are sent to peers",
         f"{ENTRY}/gossip.py",
-        "        if not records:\n            return\n",
-        "        return\n",
+        '            fields["crashes"] = self._crashes.outgoing(now)\n',
+        "",
         "test_crashing_requests.py test_crashes.py",
     ),
     Safeguard(
--- a/poplarrelay/commands/explain.py
+++ b/poplarrelay/commands/explain.py
@@ -24,6 +24,8 @@
 )
 #: Messages about requests with one fingerprint. They concern a request that has it.
 FINGERPRINT_STATE_MESSAGES = ("request blocked", "request unblocked")
+#: Messages about one part of prompts. They concern a request refused for it.
+PART_STATE_MESSAGES = ("part blocked", "part probed", "part unblocked")
 #: Messages about the state of a service. They concern a request for it.
 SERVICE_STATE_MESSAGES = ("rollout",)
 #: Messages about the state of a node. They concern all its requests.
@@ -146,6 +148,8 @@
             latest[node, message, str(line.get("endpoint"))] = line
         elif message in FINGERPRINT_STATE_MESSAGES:
             latest[node, message, str(line.get("fingerprint"))] = line
+        elif message in PART_STATE_MESSAGES:
+            latest[node, message, f"part {line.get('part')}"] = line
         elif message in SERVICE_STATE_MESSAGES:
             latest[node, message, str(line.get("service"))] = line
         elif message in NODE_STATE_MESSAGES:
@@ -153,6 +157,7 @@
     subjects = {line.get("endpoint") for line in explanation.lines}
     subjects |= {line.get("fingerprint") for line in explanation.lines}
     subjects |= {line.get("service") for line in explanation.lines}
+    subjects |= {line.get("detail") for line in explanation.lines}
     explanation.known_state = [
         line
         for (_, message, subject), line in latest_before_end.items()
--- a/poplarrelay/commands/tests/test_explain.py
+++ b/poplarrelay/commands/tests/test_explain.py
@@ -17,6 +17,9 @@
   9.7 n-1 {"time": "t8", "message": "request", "node": "n-1", "request": "r-9", "fingerprint": "f-1", "status": 503, "outcome": "endpoints have crashed under this request"}
   10.0 n-1 {"time": "t9", "message": "path", "node": "n-1", "endpoint": "e-3", "service": "s", "state": "lost", "isolated": true}
   10.1 n-1 {"time": "t9", "message": "attempt", "node": "n-1", "request": "r-10", "endpoint": "e-3", "carrier": "10.0.0.2", "result": "Answered"}
+  11.0 n-1 {"time": "t10", "message": "part blocked", "node": "n-1", "part": "p-1", "service": "s", "crashes": 3, "source": "peer 10.0.0.2"}
+  11.0 n-1 {"time": "t10", "message": "part blocked", "node": "n-1", "part": "p-2", "service": "s", "crashes": 3, "source": "this node"}
+  11.1 n-1 {"time": "t11", "message": "request", "node": "n-1", "request": "r-11", "status": 503, "detail": "part p-1"}
 a line of another program
 """.splitlines()  # noqa: E501
 
@@ -47,6 +50,16 @@
     assert [(line["fingerprint"], line["crashes"]) for line in blocked] == [("f-1", 3)]
 
 
+def test_refused_prompt_is_shown_with_the_block_of_its_part():
+    explanation = explain_request("r-11", read_lines(RECORDED))
+    blocked = [
+        line for line in explanation.known_state if line["message"] == "part blocked"
+    ]
+    assert [(line["part"], line["source"]) for line in blocked] == [
+        ("p-1", "peer 10.0.0.2")
+    ]
+
+
 def test_tunnelled_request_is_shown_with_the_loss_of_its_path():
     explanation = explain_request("r-10", read_lines(RECORDED))
     assert [line["carrier"] for line in explanation.lines] == ["10.0.0.2"]
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -331,37 +331,31 @@
 
     def _refuse_blocked(self, context: RequestContext) -> Refusal | None:
         """Return a refusal if the request is blocked because it crashes endpoints."""
-        state, now = self._state, monotonic()
-        part = None
-        if not context.probes:
-            part = state.quarantine.find_blocked(
-                context.service, context.part_keys, now
-            )
+        state = self._state
+        part = self._find_blocked_part(context)
         if part is not None:
             state.quarantine.refused += 1
-            key, blocked_s = part
+            key, probe_s = part
             reason, detail = RefusalReason.POISON_PART, f"part {key}"
-        else:
-            found_s = state.crashes.blocked_s(
-                context.team_name, context.fingerprint, now
-            )
-            if found_s is None:
-                return None
-            state.crashes.refused += 1
-            blocked_s = found_s
-            reason, detail = RefusalReason.CRASHES, f"fingerprint {context.fingerprint}"
-        if context.may_have_run:
-            return Refusal(502, reason, detail=detail)
-        return Refusal(503, reason, blocked_s, detail)
-
-    def _is_quarantined(self, context: RequestContext) -> bool:
-        """Return whether a part of the prompt is blocked, and this is no probe."""
+            return _refuse_crashing(context, reason, probe_s, detail)
+        blocked_s = state.crashes.blocked_s(
+            context.team_name, context.fingerprint, monotonic()
+        )
+        if blocked_s is None:
+            return None
+        state.crashes.refused += 1
+        detail = f"fingerprint {context.fingerprint}"
+        return _refuse_crashing(context, RefusalReason.CRASHES, blocked_s, detail)
+
+    def _find_blocked_part(
+        self, context: RequestContext
+    ) -> tuple[PartKey, float] | None:
+        """Return a blocked part of the prompt and the seconds until its probe."""
         if context.probes:
-            return False
-        blocked = self._state.quarantine.find_blocked(
+            return None
+        return self._state.quarantine.find_blocked(
             context.service, context.part_keys, monotonic()
         )
-        return blocked is not None
 
     def _cancel_unbegun(self, key: PartKey) -> None:
         """Break off the attempts on a blocked part that have not begun.
@@ -427,7 +421,7 @@
             pass_credentials=not context.teams_configured,
             repeatable=context.route.repeatable,
             sticky=context.progress.version is not None,
-            is_blocked=lambda: self._is_quarantined(context),
+            is_blocked=lambda: self._find_blocked_part(context) is not None,
         )
 
         queued_tokens = choice.unread_tokens
@@ -745,5 +739,13 @@
             )
 
 
+def _refuse_crashing(
+    context: RequestContext, reason: RefusalReason, blocked_s: float, detail: str
+) -> Refusal:
+    if context.may_have_run:
+        return Refusal(502, reason, detail=detail)
+    return Refusal(503, reason, blocked_s, detail)
+
+
 def _to_milliseconds(seconds: float | None) -> float | None:
     return None if seconds is None else round(1000 * seconds, 1)
