--- a/poplarrelay/entry/tests/test_resumption.py
+++ b/poplarrelay/entry/tests/test_resumption.py
@@ -6,7 +6,7 @@
 
 from poplarrelay.entry.configuration import ServiceName
 from poplarrelay.entry.endpoints import Endpoint
-from poplarrelay.entry.resumption import COPIES, MAX_COPY_WAIT_S
+from poplarrelay.entry.resumption import COPIES, MAX_ASKED, MAX_COPY_WAIT_S
 from poplarrelay.entry.stream_versions import (
     MAX_STREAMS,
     STREAM_MEMORY_S,
@@ -100,7 +100,7 @@
         network = ResumptionNetwork(size)
         await begin_streams(network, "node-0")
         network.down = {"node-0"}
-        for number in range(3):
+        for number in range(MAX_ASKED - COPIES):
             network.add_node(f"new-{number}")
         assert await find_all(network, "new-0") == [ORIGIN] * STREAMS
 
@@ -124,6 +124,22 @@
     run_virtual(scenario())
 
 
+def test_copy_is_sent_again_until_it_is_confirmed():
+    # Guards against a stream that only its node knows for one lost datagram.
+    async def scenario():
+        network = ResumptionNetwork(4)
+        network.down = set(network.hosts[1:])
+        await begin_streams(network, "node-0")
+        network.down = set()
+        network.brokers["node-0"].tick()
+        await asyncio.sleep(0.01)
+        for host in network.hosts[1:]:
+            table = network.brokers[host].table
+            assert [table.find(key) for key in keys()] == [ORIGIN] * STREAMS
+
+    run_virtual(scenario())
+
+
 def test_first_event_does_not_wait_for_peers_that_are_gone():
     async def scenario():
         network = ResumptionNetwork(4)
