Refuse a retry of a blocked prompt before it costs a retry, and name a time where a version may come back

Cause, by reading: an attempt that was broken off for its part asked the retry budget before the block; and a stream whose version has no endpoint at the moment was refused without Retry-After, where a service without endpoints names 1 s: callers of a service that restarts would come back at once.

--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -310,7 +310,8 @@
                     await self._response_writer.pass_on(context, result)
                     return None
                 context.last_error_response = result
-            refusal = self._refuse_retry(context, result, sends)
+            refusal = self._refuse_blocked(context)
+            refusal = refusal or self._refuse_retry(context, result, sends)
             if refusal is not None:
                 return await self._pass_on_last_error(context, refusal)
 
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -281,9 +281,10 @@
         self, context: RequestContext, version: SoftwareVersion
     ) -> Refusal:
         """Return the refusal of a stream whose version has no endpoint left."""
-        status = 502 if context.may_have_run else 503
-        detail = f"version {version}"
-        return Refusal(status, RefusalReason.VERSION_GONE, detail=detail)
+        reason, detail = RefusalReason.VERSION_GONE, f"version {version}"
+        if context.may_have_run:
+            return Refusal(502, reason, detail=detail)
+        return Refusal(503, reason, NO_ENDPOINT_RETRY_S, detail)
 
     def _needs_grant(
         self, service: ServiceName, version: SoftwareVersion | None
