--- a/poplarrelay/entry/tests/test_lost_paths.py
+++ b/poplarrelay/entry/tests/test_lost_paths.py
@@ -38,6 +38,30 @@
     dialer.connect = connect_to_peers
 
 
+def divert_endpoints(dialer, address):
+    """Connect a node to another address in place of endpoints."""
+    connect = dialer.connect
+
+    async def connect_elsewhere(make_protocol, wanted):
+        diverted = address if wanted[0] == "127.0.0.1" else wanted
+        return await connect(make_protocol, diverted)
+
+    dialer.connect = connect_elsewhere
+
+
+async def swallow(reader, writer):
+    """Read all bytes of a connection, and answer none."""
+    while await reader.read(65_536):
+        pass
+    writer.close()
+
+
+async def close_at_first_bytes(reader, writer):
+    """Close a connection as soon as it carries bytes."""
+    await reader.read(1)
+    writer.close()
+
+
 async def send_across_cut(site, cut, cut_s=CONTACT_S + 6.0, per_s=4):
     """Send requests to all nodes before and during a cut; return the later ones."""
     await add_endpoints(site)
@@ -80,6 +104,30 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("middlebox", [swallow, close_at_first_bytes])
+def test_node_whose_paths_accept_connections_and_carry_no_bytes_is_served(middlebox):
+    # Guards against an open connection that counts as proof of its path.
+    async def scenario():
+        async with run_entry_site(nodes=4, use_links=True) as site:
+            server = await asyncio.start_server(middlebox, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()[:2]
+
+            def cut():
+                for node in "ab":
+                    divert_endpoints(site.nodes[node]._dialer, address)
+                site.set_paths("ab", PathFault.RESET)
+
+            requests = await send_across_cut(site, cut)
+            server.close()
+            for kind in KINDS:
+                others = served_share(requests, "cd", kind)
+                share = served_share(requests, "ab", kind)
+                assert share >= MIN_RELATIVE_SHARE * others, kind
+                assert others > 0.9
+
+    run_scenario(scenario)
+
+
 def test_endpoint_is_not_gone_because_two_nodes_have_lost_their_paths(caplog):
     # Guards against a peer without a path of its own that confirms an endpoint's end.
     caplog.set_level(logging.INFO, "poplarrelay.entry.survey")
