Test that streams of a node without peers are not taken up elsewhere

Half of the streams begin at a node that reaches no peer, half at another; each half is refused on the other side of the partition and goes on on its own.

--- a/poplarrelay/entry/tests/test_sticky_versions.py
+++ b/poplarrelay/entry/tests/test_sticky_versions.py
@@ -294,3 +294,28 @@
             assert all(caller.complete for caller in resumed)
 
     run_scenario(scenario)
+
+
+def test_streams_of_a_node_that_reaches_no_peer_are_not_taken_up_elsewhere():
+    # Guards against a guess on either side of a partition between nodes.
+    async def scenario():
+        async with run_entry_site(3) as site:
+            runners = await add_versions(site, "abc")
+            site.silence_gossip("a")
+            for runner in runners.values():
+                runner.break_after = 3
+            callers = await run_callers(site, "ab", CALLERS)
+            for runner in runners.values():
+                runner.break_after = None
+            at_a, at_b = callers[::2], callers[1::2]
+            assert not mixed(site, callers)
+            for begun, node in ((at_a, "b"), (at_b, "a")):
+                resumed = await resume_all(begun, node)
+                assert len(resumed) >= CALLERS // 4
+                assert {caller.statuses[-1] for caller in resumed} == {503}
+            for begun, node in ((at_a, "a"), (at_b, "c")):
+                resumed = await resume_all(begun, node)
+                assert sum(c.complete for c in resumed) >= 0.9 * len(resumed)
+            assert not mixed(site, callers)
+
+    run_scenario(scenario)
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -249,6 +249,12 @@
 
         gossip.datagram_received = receive_later  # type: ignore[method-assign]
 
+    def silence_gossip(self, name: str) -> None:
+        """Drop all datagrams that a node sends or receives."""
+        gossip = self.nodes[name].gossip
+        gossip.datagram_received = lambda data, addr: None  # type: ignore[method-assign]
+        gossip._send = lambda data, hosts: None  # type: ignore[method-assign]
+
     def _reachable_address(self, name: str, address: str) -> str:
         """Return the address of the link to `address`, or `address` without links."""
         if not self.use_links:
