--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -243,8 +243,8 @@
     async def add_endpoint(self, service: str, version: str = "1") -> str:
         """Start and list a new endpoint of a service; return its name."""
         name = f"{service}-{next(self.endpoint_numbers)}"
-        self.listed[name] = service
         runner = await self.site.add_runner(name, service, version=version)
+        self.listed[name] = service
         if version != "1":
             runner.label = f" of {version}"
         self._track_endpoint(name, runner)
