Let requests under way clear a part that was blamed wrongly, and check that endpoints outlive answers without a length

By reading: answers without a length clear a part only once their run answers again, and a block of a part that all share stops all answers; besides, the block broke off the repeatable attempts under way, whose answers are the evidence. So nothing could clear it before the first probe, 30 s later.

--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -107,7 +107,7 @@
     version: SoftwareVersion | None = None
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True)
 class Attempt:
     """One attempt to run a request at an endpoint.
 
@@ -144,7 +144,6 @@
     _first_event_at: float = 0.0
     _last_event_at: float = 0.0
     _events: int = 0
-    _cancelled: bool = False
     _reused: bool = False
     _carrier: str | None = None
     _version: SoftwareVersion = UNKNOWN_VERSION
@@ -186,17 +185,6 @@
         """Return the host of the peer that relays it, None for a direct connection."""
         return self._carrier
 
-    @property
-    def cancelled(self) -> bool:
-        """Return whether `cancel` has broken off the attempt."""
-        return self._cancelled
-
-    def cancel(self) -> None:
-        """Break off the attempt."""
-        if self._connection is not None:
-            self._cancelled = True
-            self._connection.abort()
-
     async def run(self) -> AttemptResult:
         """Send the request and return its answer, or how the attempt failed.
 
@@ -221,8 +209,6 @@
     ) -> AttemptResult:
         if not sent:
             return NotRun(reason, arrived=False)
-        if self._cancelled:
-            reason, closed = "cancelled", False
         if self.exchange.begun:
             return StreamBroken(reason, silent, closed)
         return Broken(reason, silent, closed)
--- a/poplarrelay/entry/paths.py
+++ b/poplarrelay/entry/paths.py
@@ -326,6 +326,10 @@
             elif isolated and use.abandonable and now - quiet_since > QUIET_S:
                 use.connection.abort("path lost")
 
+    async def accepts_connections(self, row: Endpoint) -> bool:
+        """Return whether an endpoint accepts a direct connection now."""
+        return await self._reach_directly(row)
+
     async def _reach_directly(self, row: Endpoint, keep: bool = False) -> bool:
         """Return whether a direct connection can be opened and stays open."""
         try:
--- a/poplarrelay/entry/quarantine.py
+++ b/poplarrelay/entry/quarantine.py
@@ -33,7 +33,7 @@
 CRASH_MEMORY_S = 600.0
 #: Seconds from the latest counted crash until one prompt with a blocked part is tried;
 #: it doubles with each further crash, up to the memory.
-PROBE_INTERVAL_S = 30.0
+PROBE_INTERVAL_S = 15.0
 #: Shared parts of a prompt that are considered.
 MAX_PARTS = 64
 #: Suspect parts of a service, and parts whose progress is kept.
@@ -264,8 +264,6 @@
     ----------
     may_probe : callable
         Returns whether this node is the one that probes a part.
-    on_block : callable
-        Called with a part that has become blocked.
     urgent : bool
         Whether a change must be sent to peers before the next round.
     noted, refused, probes : int
@@ -280,7 +278,6 @@
     """
 
     may_probe: Callable[[PartKey], bool] = lambda key: True
-    on_block: Callable[[PartKey], None] = lambda key: None
     urgent: bool = False
     noted: int = 0
     refused: int = 0
@@ -300,6 +297,10 @@
     def _find(self, service: ServiceName, key: PartKey) -> SuspectPart | None:
         return self._records.get(service, {}).get(key)
 
+    def includes(self, service: ServiceName, keys: Iterable[PartKey]) -> bool:
+        """Return whether a part is suspect."""
+        return any(self._find(service, key) is not None for key in keys)
+
     def find_blocked(
         self, service: ServiceName, keys: Iterable[PartKey], now: float
     ) -> tuple[PartKey, float] | None:
@@ -403,8 +404,6 @@
                 "source": source,
             },
         )
-        if blocked:
-            self.on_block(key)
 
     def _add(self, service: ServiceName, key: PartKey, now: float) -> SuspectPart:
         known = self._records.setdefault(service, {})
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -128,9 +128,8 @@
         self._state = state
         self._paths = paths
         self._resumption = resumption
-        self._unbegun: dict[PartKey, set[Attempt]] = {}
         self._unconfirmed = UnconfirmedAnswers()
-        state.quarantine.on_block = self._cancel_unbegun
+        self._checks: set[asyncio.Task[None]] = set()
         self._response_writer = ResponseWriter(state, observe)
         self._quota_charges = QuotaCharges(state, announce)
         self._backlog_client = backlog_client
@@ -358,17 +357,6 @@
             context.service, context.part_keys, monotonic()
         )
 
-    def _cancel_unbegun(self, key: PartKey) -> None:
-        """Break off the attempts on a blocked part that have not begun.
-
-        Notes
-        -----
-        Attempts that must not run twice go on: their outcome would be lost.
-        """
-        for attempt in list(self._unbegun.get(key, ())):
-            if attempt.plan.repeatable and attempt.events == 0:
-                attempt.cancel()
-
     async def _pass_on_last_error(
         self, context: RequestContext, refusal: Refusal
     ) -> Refusal | None:
@@ -473,7 +461,6 @@
             self._state.quarantine.note_begun(
                 context.service, context.part_keys, monotonic()
             )
-            self._remove_unbegun(context, attempt)
 
         async def on_origin(version: SoftwareVersion) -> None:
             if context.route.resumable:
@@ -492,9 +479,6 @@
             on_origin,
             context.progress,
         )
-        if not context.probes:
-            for key in context.part_keys:
-                self._unbegun.setdefault(key, set()).add(attempt)
         ran_before = context.may_have_run
         # True until the endpoint reports that the request did not run: the deadline can
         # cancel this method in the middle of the attempt.
@@ -507,7 +491,6 @@
             if isinstance(result, NotRun) and result.gone:
                 end = PromptEnd.ENGINE_GONE
         finally:
-            self._remove_unbegun(context, attempt)
             context.probes = False
             row.prefill_tokens -= queued_tokens
             path_lost = self._paths.is_lost(row)
@@ -522,7 +505,7 @@
         if isinstance(result, NotRun):
             context.may_have_run = ran_before
         path_failed = await self._path_failed(row, attempt, result)
-        if not path_failed and not attempt.cancelled:
+        if not path_failed:
             self._update_health(context, row, result)
             self._note_crash_or_answer(context, row, attempt, result)
         if not path_failed:
@@ -566,7 +549,7 @@
         self, row: Endpoint, attempt: Attempt, result: AttemptResult
     ) -> bool:
         """Return whether an attempt failed for its path, not for its endpoint."""
-        if isinstance(result, Answered | Streamed) or attempt.cancelled:
+        if isinstance(result, Answered | Streamed):
             return False
         if isinstance(result, NotRun):
             unsent = not result.arrived and not result.gone
@@ -579,19 +562,24 @@
             return await self._paths.check_reset(row)
         return self._paths.is_lost(row)
 
+    async def _check_survival(self, row: Endpoint) -> None:
+        """Clear the parts of answers without a length that an endpoint outlives.
+
+        Notes
+        -----
+        An endpoint that has crashed refuses connections until its next run. Without
+        this check, a part that all prompts share could stay blocked: no later answer
+        would come to confirm the last ones.
+        """
+        checked_at = monotonic()
+        if await self._paths.accepts_connections(row):
+            self._confirm_answers(row, checked_at)
+
     def _confirm_answers(self, row: Endpoint, sent_at: float) -> None:
         """Clear the parts of answers without a length that a later answer confirms."""
         for at, keys in self._unconfirmed.confirm(row.run, sent_at):
             self._state.quarantine.note_begun(row.service, keys, at)
 
-    def _remove_unbegun(self, context: RequestContext, attempt: Attempt) -> None:
-        for key in context.part_keys:
-            attempts = self._unbegun.get(key)
-            if attempts is not None:
-                attempts.discard(attempt)
-                if not attempts:
-                    del self._unbegun[key]
-
     def _note_first_event(
         self, context: RequestContext, choice: Choice, took_s: float
     ) -> None:
@@ -637,6 +625,10 @@
                 crashes.note_answer(team, fingerprint, now)
             elif good and context.part_keys:
                 self._unconfirmed.add(row.run, context.part_keys, now)
+                if self._state.quarantine.includes(context.service, context.part_keys):
+                    check = asyncio.create_task(self._check_survival(row))
+                    self._checks.add(check)
+                    check.add_done_callback(self._checks.discard)
             return
         broken = isinstance(result, Broken | StreamBroken) and result.closed
         if not broken or row.departing:
