--- a/poplarrelay/entry/tests/test_resumption.py
+++ b/poplarrelay/entry/tests/test_resumption.py
@@ -109,8 +109,7 @@
 
 @pytest.mark.parametrize("size", SIZES)
 def test_separated_node_finds_nothing_that_it_cannot_know(size):
-    # Guards against a guess by a node that the other side of a partition begins streams
-    # beside.
+    # Guards against a guess by a node that is cut off from the streams' owners.
     async def scenario():
         network = ResumptionNetwork(size)
         list_versions(network, V1, V2)
