Let the review's scripts exit with 1 only if a rule was broken

Cause: an error of Python itself, as without the build, exits with 1 too, and looked like a broken rule. Change: a case exits with 10 if its rule was broken, and run.sh maps that to 1 and any unknown code to 2; a stopped script ends its processes.

--- a/review/harness.py
+++ b/review/harness.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import os
+import signal
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -35,8 +36,9 @@
     "run_site",
 ]
 
-#: Exit codes of a case.
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+#: Exit codes of a case. ``run.sh`` turns the second into 1, and any unknown one into 2:
+#: Python itself exits with 1 on an error.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 #: `contactMs` of the small sites, in seconds.
 CONTACT_S = 3.0
 #: Seconds between two records of a runner, `heartbeatMs` of the small sites.
@@ -186,14 +188,16 @@
     async def run() -> int:
         record = Record(folder / "record.txt")
         record.note(f"TROUBLE={int(TROUBLE)}")
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(MAX_CASE_S):
                 code = await case(record)
-        except (TimeoutError, AssertionError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.note(f"the case could not run: {error!r}")
             code = NOT_RUN
-        finally:
-            verdict = {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}
+        verdict = {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}
         record.note(f"rule {verdict[code]}")
         record.close()
         return code
