Let the soak judge requests that end without an answer

NOTHING_LOST finds requests that an endpoint received, or that a node has read whole, and that were cut; it has the excuses of the users' rule and no others. STOPS_IN_TIME finds stops that outlast the grace time.

--- a/poplarrelay/commands/soak.py
+++ b/poplarrelay/commands/soak.py
@@ -11,10 +11,13 @@
 from cyclopts import Parameter
 
 from poplarrelay.commands.output import ExitCode, fail
+from poplarrelay.testing.soak.plan import FaultKind
 from poplarrelay.testing.soak.run import SoakReport, SoakSize, soak
 
 __all__ = ["parse_seeds", "soak_command"]
 
+_KINDS = [kind.value for kind in FaultKind]
+
 
 def parse_seeds(text: str) -> list[int]:
     """Return the seeds in a text such as ``3,8-10``.
@@ -53,6 +56,8 @@
     nodes: int = 3,
     callers: int = 12,
     logs: Annotated[Path | None, Parameter(help="Folder for the nodes' logs.")] = None,
+    kinds: str = "",
+    checkout: Path | None = None,
 ) -> None:
     """Run node processes under random faults and check the invariants.
 
@@ -66,6 +71,10 @@
         Number of node processes, at most 16.
     callers
         Number of callers that send requests during the run.
+    kinds
+        Kinds of fault to use, such as ``stop,reload``; all by default.
+    checkout
+        Checkout of another version, whose code the nodes run.
     """
     try:
         chosen_seeds = parse_seeds(seeds)
@@ -73,7 +82,17 @@
         fail(ExitCode.USAGE, f"seeds: {seeds!r} is not a list such as 3,8-10")
     if not 1 <= nodes <= 16:
         fail(ExitCode.USAGE, "nodes: must be from 1 to 16")
-    size = SoakSize(nodes=nodes, callers=callers, length_s=length)
+    try:
+        chosen_kinds = tuple(FaultKind(name) for name in kinds.split(",") if name)
+    except ValueError as error:
+        fail(ExitCode.USAGE, f"kinds: {error}; known are {', '.join(_KINDS)}")
+    size = SoakSize(
+        nodes=nodes,
+        callers=callers,
+        length_s=length,
+        fault_kinds=chosen_kinds or tuple(FaultKind),
+        checkout=checkout,
+    )
     failed_seeds = []
     for seed in chosen_seeds:
         with TemporaryDirectory() as scratch:
--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -63,6 +63,18 @@
     RESET_UNFRAMED = "reset unframed"
 
 
+#: Faults after which no sound and whole answer has been sent.
+_BREAKING_FAULTS = frozenset(
+    (
+        Fault.RESET,
+        Fault.TRUNCATED,
+        Fault.WRONG_ATTEMPT_ID,
+        Fault.INVALID_BYTES,
+        Fault.RESET_UNFRAMED,
+    )
+)
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
     """Request as the endpoint received it; `ran` if the endpoint ran it."""
@@ -151,6 +163,8 @@
         Number of streams in progress.
     disconnected_attempts : list of str
         Attempt ids of streams whose caller closed the connection before the end.
+    broken_off : set of str
+        Attempt ids of the requests whose answer the endpoint itself has cut or spoiled.
     limit : str or None
         Value of the ``Server-Limit`` header in responses, None to omit it.
     leaving : bool
@@ -203,6 +217,7 @@
     break_after: int | None = None
     received: list[ReceivedRequest] = field(default_factory=list)
     disconnected_attempts: list[str] = field(default_factory=list)
+    broken_off: set[str] = field(default_factory=set)
     connections: int = 0
     active_streams: int = 0
     limit: str | None = None
@@ -229,6 +244,7 @@
     _port: int = 0
     _crashed: bool = False
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _in_progress: set[str] = field(default_factory=set)
 
     async def start(self, port: int = 0) -> None:
         """Start to listen."""
@@ -237,6 +253,7 @@
 
     def stop(self) -> None:
         """Stop listening and reset all connections."""
+        self.broken_off |= self._in_progress
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -317,6 +334,28 @@
             )
         )
         attempt = headers.get("x-poplarrelay-attempt-id", "")
+        self._in_progress.add(attempt)
+        try:
+            return await self._handle(
+                http, reader, writer, head.target.decode(), headers, body, fault, runs
+            )
+        finally:
+            self._in_progress.discard(attempt)
+
+    async def _handle(
+        self,
+        http: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        fault: Fault | None,
+        runs: bool,
+    ) -> bool:
+        """Refuse, run or mishandle a request; return whether to read another one."""
+        attempt = headers.get("x-poplarrelay-attempt-id", "")
+        target_instance = headers.get("x-poplarrelay-target-instance", self.endpoint)
         if target_instance != self.endpoint:
             return self._answer(http, writer, 421, attempt, b"", refused=True)
         if not runs:
@@ -331,7 +370,7 @@
             await asyncio.sleep(self.pause_s)
             self._crash(http, writer, attempt)
             return False
-        bad = self._bad_version(head.target.decode())
+        bad = self._bad_version(target)
         if bad is not None and self._fails(bad):
             fault = Fault.ERROR
         if fault is not None:
@@ -476,6 +515,8 @@
         attempt: str,
     ) -> bool:
         body = self.body_of(attempt)
+        if fault in _BREAKING_FAULTS:
+            self.broken_off.add(attempt)
         if fault is Fault.ERROR:
             return self._answer(http, writer, 500, attempt, b"error")
         if fault is Fault.RESET:
@@ -523,6 +564,7 @@
                     return False
                 event = self.event_of(number)
                 if self.break_after == number:
+                    self.broken_off.add(attempt)
                     send(event[: len(event) // 2])
                     await writer.drain()
                     if self.framed:
--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import time
-from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
@@ -219,6 +219,8 @@
         These links, by the name of the node or of the endpoint.
     fair_shares : bool
         Whether contended services are divided between the teams.
+    checkout : Path or None
+        Checkout whose code the node processes run, None for this one.
     """
 
     store: StoreStandIn
@@ -231,6 +233,7 @@
     use_links: bool = False
     links: dict[str, Link] = field(default_factory=dict)
     fair_shares: bool = False
+    checkout: Path | None = None
     _settings: dict[str, EntrySettings] = field(default_factory=dict)
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _listener_ports: dict[str, str] = field(default_factory=dict)
@@ -365,15 +368,21 @@
                 "-m",
                 "poplarrelay.entry",
                 "--settings",
-                str(settings_path),
+                str(settings_path.absolute()),
                 stdout=log_file,
                 stderr=log_file,
+                cwd=self.checkout,
             )
         started = EntryProcess(process, settings_path, output)
         self.started.append(started)
         self.processes[name] = started
         return started
 
+    def log_lines(self) -> Iterator[dict[str, Any]]:
+        """Yield the log lines of all processes."""
+        for process in self.started:
+            yield from process.lines()
+
     async def wait_until_ended(self, name: str) -> None:
         """Wait until a node that is stopping has ended."""
         await self._tasks[name]
--- a/poplarrelay/testing/resuming_callers.py
+++ b/poplarrelay/testing/resuming_callers.py
@@ -41,6 +41,8 @@
         Whether the stream has ended and looks complete.
     detail : str
         Reason of the last refusal.
+    gave_up : bool
+        Whether the caller ended the last try, since it got no bytes for too long.
     """
 
     site: EntrySite
@@ -53,6 +55,7 @@
     took_s: list[float] = field(default_factory=list)
     complete: bool = False
     detail: str = ""
+    gave_up: bool = False
 
     async def ask(
         self, node: str, attempt: str, body: bytes = b"", **headers: str
@@ -65,6 +68,7 @@
             headers["Authorization"] = f"Bearer {self.key}"
         begun_at = asyncio.get_running_loop().time()
         self.statuses.append(0)
+        self.gave_up = False
         try:
             connection = await self.site.open(
                 self.path, node, body, X_Poplarrelay_Attempt_Id=attempt, **headers
@@ -91,8 +95,10 @@
                     self.stream = attempt
                 self.content += events.content
                 self.last_id = events.last_id or self.last_id
-        except (ExchangeFailed, TimeoutError):
+        except ExchangeFailed:
             pass
+        except TimeoutError:
+            self.gave_up = True
         finally:
             connection.abort()
             self.took_s.append(asyncio.get_running_loop().time() - begun_at)
--- a/poplarrelay/testing/soak/callers.py
+++ b/poplarrelay/testing/soak/callers.py
@@ -7,15 +7,16 @@
 from itertools import count
 from random import Random
 from time import monotonic
+from typing import Any
 
 import orjson
 
 from poplarrelay.entry.http.connection import Connection, Headers
 from poplarrelay.exception import ExchangeFailed
-from poplarrelay.testing.entry_site import HOST, EntrySite
+from poplarrelay.testing.entry_site import HOST, EntrySite, entry_configuration
 from poplarrelay.testing.soak.ledger import Ending, SentRequest
 
-__all__ = ["KEYS", "Caller"]
+__all__ = ["KEYS", "Caller", "configuration_of", "route_timeouts_s"]
 
 #: API keys by team.
 KEYS = {"alpha": "key-of-alpha", "beta": "key-of-beta"}
@@ -43,6 +44,63 @@
 _REQUEST_NUMBERS = count(1)
 
 
+class _SplitTransport(asyncio.Transport):
+    """Transport that writes the second half of the data some time later."""
+
+    def __init__(self, transport: asyncio.Transport, connection: SplitConnection):
+        super().__init__()
+        self._transport = transport
+        self._connection = connection
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Write the data, perhaps in two halves."""
+        half = len(data) // 2 if self._connection.split_s else len(data)
+        self._transport.write(data[:half])
+        if half < len(data):
+            loop = asyncio.get_running_loop()
+            rest = bytes(data[half:])
+            loop.call_later(self._connection.split_s, self._transport.write, rest)
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return a property of the connection."""
+        return self._transport.get_extra_info(name, default)
+
+    def get_write_buffer_size(self) -> int:
+        """Return the number of unsent bytes."""
+        return self._transport.get_write_buffer_size()
+
+    def pause_reading(self) -> None:
+        """Stop reading."""
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        self._transport.resume_reading()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._transport.abort()
+
+
+class SplitConnection(Connection):
+    """Connection that can send a request in two halves.
+
+    Attributes
+    ----------
+    split_s : float
+        Seconds between the two halves of the next request, 0 to send it at once.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.split_s = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        super().connection_made(_SplitTransport(transport, self))
+
+
 class Caller:
     """A caller that keeps one open connection to each node.
 
@@ -57,6 +115,8 @@
         any time since then.
     rng : random.Random
         Source of the random choices.
+    timeouts_s : dict of str to float
+        Time-out of each kind's route in seconds.
     """
 
     def __init__(
@@ -65,12 +125,14 @@
         requests: list[SentRequest],
         was_paused: Callable[[str, float], bool],
         rng: Random,
+        timeouts_s: dict[str, float],
     ) -> None:
         self._site = site
         self._requests = requests
         self._was_paused = was_paused
         self._rng = rng
-        self._connections: dict[str, Connection] = {}
+        self.timeouts_s = timeouts_s
+        self._connections: dict[str, SplitConnection] = {}
 
     async def run(self) -> None:
         """Send requests until cancelled."""
@@ -82,8 +144,7 @@
                 )
                 await asyncio.sleep(self._rng.uniform(0, MAX_REQUEST_GAP_S))
         finally:
-            for connection in self._connections.values():
-                connection.abort()
+            self.close()
 
     async def send_request(
         self,
@@ -92,10 +153,21 @@
         body: bytes = b"",
         team: str | None = None,
         headers: Sequence[tuple[bytes, bytes]] = (),
+        deadline_s: float = DEADLINE_S,
+        split_s: float = 0.0,
     ) -> SentRequest:
         """Send one request to a node, and wait until it ends.
 
-        The body of the request defaults to its id, and the team is random by default.
+        Parameters
+        ----------
+        body : bytes
+            Body of the request; its id by default.
+        team : str or None
+            The caller's team, a random one by default.
+        deadline_s : float
+            Seconds after which the caller no longer waits.
+        split_s : float
+            Seconds between the two halves of the request.
         """
         repeatable, streams = REQUEST_KINDS[kind]
         team = team or self._rng.choice(list(KEYS))
@@ -103,28 +175,42 @@
         sent = SentRequest(
             request_id, node, kind, team, repeatable, streams, custom_body=body
         )
+        sent.timeout_s = min(deadline_s, self.timeouts_s[kind])
         self._requests.append(sent)
         sent.sent_at = sent_at = monotonic()
+        sent.body_sent_at = sent_at + split_s
         abandon_s = None
         if self._rng.random() < ABANDON_SHARE:
             abandon_s = self._rng.uniform(0, MAX_ABANDON_S)
         try:
-            async with asyncio.timeout(abandon_s or DEADLINE_S + MARGIN_S):
-                await self._exchange(sent, headers)
+            async with asyncio.timeout(abandon_s or deadline_s + MARGIN_S):
+                await self._exchange(sent, headers, deadline_s, split_s)
         except ExchangeFailed:
             sent.ending = sent.ending or Ending.CUT
         except TimeoutError:
-            sent.ending = Ending.STILL_OPEN if abandon_s is None else Ending.CUT
+            sent.ending = Ending.STILL_OPEN if abandon_s is None else Ending.ABANDONED
             sent.node_was_paused = self._was_paused(node, sent_at)
+        sent.ended_at = monotonic()
         return sent
 
+    def close(self) -> None:
+        """Abort the open connections."""
+        for connection in self._connections.values():
+            connection.abort()
+
     async def _exchange(
-        self, sent: SentRequest, more_headers: Sequence[tuple[bytes, bytes]]
+        self,
+        sent: SentRequest,
+        more_headers: Sequence[tuple[bytes, bytes]],
+        deadline_s: float,
+        split_s: float,
     ) -> None:
         connection = await self._connect(sent)
         reusable = False
         try:
-            reusable = await self._send_and_receive(connection, sent, more_headers)
+            reusable = await self._send_and_receive(
+                connection, sent, more_headers, deadline_s, split_s
+            )
         finally:
             # This also runs when the caller abandons the request: the node notices it
             # only by the closed connection.
@@ -135,9 +221,11 @@
 
     async def _send_and_receive(
         self,
-        connection: Connection,
+        connection: SplitConnection,
         sent: SentRequest,
         more_headers: Sequence[tuple[bytes, bytes]],
+        deadline_s: float,
+        split_s: float,
     ) -> bool:
         """Send a request and receive the response.
 
@@ -147,29 +235,38 @@
         headers: Headers = [
             (b"Host", HOST.encode()),
             (b"X-Poplarrelay-Attempt-Id", sent.request_id.encode()),
-            (b"X-Poplarrelay-Deadline-Ms", str(int(1000 * DEADLINE_S)).encode()),
+            (b"X-Poplarrelay-Deadline-Ms", str(int(1000 * deadline_s)).encode()),
             (b"Authorization", f"Bearer {KEYS[sent.team]}".encode()),
             (b"Content-Length", str(len(body)).encode()),
             *more_headers,
         ]
+        connection.split_s = split_s
         connection.send(b"POST", f"/{sent.kind}/x".encode(), headers, body)
         response = await connection.complete_response(1_000_000)
         sent.status = response.status
         sent.body = response.body
         sent.ending = Ending.ANSWERED
-        sent.ended_at = monotonic()
         return connection.prepare_reuse(response.headers, monotonic())
 
-    async def _connect(self, sent: SentRequest) -> Connection:
-        connection = self._connections.pop(sent.node, None)
-        now = monotonic()
-        if connection is not None and connection.usable(now):
-            return connection
+    async def _connect(self, sent: SentRequest) -> SplitConnection:
+        kept = self._connections.pop(sent.node, None)
+        if kept is not None and kept.usable(monotonic()):
+            return kept
         try:
-            return await Connection.open(*self._site.address(sent.node), CONNECT_S)
+            connection = await SplitConnection.open(
+                *self._site.address(sent.node), CONNECT_S
+            )
         except ExchangeFailed:
             sent.ending = Ending.REFUSED_CONNECTION
             raise
+        assert isinstance(connection, SplitConnection)
+        return connection
+
+
+def route_timeouts_s() -> dict[str, float]:
+    """Return the time-outs of the example configuration's routes in seconds."""
+    routes = entry_configuration()["routes"]
+    return {route["name"]: route["timeoutMs"] / 1000 for route in routes}
 
 
 async def configuration_of(site: EntrySite, node: str) -> int:
--- a/poplarrelay/testing/soak/ledger.py
+++ b/poplarrelay/testing/soak/ledger.py
@@ -55,6 +55,8 @@
     STREAMS_GO_ON = "streams go on after the loss of all nodes as new ones begin"
     SOUND_PROMPTS_GO_ON = "sound prompts are not refused beside a crashing part"
     LIMITS_IN_FORCE = "what the limits in force allow is not denied"
+    NOTHING_LOST = "a request that ran or was read whole gets an answer"
+    STOPS_IN_TIME = "a node that is stopped ends within its grace time"
     SERVES_AGAIN = "all nodes serve, by the newest configuration, after the faults"
 
 
@@ -63,6 +65,8 @@
 
     ANSWERED = "answered"
     CUT = "cut"
+    ABANDONED = "abandoned by its caller"
+    STREAMED = "answered, and checked by its caller"
     REFUSED_CONNECTION = "no connection"
     STILL_OPEN = "still open after its deadline"
 
@@ -87,7 +91,12 @@
     custom_body : bytes
         Request body to send instead of the request id; empty to send the id.
     sent_at, ended_at : float
-        Monotonic times at which the caller sent the request and got its answer.
+        Monotonic times at which the caller sent the request, and got its answer or lost
+        the connection.
+    body_sent_at : float
+        Monotonic time at which the caller sent its last byte.
+    timeout_s : float
+        Seconds until its deadline or its route's time-out, whichever is first.
     """
 
     request_id: str
@@ -103,6 +112,8 @@
     custom_body: bytes = b""
     sent_at: float = 0.0
     ended_at: float = 0.0
+    body_sent_at: float = 0.0
+    timeout_s: float = inf
 
     @property
     def request_body(self) -> bytes:
@@ -212,11 +223,14 @@
         Name of the node, or of the endpoint to which the link leads.
     since, until : float
         Monotonic times of its start and end.
+    planned : bool
+        Whether it is planned work on the node, which excuses no lost request.
     """
 
     name: str
     since: float
     until: float
+    planned: bool = False
 
 
 def check_notices(
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -16,6 +16,7 @@
     "SECOND_KINDS",
     "SEVENTH_KINDS",
     "SIXTH_KINDS",
+    "TENTH_KINDS",
     "THIRD_KINDS",
     "FaultKind",
     "PlannedFault",
@@ -102,6 +103,9 @@
         prompts.
     LIMITS_CHANGED
         The limits on callers change, and callers use them on kept connections.
+    STOPS_IN_SERIES
+        Nodes are stopped one after the other or together, beside slow calls and streams
+        and further signals and changes. Callers use them until their processes end.
     """
 
     KILL = "kill"
@@ -136,6 +140,7 @@
     ALL_KILLED = "all killed"
     LIGHT_PROMPT_PART_CRASHES = "prompt part crashes endpoints in light traffic"
     LIMITS_CHANGED = "limits changed"
+    STOPS_IN_SERIES = "stops in series"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
@@ -156,9 +161,11 @@
 SEVENTH_KINDS = tuple(FaultKind)[:25]
 #: Kinds before ``VERSIONS_SIDE_BY_SIDE`` and ``PROMPT_PART_CRASHES`` were added.
 EIGHTH_KINDS = tuple(FaultKind)[:27]
-#: Kinds before ``ALL_KILLED`` and the two after it were
-#: added. These tuples depend on the order of the enum: append new kinds at its end.
+#: Kinds before ``ALL_KILLED`` and the two after it were added.
 NINTH_KINDS = tuple(FaultKind)[:29]
+#: Kinds before ``STOPS_IN_SERIES`` was added. These tuples depend on the order of the
+#: enum: append new kinds at its end.
+TENTH_KINDS = tuple(FaultKind)[:32]
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -37,6 +37,7 @@
     REQUEST_KINDS,
     Caller,
     configuration_of,
+    route_timeouts_s,
 )
 from poplarrelay.testing.soak.ledger import (
     Disruption,
@@ -49,7 +50,9 @@
     check_stream,
     count_endings,
 )
+from poplarrelay.testing.soak.lost import check_lost, check_stops
 from poplarrelay.testing.soak.plan import FaultKind, PlannedFault, draw_plan
+from poplarrelay.testing.soak.stops import NodeStops, routes_with
 from poplarrelay.testing.soak.targeted import STREAM_EVENTS, TargetedFaults
 
 __all__ = ["SoakReport", "SoakRun", "SoakSize", "soak"]
@@ -139,6 +142,8 @@
         Time in seconds in which faults start.
     fault_kinds : tuple of FaultKind
         Kinds of the faults of the run.
+    checkout : Path or None
+        Checkout whose code the nodes run, None for this one.
     """
 
     nodes: int = 3
@@ -146,6 +151,7 @@
     callers: int = 12
     length_s: float = 10.0
     fault_kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    checkout: Path | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +190,10 @@
         from starting the same node or endpoint twice.
     disruptions : list of Disruption
         Times in which nodes and links were disrupted.
+    stops : NodeStops
+        Stops of nodes.
+    timeouts_s : dict of str to float
+        Time-out of each route in seconds.
     errors : list of str
         Tracebacks of faults that could not be injected: errors of the soak itself.
     crash_bodies : set of bytes
@@ -211,11 +221,13 @@
     paused_until: dict[str, float] = field(default_factory=dict)
     start_locks: dict[str, asyncio.Lock] = field(default_factory=dict)
     disruptions: list[Disruption] = field(default_factory=list)
+    timeouts_s: dict[str, float] = field(default_factory=route_timeouts_s)
     errors: list[str] = field(default_factory=list)
     crash_bodies: set[bytes] = field(default_factory=set)
     crash_parts: set[str] = field(default_factory=set)
     stream_violations: list[Violation] = field(default_factory=list)
     targeted: TargetedFaults = field(init=False)
+    stops: NodeStops = field(init=False)
     injected: list[tuple[FaultKind, float, float]] = field(default_factory=list)
     stream_numbers: count[int] = field(default_factory=lambda: count(1))
     recoveries: list[asyncio.Task[None]] = field(default_factory=list)
@@ -223,10 +235,11 @@
 
     def __post_init__(self) -> None:
         self.targeted = TargetedFaults(self)
+        self.stops = NodeStops(self)
 
     def make_caller(self, rng: Random) -> Caller:
         """Return a new caller."""
-        return Caller(self.site, self.requests, self.was_paused, rng)
+        return Caller(self.site, self.requests, self.was_paused, rng, self.timeouts_s)
 
     def store_disturbed(self, since: float) -> bool:
         """Return whether a fault concerned the store or its links since a time."""
@@ -266,11 +279,16 @@
             process.path.write_bytes(orjson.dumps({**value, "first_start": False}))
 
     def publish(self) -> None:
-        """Publish the next version of the configuration, with the same routes."""
+        """Publish the next version of the configuration."""
         self.version += 1
         teams = [{"name": team, "apiKeys": [key]} for team, key in KEYS.items()]
         limits = self.targeted.limits
-        value = entry_configuration(self.version, tenants=teams, limits=limits)
+        value = entry_configuration(
+            self.version,
+            tenants=teams,
+            limits=limits,
+            routes=routes_with(self.timeouts_s),
+        )
         self.site.store.put("keyed.op", "config", value)
 
     async def add_endpoint(self, service: str, version: str = "1") -> str:
@@ -341,6 +359,7 @@
             FaultKind.ALL_KILLED: self.targeted.kill_all_nodes,
             FaultKind.LIGHT_PROMPT_PART_CRASHES: self.targeted.crash_in_light_traffic,
             FaultKind.LIMITS_CHANGED: self.targeted.change_limits,
+            FaultKind.STOPS_IN_SERIES: self.stops.stop_in_series,
         }
         self.injected.append((fault.kind, monotonic(), inf))
         index = len(self.injected) - 1
@@ -358,30 +377,25 @@
         return rng.choice(sorted(self.site.processes))
 
     @contextlib.contextmanager
-    def _disruption(self, name: str) -> Iterator[None]:
+    def disruption(self, name: str, planned: bool = False) -> Iterator[None]:
         """Record that a node, or a link to an endpoint, is disrupted."""
         since = monotonic()
         try:
             yield
         finally:
-            self.disruptions.append(Disruption(name, since, monotonic()))
+            self.disruptions.append(Disruption(name, since, monotonic(), planned))
 
     async def _kill_node(self, rng: Random, duration_s: float) -> None:
         await self.kill_node(self._choose_node(rng))
 
     async def kill_node(self, name: str) -> None:
         """Kill a node and start it again."""
-        with self._disruption(name):
+        with self.disruption(name):
             await self.site.processes[name].kill()
             await self.restart_ended_node(name)
 
     async def _terminate_node(self, rng: Random, duration_s: float) -> None:
-        name = self._choose_node(rng)
-        process = self.site.processes[name]
-        with self._disruption(name):
-            process.signal(signal.SIGTERM)
-            await process.process.wait()
-            await self.restart_ended_node(name)
+        await self.stops.stop(self._choose_node(rng))
 
     async def restart_ended_node(self, name: str) -> None:
         """Start a node whose process has ended; several faults start it only once."""
@@ -395,7 +409,7 @@
         name = self._choose_node(rng)
         process = self.site.processes[name]
         self.paused_until[name] = float("inf")
-        with self._disruption(name):
+        with self.disruption(name):
             process.signal(signal.SIGSTOP)
             await asyncio.sleep(duration_s)
             process.signal(signal.SIGCONT)
@@ -412,14 +426,14 @@
 
     async def _disturb_link(self, name: str, rng: Random, duration_s: float) -> None:
         link = self.site.links[name]
-        with self._disruption(name):
+        with self.disruption(name):
             link.set_state(rng.choice(_LINK_STATES))
             await asyncio.sleep(duration_s)
             link.set_state(LinkState.INTACT)
 
     async def _reset_link(self, rng: Random, duration_s: float) -> None:
         name = rng.choice(sorted(self.site.links))
-        with self._disruption(name):
+        with self.disruption(name):
             self.site.links[name].reset()
 
     async def _fail_store_listeners(self, rng: Random, duration_s: float) -> None:
@@ -587,7 +601,7 @@
         fault, cuts = rng.choice(_PATH_FAULTS), rng.choice(CUTS)
         with contextlib.ExitStack() as stack:
             for node in nodes:
-                stack.enter_context(self._disruption(node))
+                stack.enter_context(self.disruption(node))
             for _ in range(cuts):
                 self.site.set_paths(nodes, fault, endpoints)
                 await asyncio.sleep(duration_s / cuts / 2)
@@ -712,7 +726,11 @@
         Folder for the settings and logs of the nodes.
     """
     site = EntrySite(
-        StoreStandIn(), CloudStandIn("127.0.0.1"), use_links=True, fair_shares=True
+        StoreStandIn(),
+        CloudStandIn("127.0.0.1"),
+        use_links=True,
+        fair_shares=True,
+        checkout=size.checkout,
     )
     await site.cloud.start()
     run = SoakRun(site, size, Random(seed), folder)
@@ -720,11 +738,7 @@
     try:
         await run.start()
         callers = [
-            asyncio.create_task(
-                Caller(
-                    site, run.requests, run.was_paused, Random(f"{seed}/{number}")
-                ).run()
-            )
+            asyncio.create_task(run.make_caller(Random(f"{seed}/{number}")).run())
             for number in range(size.callers)
         ]
         await _inject_faults(run, plan)
@@ -740,6 +754,11 @@
     if run.errors:
         raise RuntimeError("\n".join(run.errors))
     violations += check_requests(run.requests, run.runners, KEYS.values())
+    read = {line["request"] for line in site.log_lines() if "request" in line}
+    violations += check_lost(
+        run.requests, run.runners, read, run.stops.stops, run.disruptions
+    )
+    violations += check_stops(run.stops.stops, run.disruptions)
     violations += check_notices(run.requests, run.runners, run.disruptions)
     violations += check_duties(site.cloud.accepted)
     violations += run.stream_violations + run.targeted.violations
--- a/poplarrelay/testing/soak/targeted.py
+++ b/poplarrelay/testing/soak/targeted.py
@@ -140,9 +140,17 @@
             repeatable=True,
             streams=True,
             ending=Ending.CUT,
+            sent_at=monotonic(),
+            timeout_s=run.timeouts_s["draft"],
         )
+        sent.body_sent_at = sent.sent_at
         run.requests.append(sent)
         await caller.ask(sent.node, sent.request_id, sent.request_body)
+        sent.ended_at = monotonic()
+        if caller.gave_up:
+            sent.ending = Ending.ABANDONED
+        elif caller.complete or caller.statuses[-1] not in (0, 200):
+            sent.ending = Ending.STREAMED
 
     async def _wait_until_ready(self, names: list[str]) -> None:
         end = monotonic() + RESTART_WAIT_S
