Log and count each response that ends before it is complete, with its reason

A line `response cut` now has the request, its endpoint, the reason, the age and whether a part was written; poplarrelay_responses_cut_total counts by reason. A request that a stop cuts is no longer logged as left by its caller.

--- a/poplarrelay/commands/losses.py
+++ b/poplarrelay/commands/losses.py
@@ -11,6 +11,7 @@
 
 from poplarrelay.commands.explain import read_logs
 from poplarrelay.commands.output import ExitCode, print_lines
+from poplarrelay.entry.http.cuts import CutReason
 from poplarrelay.entry.outcomes import RefusalReason
 
 __all__ = ["Cause", "Losses", "count_losses", "losses"]
@@ -38,6 +39,8 @@
     ENDPOINT_ERROR = "failed: the endpoint's own error"
     UNKNOWN = "failed: the outcome is not known"
     CALLER_LEFT = "the caller left"
+    CUT_AT_STOP = "cut: the node stopped"
+    CUT_BY_NODE = "cut: by the node itself"
 
 
 #: HTTP statuses of requests that the configuration does not allow. They are not losses.
@@ -53,7 +56,10 @@
     RefusalReason.STOPPING.value: Cause.STOPPING,
     RefusalReason.NO_CONFIGURATION.value: Cause.STOPPING,
     RefusalReason.CRASHES.value: Cause.CRASHES,
-    "caller left": Cause.CALLER_LEFT,
+    CutReason.CALLER_LEFT.value: Cause.CALLER_LEFT,
+    CutReason.STOPPED.value: Cause.CUT_AT_STOP,
+    CutReason.FAILED.value: Cause.CUT_BY_NODE,
+    CutReason.EARLY_BYTES.value: Cause.CUT_BY_NODE,
     "answered": Cause.ENDPOINT_ERROR,
 }
 
--- a/poplarrelay/entry/http/listener.py
+++ b/poplarrelay/entry/http/listener.py
@@ -21,6 +21,7 @@
 
 from poplarrelay.entry.configuration import CallerLimits
 from poplarrelay.entry.http.connection import Headers, header_value
+from poplarrelay.entry.http.cuts import CutReason
 from poplarrelay.entry.http.sockets import enable_dead_peer_detection
 
 __all__ = ["Exchange", "Handler", "IncomingRequest", "Listener"]
@@ -66,18 +67,29 @@
     ----------
     begun : bool
         Whether the response's head has been written.
+    complete : bool
+        Whether the whole response has been written to an open connection.
+    subject : dict
+        Fields that identify the request in log lines.
     """
 
     def __init__(self, connection: CallerConnection) -> None:
         self._connection = connection
         self._on_disconnect: Callable[[], None] | None = None
         self.begun = False
+        self.complete = False
+        self.subject: dict[str, object] = {}
 
     @property
     def caller_disconnected(self) -> bool:
         """Return whether the caller has closed the connection."""
         return self._connection.closed
 
+    @property
+    def cut_reason(self) -> CutReason:
+        """Return why the connection was closed."""
+        return self._connection.cut_reason
+
     def on_disconnect(self, callback: Callable[[], None] | None) -> None:
         """Call back when the caller disconnects, instead of cancelling the handler."""
         self._on_disconnect = callback
@@ -97,7 +109,7 @@
         self.begun = True
         if body and self._connection.expects_body(status):
             self._connection.write_event(h11.Data(data=body))
-        self._connection.write_event(h11.EndOfMessage())
+        self.finish()
 
     def start(self, status: int, headers: Headers) -> None:
         """Write the head of a response with a chunked body."""
@@ -114,10 +126,11 @@
     def finish(self) -> None:
         """End the body."""
         self._connection.write_event(h11.EndOfMessage())
+        self.complete = not self._connection.closed
 
-    def abort(self) -> None:
+    def abort(self, reason: CutReason = CutReason.BROKEN_OFF) -> None:
         """Reset the connection, so that the caller sees an incomplete response."""
-        self._connection.abort()
+        self._connection.abort(reason)
 
 
 def _head_bytes(head: h11.Request) -> int:
@@ -176,8 +189,16 @@
         self._write_paused = False
         self._discarding = False
         self._early_bytes = 0
+        self._cut_reason: CutReason | None = None
+        self._answered_at = 0.0
+        self._subject: dict[str, object] = {}
         self.closed = False
 
+    @property
+    def cut_reason(self) -> CutReason:
+        """Return why the connection was closed; by default, the caller closed it."""
+        return self._cut_reason or CutReason.CALLER_LEFT
+
     @property
     def idle(self) -> bool:
         """Return whether no request is being answered and none has begun to arrive."""
@@ -210,7 +231,7 @@
         if self._task is not None:
             self._early_bytes += len(data)
             if self._early_bytes > MAX_EARLY_BYTES:
-                self.abort()
+                self.abort(CutReason.EARLY_BYTES)
                 return
         if self._started_at == 0.0:
             self._started_at = monotonic()
@@ -341,20 +362,39 @@
         try:
             await self._listener.handler(request, exchange)
         except asyncio.CancelledError:
-            self.abort()
+            self.abort(self.cut_reason)
         except Exception:
             # The caller must not wait for an answer that will never come, and the
             # failure of one request must not end the process.
             _LOG.exception("request failed")
             if exchange.begun or self.closed:
-                self.abort()
+                self.abort(CutReason.FAILED)
             else:
                 await exchange.send(HTTPStatus.BAD_GATEWAY, [], b"")
         finally:
+            self._subject = exchange.subject
+            self._answered_at = monotonic()
+            if not exchange.complete:
+                self._note_cut(self._cut_reason, request.started_at, exchange.begun)
             self._task = None
             self._exchange = None
             self._next_request()
 
+    def _note_cut(
+        self, reason: CutReason | None, started_at: float, begun: bool
+    ) -> None:
+        """Log and count a response that is not complete."""
+        if reason is None:
+            reason = CutReason.CALLER_LEFT if self.closed else CutReason.FAILED
+        extra = {
+            **self._subject,
+            "why": reason.value,
+            "begun": begun,
+            "age_ms": round(1000 * (monotonic() - started_at), 1),
+        }
+        _LOG.info("response cut", extra=extra)
+        self._listener.on_cut(reason)
+
     def _next_request(self) -> None:
         if self.closed or self._transport is None:
             return
@@ -470,15 +510,20 @@
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(after_s, call)
 
-    def close(self) -> None:
+    def close(self, reason: CutReason | None = None) -> None:
         """Close the connection after all written bytes are sent."""
+        self._cut_reason = self._cut_reason or reason
         if self._transport is not None:
             self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: CutReason | None = None) -> None:
         """Reset the connection."""
-        if self._transport is not None:
-            self._transport.abort()
+        self._cut_reason = self._cut_reason or reason
+        if self._transport is None or self.closed:
+            return
+        if self._task is None and self._transport.get_write_buffer_size():
+            self._note_cut(CutReason.UNDELIVERED, self._answered_at, True)
+        self._transport.abort()
 
 
 class Listener:
@@ -492,6 +537,8 @@
         Answers one request.
     limits : callable
         Returns the current limits on callers.
+    on_cut : callable
+        Called with the reason for each response that is not complete.
 
     Attributes
     ----------
@@ -505,12 +552,14 @@
         port: int,
         handler: Handler,
         limits: Callable[[], CallerLimits] = CallerLimits,
+        on_cut: Callable[[CutReason], None] = lambda reason: None,
     ) -> None:
         self._host = host
         self._port = port
         self._server: asyncio.Server | None = None
         self.handler = handler
         self.limits = limits
+        self.on_cut = on_cut
         self.connections: set[CallerConnection] = set()
         self.draining = False
 
--- a/poplarrelay/entry/metrics.py
+++ b/poplarrelay/entry/metrics.py
@@ -9,6 +9,7 @@
 from aioprometheus.renderer import render
 
 from poplarrelay.entry.configuration import ServiceName
+from poplarrelay.entry.http.cuts import CutReason
 from poplarrelay.entry.rollouts.evidence import Side
 from poplarrelay.entry.rollouts.table import RolloutTable
 from poplarrelay.entry.scheduling.shares import ShareMarker
@@ -30,6 +31,11 @@
             "Requests ended, by status; 0 for those broken off.",
             registry=self._registry,
         )
+        self._cuts = Counter(
+            "poplarrelay_responses_cut_total",
+            "Responses that ended before they were complete, by reason.",
+            registry=self._registry,
+        )
         self._latency = Histogram(
             "poplarrelay_request_seconds",
             "Seconds from a request's first byte to the end of its answer.",
@@ -57,6 +63,10 @@
         self._requests.inc({"status": status})
         self._latency.observe({"status": status[:1]}, took_s)
 
+    def observe_cut(self, reason: CutReason) -> None:
+        """Record a response that ended before it was complete."""
+        self._cuts.inc({"reason": reason.value})
+
     def set_rollouts(self, rollouts: RolloutTable) -> None:
         """Set the counts of both sides of the roll-outs since their orders."""
         for local in rollouts:
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -31,6 +31,7 @@
 from poplarrelay.entry.endpoint_reader import EndpointReader
 from poplarrelay.entry.gossip import Gossip
 from poplarrelay.entry.host_directory import HostDirectory
+from poplarrelay.entry.http.cuts import CutReason
 from poplarrelay.entry.http.dialing import Dialer
 from poplarrelay.entry.http.listener import Handler, Listener
 from poplarrelay.entry.http.tunnels import (
@@ -105,6 +106,10 @@
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
 
 
+def _ignore_cut(reason: CutReason) -> None:
+    """Count nothing: only responses to callers are counted."""
+
+
 class EntryNode:
     """One entry node.
 
@@ -334,7 +339,8 @@
         result = {}
         for name, (address, handler) in handlers.items():
             host, port = parse_address(address)
-            result[name] = Listener(host, port, handler, self._limits)
+            on_cut = self._metrics.observe_cut if name == "callers" else _ignore_cut
+            result[name] = Listener(host, port, handler, self._limits, on_cut)
         if listeners.metrics is not None:
             host, port = parse_address(listeners.metrics)
             result["metrics"] = Listener(
@@ -475,7 +481,7 @@
         for listener in self._listeners.values():
             listener.stop()
             for connection in list(listener.connections):
-                connection.close()
+                connection.close(CutReason.STOPPED)
         await asyncio.sleep(FLUSH_S)
         await self.abandon()
         _LOG.info("stopped", extra={"cut_off": busy})
@@ -485,7 +491,7 @@
         for listener in self._listeners.values():
             listener.stop()
             for connection in list(listener.connections):
-                connection.abort()
+                connection.abort(CutReason.STOPPED)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -140,6 +140,7 @@
     async def handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
         """Serve one request until its final answer is written."""
         request = decode_request(incoming)
+        exchange.subject["request"] = request.request
         configuration = self._state.configuration
         if configuration is None or not self._state.endpoints_known:
             await self._response_writer.refuse(
@@ -217,7 +218,8 @@
             try:
                 refusal = await self._run_before_deadline(context)
             except asyncio.CancelledError:
-                self._response_writer.log_end(context, 0, "caller left")
+                outcome = context.exchange.cut_reason.value
+                self._response_writer.log_end(context, 0, outcome)
                 raise
             finally:
                 if context.stream is not None:
@@ -396,6 +398,7 @@
     ) -> AttemptResult:
         row = choice.endpoint
         context.tried.append(row.endpoint)
+        context.exchange.subject["endpoint"] = row.endpoint
         sent_at = monotonic()
         list_age_s = round(self._state.freshness.reported_age_s(sent_at), 2)
         list_as_of = self._state.freshness.known_offset
--- a/poplarrelay/entry/responses.py
+++ b/poplarrelay/entry/responses.py
@@ -10,6 +10,7 @@
 import orjson
 
 from poplarrelay.entry.http.connection import Headers
+from poplarrelay.entry.http.cuts import CutReason
 from poplarrelay.entry.http.listener import Exchange
 from poplarrelay.entry.outcomes import Answered, Refusal, RefusalReason
 from poplarrelay.entry.request_context import RequestContext
@@ -63,7 +64,8 @@
         if context.exchange.begun:
             # The caller already has a part of the stream. A reset of the connection
             # shows that the stream is incomplete.
-            context.exchange.abort()
+            late = refusal.reason is RefusalReason.LATE
+            context.exchange.abort(CutReason.DEADLINE if late else CutReason.BROKEN_OFF)
             self.log_end(context, 0, f"broken off: {refusal.reason.value}")
             return
         await self._write_refusal(context.request, context.exchange, refusal, context)
