Start failed background tasks again instead of ending the process

What callers saw: any exception in a background task or in the tick ended the node at once, without a drain: all requests in progress were cut, and on every node in turn if a record was the cause.

Cause: _task_ended set the stop time to minus infinity, and an exception of the tick left serve(). A settings file that was away for a moment when the node started did the same.

--- a/poplarrelay/commands/explain.py
+++ b/poplarrelay/commands/explain.py
@@ -44,6 +44,7 @@
     "ready",
     "started",
     "stopping",
+    "task failed",
 )
 #: Subject of the messages about the archive.
 _ARCHIVE = "archive of streams"
@@ -164,7 +165,8 @@
         elif message in SERVICE_STATE_MESSAGES:
             latest[node, message, str(line.get("service"))] = line
         elif message in NODE_STATE_MESSAGES:
-            latest[node, message, str(line.get("dependency", ""))] = line
+            subject = line.get("dependency") or line.get("task") or ""
+            latest[node, message, str(subject)] = line
     subjects = {line.get("endpoint") for line in explanation.lines}
     subjects |= {line.get("fingerprint") for line in explanation.lines}
     subjects |= {line.get("service") for line in explanation.lines}
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -9,7 +9,7 @@
 import secrets
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from pathlib import Path
 from random import Random
@@ -56,6 +56,7 @@
 from poplarrelay.entry.store_contact import StoreContact
 from poplarrelay.entry.stream_archive import ListPosition, StreamArchive
 from poplarrelay.entry.stream_versions import StreamVersionTable
+from poplarrelay.entry.supervision import TaskSupervisor
 from poplarrelay.exception import SettingsError
 from poplarrelay.identifiers import EndpointId, Incarnation
 from poplarrelay.platform.cloud import CloudClient
@@ -262,6 +263,8 @@
         self._state.freshness.on_confirm = self._exchange.note_confirmed
         self._within_bound = True
         self._directory = HostDirectory(self._state, self._store)
+        control_port = parse_address(settings.listeners.control)[1]
+        self._peer_sync = PeerSync(self._state, self._endpoints, control_port)
         self._cloud: CloudClient | None = None
         self._duties: DutyWorker | None = None
         if settings.platform.cloud is not None:
@@ -280,7 +283,7 @@
         self._next_status_at = monotonic() + STATUS_S
         self._announce_timer: asyncio.TimerHandle | None = None
         self._exchange_timer: asyncio.TimerHandle | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = TaskSupervisor(lambda: self._stopping_at is not None)
         self._listeners = self._make_listeners()
         self._state.on_configuration = self._apply_limits
 
@@ -414,35 +417,26 @@
         """Run ticks until the node is drained, and shut it down."""
         while not self._finished():
             await asyncio.sleep(TICK_S)
-            self._tick()
+            self._supervisor.run_step("tick", self._tick)
         await self._shut_down()
 
     def _start_tasks(self) -> None:
-        control_port = parse_address(self._settings.listeners.control)[1]
-        sync = PeerSync(self._state, self._endpoints, control_port)
-        coroutines = [self._follower.run(), self._reader.run()]
-        coroutines += [self._directory.run(), sync.run(), self._watch_settings()]
-        coroutines.append(self._rollout_follower.run())
-        coroutines.append(self._archive.append_forever())
+        tasks: dict[str, Callable[[], Awaitable[None]]] = {
+            "configuration": self._follower.run,
+            "endpoints": self._reader.run,
+            "directory": self._directory.run,
+            "peer state": self._peer_sync.run,
+            "settings": self._watch_settings,
+            "rollout progress": self._rollout_follower.run,
+            "stream archive": self._archive.append_forever,
+        }
         if self._duties is not None:
-            coroutines += [
-                self._duties.renew_forever(),
-                self._duties.report_forever(),
-                self._duties.order_forever(),
-                self._duties.advance_rollouts_forever(),
-            ]
-        for coroutine in coroutines:
-            task = asyncio.create_task(coroutine)
-            task.add_done_callback(self._task_ended)
-            self._tasks.append(task)
-
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or (task.exception() is None and self._stopping_at):
-            return
-        # Without this task the node would look healthy but work with outdated tables.
-        # The process ends, so that the platform can start it again.
-        _LOG.critical("task failed", exc_info=task.exception())
-        self._stopping_at = float("-inf")
+            tasks["duty lease"] = self._duties.renew_forever
+            tasks["usage"] = self._duties.report_forever
+            tasks["orders"] = self._duties.order_forever
+            tasks["rollouts"] = self._duties.advance_rollouts_forever
+        for name, run in tasks.items():
+            self._supervisor.start(name, run)
 
     def stop(self) -> None:
         """Begin to drain: refer callers to other nodes, but still serve requests."""
@@ -457,8 +451,7 @@
         self._gossip_to_all()
         _LOG.info("stopping", extra={"busy": self._listeners["callers"].busy})
         if self._duties is not None:
-            task = asyncio.create_task(self._duties.retire())
-            self._tasks.append(task)
+            self._supervisor.start("retirement", self._duties.retire)
 
     def _gossip_to_all(self) -> None:
         self._refresh_own_row()
@@ -492,9 +485,7 @@
             listener.stop()
             for connection in list(listener.connections):
                 connection.abort(CutReason.STOPPED)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.cancel()
         self._paths.close()
         self._tunnels.stop()
         self._store.close()
@@ -554,17 +545,17 @@
         if self._path is None:
             await asyncio.Event().wait()
             return
-        last_content = self._path.read_bytes()
+        last_content: bytes | None = None
         while True:
-            await asyncio.sleep(SETTINGS_POLL_S)
             try:
                 content = self._path.read_bytes()
             except OSError as error:
                 _LOG.warning("settings unreadable", extra={"why": str(error)})
-                continue
-            if content != last_content:
+            else:
+                if last_content is not None and content != last_content:
+                    self.reload()
                 last_content = content
-                self.reload()
+            await asyncio.sleep(SETTINGS_POLL_S)
 
     # ticks
 
@@ -600,27 +591,44 @@
             state.me.state = NodeState.READY
             _LOG.info("ready", extra={"configuration": state.me.configuration})
             self._gossip_to_all()
-        self._endpoints.expire(now)
-        self._exchange.tick(now)
-        self._log_within_bound(now)
+        steps: dict[str, Callable[[], None]] = {
+            "endpoint expiry": lambda: self._endpoints.expire(now),
+            "list exchange": lambda: self._exchange.tick(now),
+            "list age": lambda: self._log_within_bound(now),
+            "status": lambda: self._log_status_when_due(now),
+            "gossip": lambda: self._gossip_when_due(now),
+            "coordinators": self._backlog_client.check_coordinators,
+            "paths": lambda: self._paths.tick(now),
+            "versions": lambda: state.versions.note(state.endpoints.rows.values(), now),
+            "resumption": self._resumption.tick,
+            "archive": self._archive.tick,
+            "rollout news": self._send_urgent_rollouts,
+            "dispatch": self._dispatch_queued,
+        }
+        for name, step in steps.items():
+            self._supervisor.run_step(name, step)
+
+    def _log_status_when_due(self, now: float) -> None:
         if now >= self._next_status_at:
             self._next_status_at = now + STATUS_S
             self._log_status(now)
+
+    def _gossip_when_due(self, now: float) -> None:
+        state = self._state
         if now >= self._next_gossip_at or self._gossip.urgent:
             self._next_gossip_at = now + GOSSIP_S * (0.9 + 0.2 * self._rng.random())
             self._run_gossip(now)
         elif state.crashes.urgent or state.quarantine.urgent:
             self._gossip.send_crashes()
-        self._backlog_client.check_coordinators()
-        self._paths.tick(now)
-        state.versions.note(state.endpoints.rows.values(), now)
-        self._resumption.tick()
-        self._archive.tick()
-        if state.rollouts.urgent:
-            state.rollouts.urgent = False
+
+    def _send_urgent_rollouts(self) -> None:
+        if self._state.rollouts.urgent:
+            self._state.rollouts.urgent = False
             self._gossip.send_rollouts()
-        if state.configuration is not None:
-            for service in state.configuration.services:
+
+    def _dispatch_queued(self) -> None:
+        if self._state.configuration is not None:
+            for service in self._state.configuration.services:
                 self._relay.slot_allocator.refuse_without_version(service)
                 self._relay.slot_allocator.dispatch_queued(service)
 
@@ -860,5 +868,6 @@
             **self._resumption.gauges(),
             "forecasts": float(self._state.forecast_errors.made),
             "forecasts_missed": float(self._state.forecast_errors.missed),
+            "task_failures": float(self._supervisor.failures.total()),
             "duty_held": float(self._duties is not None and self._duties.lease.held),
         }
