Accept at a stopping node only what ends before it closes

What callers saw: calls and streams sent up to 5 s after SIGTERM were accepted, ran, and were cut at the end of the stop.

Cause: the limits on acceptance were constants (3 s for streams, 5 s for calls), and so was the time kept before the end (1.1 s). None of them depended on the grace time, the route's time-out or the request's deadline: a call with a time-out of 3 s accepted at 4.9 s of 8 was cut at 6.9 s, and with a grace time of 5 s the node closed before its last sixth. Class: a promise that rests on constants in place of the times it depends on.

Change: entry/shutdown.py has the relations. A request is accepted if its deadline is not after the close, or in the first 3 s; the node closes after 5/6 of the grace time. Short requests are accepted longer than before, and long ones no longer.

--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -41,7 +41,7 @@
 )
 from poplarrelay.entry.list_exchange import EXCHANGE_DELAY_S, ListExchange
 from poplarrelay.entry.metrics import EntryMetrics
-from poplarrelay.entry.node_handlers import NodeHandlers
+from poplarrelay.entry.node_handlers import ADDRESS_TTL_S, NodeHandlers
 from poplarrelay.entry.paths import EndpointPaths, TunnelPolicy
 from poplarrelay.entry.peer_rows import NodeState, PeerRow, reporter_of
 from poplarrelay.entry.peer_sync import PeerSync
@@ -51,6 +51,7 @@
 from poplarrelay.entry.resumption import ResumptionBroker
 from poplarrelay.entry.rollouts.worker import RolloutFollower
 from poplarrelay.entry.settings import EntrySettings, parse_address
+from poplarrelay.entry.shutdown import ShutdownSchedule
 from poplarrelay.entry.slot_broker import SlotBroker
 from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.store_contact import StoreContact
@@ -93,12 +94,6 @@
 FROZEN_S = 0.8
 #: Seconds between reads of the settings file, which can change without a signal.
 SETTINGS_POLL_S = 2.0
-#: Shortest time in seconds that a node keeps serving after the stop signal: callers
-#: still connect to addresses that discovery returned earlier.
-MIN_DRAIN_S = 2.5
-#: Seconds before the end of the grace time at which the node closes the remaining
-#: connections. A process that still runs when the grace time ends is killed.
-CLOSE_MARGIN_S = 1.1
 #: Seconds in which written answers can reach their callers before connections are
 #: reset.
 FLUSH_S = 0.2
@@ -278,12 +273,12 @@
             self._state, self._store, self._store_contact, self._rng
         )
         self._freeze_detector = FreezeDetector(FROZEN_S)
-        self._stopping_at: float | None = None
+        self._shutdown: ShutdownSchedule | None = None
         self._next_gossip_at = 0.0
         self._next_status_at = monotonic() + STATUS_S
         self._announce_timer: asyncio.TimerHandle | None = None
         self._exchange_timer: asyncio.TimerHandle | None = None
-        self._supervisor = TaskSupervisor(lambda: self._stopping_at is not None)
+        self._supervisor = TaskSupervisor(lambda: self._shutdown is not None)
         self._listeners = self._make_listeners()
         self._state.on_configuration = self._apply_limits
 
@@ -372,6 +367,8 @@
     async def run(self) -> None:
         """Serve until a stop signal and then until the node is drained.
 
+        Callers keep the node's address for some time, so it serves at least as long.
+
         Raises
         ------
         OSError
@@ -440,10 +437,11 @@
 
     def stop(self) -> None:
         """Begin to drain: refer callers to other nodes, but still serve requests."""
-        if self._stopping_at is not None:
+        if self._shutdown is not None:
             return
-        self._stopping_at = monotonic()
-        self._state.stopping_at = self._stopping_at
+        now = monotonic()
+        self._shutdown = ShutdownSchedule(now, now, self._settings.bounds.stop_grace_s)
+        self._state.shutdown = self._shutdown
         self._state.me.state = NodeState.DRAINING
         for listener in self._listeners.values():
             listener.drain()
@@ -458,14 +456,13 @@
         self._gossip.run_round(self._gossip_seeds, to_all=True)
 
     def _finished(self) -> bool:
-        if self._stopping_at is None:
+        if self._shutdown is None:
             return False
-        elapsed_s = monotonic() - self._stopping_at
-        grace_s = self._settings.bounds.stop_grace_s
-        if elapsed_s >= grace_s - CLOSE_MARGIN_S:
+        now = monotonic()
+        if now >= self._shutdown.close_at:
             return True
         busy = self._listeners["callers"].busy + self._tunnels.busy
-        return elapsed_s >= MIN_DRAIN_S and busy == 0
+        return now >= self._shutdown.handled_at + ADDRESS_TTL_S and busy == 0
 
     async def _shut_down(self) -> None:
         busy = self._listeners["callers"].busy
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -15,7 +15,6 @@
 from poplarrelay.entry.configuration import (
     Configuration,
     Route,
-    RouteKind,
 )
 from poplarrelay.entry.crash_blocking import CrashBlocking
 from poplarrelay.entry.crash_evidence import CrashEvidence, EndedAttempt
@@ -75,11 +74,6 @@
 #: pause for some hundred ms to prefill long prompts, and callers leave after two
 #: seconds.
 STREAM_SILENCE_TIMEOUT_S = 1.5
-#: Seconds after the stop signal during which a node still accepts streams and calls.
-#: A later request might not end before the process does. When it is refused, the
-#: caller can send it to another node.
-ACCEPT_STREAMS_S = 3.0
-ACCEPT_CALLS_S = 5.0
 #: Seconds after which a caller that a stopping node refused tries another node.
 STOPPING_RETRY_S = 0.05
 #: Ids of the last event that a caller without any event sends.
@@ -156,20 +150,17 @@
         elif isinstance(admission, Denied):
             refusal = Refusal(401, RefusalReason.DENIED)
             await self._response_writer.refuse(request, exchange, refusal)
-        elif self._arrives_too_late(admission.route):
+        elif self._arrives_too_late(request, admission.route):
             refusal = Refusal(503, RefusalReason.STOPPING, STOPPING_RETRY_S)
             await self._response_writer.refuse(request, exchange, refusal)
         else:
             await self._serve_admitted(request, exchange, admission, configuration)
 
-    def _arrives_too_late(self, route: Route) -> bool:
+    def _arrives_too_late(self, request: CallerRequest, route: Route) -> bool:
         """Return whether this node might stop before the request ends."""
-        stopping_at = self._state.stopping_at
-        if stopping_at is None:
-            return False
-        streams = route.kind is RouteKind.STREAMING
-        limit_s = ACCEPT_STREAMS_S if streams else ACCEPT_CALLS_S
-        return monotonic() - stopping_at > limit_s
+        shutdown = self._state.shutdown
+        deadline = _deadline(request, route)
+        return shutdown is not None and not shutdown.accepts(deadline, monotonic())
 
     async def _serve_admitted(
         self,
@@ -179,9 +170,6 @@
         configuration: Configuration,
     ) -> None:
         route, team = admitted.route, admitted.team
-        timeout_s = route.timeout_s
-        if request.timeout_s is not None:
-            timeout_s = min(timeout_s, request.timeout_s)
         context = RequestContext(
             request=request,
             exchange=exchange,
@@ -189,7 +177,7 @@
             team=team,
             priority=admitted.priority,
             service=choose_service(route, self._state.rng),
-            deadline=request.started_at + timeout_s,
+            deadline=_deadline(request, route),
             version=configuration.version,
             progress=StreamProgress(request.last_event_id),
             teams_configured=bool(configuration.teams),
@@ -678,5 +666,13 @@
             )
 
 
+def _deadline(request: CallerRequest, route: Route) -> float:
+    """Return the monotonic time at which a request ends at the latest."""
+    timeout_s = route.timeout_s
+    if request.timeout_s is not None:
+        timeout_s = min(timeout_s, request.timeout_s)
+    return request.started_at + timeout_s
+
+
 def _to_milliseconds(seconds: float | None) -> float | None:
     return None if seconds is None else round(1000 * seconds, 1)
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -36,6 +36,7 @@
 )
 from poplarrelay.entry.scheduling.weights import team_weight
 from poplarrelay.entry.settings import EntrySettings, parse_address
+from poplarrelay.entry.shutdown import ShutdownSchedule
 from poplarrelay.entry.store_era import EraTracker
 from poplarrelay.entry.stream_versions import VersionHistory
 from poplarrelay.identifiers import DomainId, Incarnation, NodeId, PartKey, TeamId
@@ -64,8 +65,8 @@
         Age of the list of endpoints.
     endpoints_known : bool
         Whether the list of endpoints has been read at least once.
-    stopping_at : float or None
-        Monotonic time of the stop signal, None before the signal.
+    shutdown : ShutdownSchedule or None
+        Times of the graceful shutdown, None before the stop signal.
     started_at : float
         Monotonic time at which the node started.
     listed_nodes : mapping of NodeId to str, or None
@@ -133,7 +134,7 @@
     quarantine: QuarantineTable = field(default_factory=QuarantineTable)
     versions: VersionHistory = field(default_factory=VersionHistory)
     streams_unknown: int = 0
-    stopping_at: float | None = None
+    shutdown: ShutdownSchedule | None = None
     started_at: float = field(default_factory=monotonic)
     listed_nodes: Mapping[NodeId, str] | None = None
     recent_node_counts: list[tuple[float, int]] = field(default_factory=list)
--- /dev/null
+++ b/poplarrelay/entry/tests/test_graceful_shutdown.py
@@ -0,0 +1,124 @@
+"""Requests at a node that stops: served, refused as not run, or excused."""
+
+import asyncio
+from random import Random
+from time import monotonic
+
+import pytest
+
+from poplarrelay.entry.shutdown import ShutdownSchedule
+from poplarrelay.testing.entry_site import (
+    CALLS,
+    STREAMS,
+    entry_configuration,
+    poll_until,
+    run_entry_site,
+    run_scenario,
+)
+from poplarrelay.testing.soak.callers import Caller, route_timeouts_s
+from poplarrelay.testing.soak.ledger import Ending, SentRequest
+from poplarrelay.testing.soak.lost import NodeStop, check_lost
+from poplarrelay.testing.soak.stops import routes_with
+
+#: Seconds between two requests of a load, and its callers.
+GAP_S, CALLERS = 0.1, 16
+
+
+class Stop:
+    """A node that stops, and callers that use it until it has ended."""
+
+    def __init__(self, site, grace_s, timeouts_s):
+        self.site = site
+        self.grace_s = grace_s
+        self.timeouts_s = {**route_timeouts_s(), **timeouts_s}
+        self.requests: list[SentRequest] = []
+        self.stop = NodeStop("a", monotonic(), grace_s=grace_s)
+
+    async def configure(self):
+        self.site.configure(2, routes=routes_with(self.timeouts_s))
+        state = self.site.nodes["a"].state
+        await poll_until(lambda: state.me.configuration == 2)
+
+    def caller(self, seed=0):
+        rng = Random(seed)
+        rng.random = lambda: 0.99  # type: ignore[method-assign]
+        return Caller(
+            self.site, self.requests, lambda node, at: False, rng, self.timeouts_s
+        )
+
+    def signal(self):
+        self.stop.at = monotonic()
+        self.site.nodes["a"].stop()
+
+    async def use_until_ended(self, kind, deadline_s):
+        """Signal the node, and send requests of one kind until it has ended."""
+        await self.site.ready(endpoints=1)
+        await self.configure()
+        self.signal()
+        ended = asyncio.create_task(self.site.wait_until_ended("a"))
+
+        async def use(number):
+            caller = self.caller(number)
+            await asyncio.sleep(GAP_S * number / CALLERS)
+            while not ended.done():
+                await caller.send_request("a", kind, deadline_s=deadline_s)
+                await asyncio.sleep(GAP_S)
+
+        await asyncio.gather(*(use(number) for number in range(CALLERS)))
+        self.stop.ended_at = monotonic()
+
+    def lost(self):
+        """Return the requests that were lost; a node logs each one that it has read."""
+        runners = list(self.site.runners.values())
+        read = [sent.request_id for sent in self.requests]
+        return check_lost(self.requests, runners, read, [self.stop], [])
+
+    def endings(self):
+        return [sent.ending for sent in self.requests]
+
+
+@pytest.mark.parametrize(
+    ("service", "kind", "grace_s", "timeout_s"),
+    [
+        (CALLS, "look", 5.0, 2.0),
+        (CALLS, "book", 5.0, 1.0),
+        (CALLS, "look", 6.0, 4.0),
+        (STREAMS, "draft", 5.0, 2.0),
+        (STREAMS, "brief", 8.0, 6.0),
+    ],
+)
+def test_request_that_a_stopping_node_accepts_is_answered(
+    service, kind, grace_s, timeout_s
+):
+    # Guards against requests that are accepted late in the grace time and then cut.
+    async def scenario():
+        async with run_entry_site(nodes=1, stop_grace_s=grace_s) as site:
+            work_s = 0.8 * timeout_s
+            pause_s = work_s / 5 if service == STREAMS else work_s
+            for name in "rst":
+                await site.add_runner(name, service, pause_s=pause_s)
+            stop = Stop(site, grace_s, {kind: timeout_s})
+            await stop.use_until_ended(kind, timeout_s)
+            assert stop.lost() == []
+            assert stop.endings().count(Ending.ANSWERED) > CALLERS
+            assert stop.stop.ended_at < stop.stop.at + grace_s
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("grace_s", [0.5, 1, 3, 5, 8, 30])
+@pytest.mark.parametrize("late_s", [0.0, 0.1, 1.0, 7.0])
+def test_schedule_keeps_the_relations_between_its_times(grace_s, late_s):
+    schedule = ShutdownSchedule(100.0 - late_s, 100.0, grace_s)
+    latest = schedule.sent_after + grace_s
+    assert schedule.close_at <= schedule.delivered_at < latest
+    if late_s <= grace_s / 12:
+        assert schedule.close_at >= 100.0 + grace_s * 5 / 6 - 1e-9
+    for now in (100.0, 101.0, 103.0, schedule.close_at):
+        for deadline in (now, now + 0.5, now + 10.0):
+            if schedule.accepts(deadline, now) and deadline > schedule.close_at:
+                assert now <= schedule.sent_after + 3.0
+
+
+def test_example_routes_have_the_time_outs_of_the_example_configuration():
+    assert routes_with(route_timeouts_s()) == entry_configuration()["routes"]
--- a/poplarrelay/entry/tests/test_nodes.py
+++ b/poplarrelay/entry/tests/test_nodes.py
@@ -6,6 +6,7 @@
 
 from poplarrelay.entry.http.connection import header_value
 from poplarrelay.entry.peers import choose_addresses
+from poplarrelay.entry.shutdown import ShutdownSchedule
 from poplarrelay.standins.users.runner import Fault
 from poplarrelay.testing.entry_site import (
     CALLS,
@@ -83,7 +84,9 @@
             runner = await site.add_runner("r1", STREAMS)
             await site.add_runner("r2", CALLS)
             await site.ready(endpoints=2)
-            site.nodes["a"].state.stopping_at = monotonic() - 4.0
+            signalled_at = monotonic() - 4.0
+            schedule = ShutdownSchedule(signalled_at, signalled_at, grace_s=8.0)
+            site.nodes["a"].state.shutdown = schedule
             answer = await site.call("/draft/x")
             assert answer.status == 503
             assert header_value(answer.headers, b"retry-after")
--- a/poplarrelay/testing/soak/lost.py
+++ b/poplarrelay/testing/soak/lost.py
@@ -36,11 +36,14 @@
     ----------
     at, ended_at : float
         Monotonic times of the first signal and of the end of the process.
+    grace_s : float
+        Grace time of the node in seconds.
     """
 
     node: str
     at: float
     ended_at: float = inf
+    grace_s: float = GRACE_S
 
 
 def check_stops(
@@ -52,7 +55,7 @@
     """
     violations = []
     for stop in stops:
-        end = stop.at + GRACE_S
+        end = stop.at + stop.grace_s
         excused = any(
             d.name == stop.node
             and not d.planned
@@ -61,7 +64,7 @@
             for d in disruptions
         )
         if stop.ended_at > end and not excused:
-            detail = f"{stop.node} still runs after {GRACE_S} s"
+            detail = f"{stop.node} still runs after {stop.grace_s} s"
             violations.append(Violation(Invariant.STOPS_IN_TIME, detail))
     return violations
 
@@ -137,7 +140,7 @@
 
 def _is_excused_by(stop: NodeStop, sent: SentRequest) -> bool:
     begun = sent.sent_at <= stop.at + LATE_SENT_S
-    return begun and sent.ended_at >= stop.at + GRACE_S * (1 - LAST_SHARE)
+    return begun and sent.ended_at >= stop.at + stop.grace_s * (1 - LAST_SHARE)
 
 
 def _describe(
