Count the times of a stop from the earliest time of its signal

What callers saw: on a busy or throttled host, streams sent more than 3 s after SIGTERM were accepted and cut, and the process could be killed before it had closed.

Cause: a stop was timed from when the event loop handled the signal. The signal can have been sent at any time since the last turn of the loop, and the platform counts from then. Change: the node keeps the time of its last turn. Long requests are accepted and connections reset by the earliest time of the signal; the close comes by the latest one. The line `stopping` says how far they are apart.

The new test failed before: with a loop that stood still for 1.2 s, the schedule began after them.

--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -274,6 +274,8 @@
         )
         self._freeze_detector = FreezeDetector(FROZEN_S)
         self._shutdown: ShutdownSchedule | None = None
+        # A stop signal that is handled now was sent after this time.
+        self._last_turn_at = monotonic()
         self._next_gossip_at = 0.0
         self._next_status_at = monotonic() + STATUS_S
         self._announce_timer: asyncio.TimerHandle | None = None
@@ -413,6 +415,7 @@
     async def serve(self) -> None:
         """Run ticks until the node is drained, and shut it down."""
         while not self._finished():
+            self._last_turn_at = monotonic()
             await asyncio.sleep(TICK_S)
             self._supervisor.run_step("tick", self._tick)
         await self._shut_down()
@@ -439,8 +442,9 @@
         """Begin to drain: refer callers to other nodes, but still serve requests."""
         if self._shutdown is not None:
             return
-        now = monotonic()
-        self._shutdown = ShutdownSchedule(now, now, self._settings.bounds.stop_grace_s)
+        self._shutdown = ShutdownSchedule(
+            self._last_turn_at, monotonic(), self._settings.bounds.stop_grace_s
+        )
         self._state.shutdown = self._shutdown
         self._relay.end_requests_at(self._shutdown.close_at)
         self._state.me.state = NodeState.DRAINING
@@ -448,7 +452,13 @@
             listener.drain()
         self._tunnels.retire()
         self._gossip_to_all()
-        _LOG.info("stopping", extra={"busy": self._listeners["callers"].busy})
+        late_ms = 1000 * (self._shutdown.handled_at - self._shutdown.sent_after)
+        extra: dict[str, object] = {
+            "busy": self._listeners["callers"].busy,
+            "grace_s": self._shutdown.grace_s,
+            "late_ms_at_most": round(late_ms, 1),
+        }
+        _LOG.info("stopping", extra=extra)
         if self._duties is not None:
             self._supervisor.start("retirement", self._duties.retire)
 
--- a/poplarrelay/entry/tests/test_graceful_shutdown.py
+++ b/poplarrelay/entry/tests/test_graceful_shutdown.py
@@ -1,6 +1,7 @@
 """Requests at a node that stops: served, refused as not run, or excused."""
 
 import asyncio
+import time
 from collections import Counter
 from random import Random
 from time import monotonic
@@ -166,6 +167,25 @@
     run_scenario(scenario)
 
 
+def test_times_of_a_stop_count_from_the_earliest_time_of_the_signal():
+    # Guards against a busy node that handles the signal late, and counts from then.
+    async def scenario():
+        async with run_entry_site(nodes=1, stop_grace_s=5.0) as site:
+            await site.ready()
+            sent_at = monotonic()
+            time.sleep(1.2)
+            node = site.nodes["a"]
+            node.stop()
+            schedule = node.state.shutdown
+            assert schedule is not None
+            assert sent_at - 0.5 < schedule.sent_after < sent_at
+            assert schedule.handled_at >= sent_at + 1.2
+            assert schedule.close_at < sent_at + 5.0 * 11 / 12
+            assert not schedule.accepts(sent_at + 60.0, sent_at + 3.1)
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("grace_s", [0.5, 1, 3, 5, 8, 30])
 @pytest.mark.parametrize("late_s", [0.0, 0.1, 1.0, 7.0])
 def test_schedule_keeps_the_relations_between_its_times(grace_s, late_s):
