Let callers take written answers until shortly before the end of a stop

What callers saw: a caller that read a large answer slowly got 5,463,390 of 7,000,000 bytes when the node had nothing else in progress and ended.

Cause: connections were reset 0.2 s after the close, whatever was still unsent. It ends sooner where nothing is left to deliver.

--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -94,9 +94,8 @@
 FROZEN_S = 0.8
 #: Seconds between reads of the settings file, which can change without a signal.
 SETTINGS_POLL_S = 2.0
-#: Seconds in which written answers can reach their callers before connections are
-#: reset.
-FLUSH_S = 0.2
+#: Seconds between two looks whether callers have taken all written responses.
+DELIVERY_POLL_S = 0.02
 
 
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
@@ -484,10 +483,17 @@
             listener.stop()
             for connection in list(listener.connections):
                 connection.close(CutReason.STOPPED)
-        await asyncio.sleep(FLUSH_S)
+        assert self._shutdown is not None
+        while self._delivering and monotonic() < self._shutdown.delivered_at:
+            await asyncio.sleep(DELIVERY_POLL_S)
         await self.abandon()
         _LOG.info("stopped", extra={"cut_off": busy})
 
+    @property
+    def _delivering(self) -> bool:
+        """Return whether callers have not taken all written responses."""
+        return any(listener.connections for listener in self._listeners.values())
+
     async def abandon(self) -> None:
         """Reset all connections and cancel all tasks, as if the process ended."""
         for listener in self._listeners.values():
--- a/poplarrelay/entry/tests/test_graceful_shutdown.py
+++ b/poplarrelay/entry/tests/test_graceful_shutdown.py
@@ -1,6 +1,7 @@
 """Requests at a node that stops: served, refused as not run, or excused."""
 
 import asyncio
+import socket
 import time
 from collections import Counter
 from random import Random
@@ -167,6 +168,35 @@
     run_scenario(scenario)
 
 
+def test_caller_that_reads_slowly_gets_its_whole_answer_from_a_stopping_node():
+    # Guards against written answers that are reset while their callers still read.
+    async def scenario():
+        async with run_entry_site(nodes=1, stop_grace_s=6.0) as site:
+            await site.add_runner("r", CALLS, min_body_bytes=7_000_000)
+            await site.ready(endpoints=1)
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+            sock.connect(site.address("a"))
+            reader, writer = await asyncio.open_connection(sock=sock, limit=65_536)
+            lines = [b"%s: %s" % header for header in site.headers()]
+            head = [b"GET /look/x HTTP/1.1", *lines]
+            writer.write(b"\r\n".join([*head, b"", b""]))
+            await reader.readuntil(b"\r\n\r\n")
+            (connection,) = site.nodes["a"]._listeners["callers"].connections
+            await poll_until(lambda: connection.idle)
+            site.nodes["a"].stop()
+            await asyncio.sleep(1.5)
+            received = 0
+            while part := await reader.read(100_000):
+                received += len(part)
+                await asyncio.sleep(0.06)
+            assert received == 7_000_000
+            writer.close()
+            await site.wait_until_ended("a")
+
+    run_scenario(scenario)
+
+
 def test_times_of_a_stop_count_from_the_earliest_time_of_the_signal():
     # Guards against a busy node that handles the signal late, and counts from then.
     async def scenario():
--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -163,6 +163,8 @@
         Number of streams in progress.
     disconnected_attempts : list of str
         Attempt ids of streams whose caller closed the connection before the end.
+    min_body_bytes : int
+        Size to which shorter answers to calls are padded.
     broken_off : set of str
         Attempt ids of the requests whose answer the endpoint itself has cut or spoiled.
     limit : str or None
@@ -238,6 +240,7 @@
     falls: list[float] = field(default_factory=list)
     on_fall: Callable[[], None] | None = None
     label: str = ""
+    min_body_bytes: int = 0
     event_counts: Counter[str] = field(default_factory=Counter)
     _waiting: int = 0
     _server: asyncio.Server | None = None
@@ -433,7 +436,8 @@
 
     def body_of(self, attempt: str) -> bytes:
         """Return the body of the response to an attempt."""
-        return f"answer to {attempt} by {self.endpoint}".encode()
+        body = f"answer to {attempt} by {self.endpoint}".encode()
+        return body.ljust(self.min_body_bytes)
 
     def event_of(self, number: int) -> bytes:
         """Return an event of a stream; it is the same at every endpoint of a label."""
