Handle signals from the first line of the program until its end

What callers saw: SIGHUP in the first half second ended a node with code 129, and SIGTERM or SIGINT then ended it without a drain. At the end of a stop, a signal that arrived while the interpreter ended gave code 143 or 129.

Cause: the handlers were installed after the start, and the event loop and the interpreter restore the default actions when they end. Change: entry/signals.py installs handlers before most modules are loaded; they call the node while its loop runs, and all signals are ignored once it has stopped.

--- a/poplarrelay/entry/__main__.py
+++ b/poplarrelay/entry/__main__.py
@@ -9,7 +9,7 @@
 import sys
 from pathlib import Path
 
-from poplarrelay.entry.command import entry
+from poplarrelay.entry.signals import ProcessSignals
 
 __all__ = ["main"]
 
@@ -23,10 +23,13 @@
     The parser would take a seventh of the loading time (0.11 s of a busy core, compared
     with 0.64 s for all other modules), and callers wait for the nodes to start after a
     power failure. All other arguments go to the parser, which reports what is wrong
-    with them.
+    with them. The signals are handled before the other modules are loaded.
     """
+    signals = ProcessSignals.install()
+    from poplarrelay.entry.command import entry, run_entry
+
     if len(sys.argv) == 3 and sys.argv[1] == "--settings":
-        entry(settings=Path(sys.argv[2]))
+        run_entry(Path(sys.argv[2]), signals)
         return
     from cyclopts import App
 
--- a/poplarrelay/entry/command.py
+++ b/poplarrelay/entry/command.py
@@ -9,10 +9,11 @@
 from poplarrelay.commands.output import ExitCode, fail
 from poplarrelay.entry.process import EntryNode
 from poplarrelay.entry.settings import EntrySettings
+from poplarrelay.entry.signals import ProcessSignals
 from poplarrelay.exception import SettingsError
 from poplarrelay.logs import start_logging
 
-__all__ = ["entry"]
+__all__ = ["entry", "run_entry"]
 
 
 def entry(*, settings: Path) -> None:
@@ -23,6 +24,19 @@
     settings
         JSON file with the node's settings.
     """
+    run_entry(settings, ProcessSignals.install())
+
+
+def run_entry(settings: Path, signals: ProcessSignals) -> None:
+    """Run an entry node.
+
+    Parameters
+    ----------
+    settings : pathlib.Path
+        JSON file with the node's settings.
+    signals : ProcessSignals
+        Handlers of the process's signals.
+    """
     try:
         checked = EntrySettings.from_file(settings)
     except SettingsError as error:
@@ -30,9 +44,11 @@
     listener = start_logging(checked.node, checked.log_level)
     node = EntryNode.from_settings(checked, settings)
     try:
-        asyncio.run(node.run())
+        asyncio.run(node.run(signals))
     except OSError as error:
         listener.stop()
         fail(ExitCode.UNREACHABLE, f"cannot listen: {error}")
+    finally:
+        signals.ignore()
     listener.stop()
     sys.stdout.flush()
--- a/poplarrelay/entry/process.py
+++ b/poplarrelay/entry/process.py
@@ -7,7 +7,6 @@
 import logging
 import resource
 import secrets
-import signal
 import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -52,6 +51,7 @@
 from poplarrelay.entry.rollouts.worker import RolloutFollower
 from poplarrelay.entry.settings import EntrySettings, parse_address
 from poplarrelay.entry.shutdown import ShutdownSchedule
+from poplarrelay.entry.signals import ProcessSignals
 from poplarrelay.entry.slot_broker import SlotBroker
 from poplarrelay.entry.state import EntryState
 from poplarrelay.entry.store_contact import StoreContact
@@ -365,27 +365,33 @@
 
     # start and stop
 
-    async def run(self) -> None:
+    async def run(self, signals: ProcessSignals) -> None:
         """Serve until a stop signal and then until the node is drained.
 
-        Callers keep the node's address for some time, so it serves at least as long.
+        Callers keep the node's address for some time, so it serves at least as long. If
+        a stop signal has arrived before the start, nothing is started.
+
+        Parameters
+        ----------
+        signals : ProcessSignals
+            Handlers of the process's signals.
 
         Raises
         ------
         OSError
             If an address cannot be bound.
         """
+        if signals.stop_requested:
+            return
         await self.start()
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stop)
-        loop.add_signal_handler(signal.SIGINT, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         # Imported objects live until the process ends. If they were not frozen here,
         # every full garbage collection would visit them and delay the events of all
         # streams meanwhile.
         gc.collect()
         gc.freeze()
-        await self.serve()
+        loop = asyncio.get_running_loop()
+        with signals.attached(loop, self.stop, self.reload):
+            await self.serve()
 
     async def start(self) -> None:
         """Open the listeners and start the background tasks.
--- a/poplarrelay/entry/tests/test_process.py
+++ b/poplarrelay/entry/tests/test_process.py
@@ -1,8 +1,11 @@
 """An entry node in a separate process: signals, settings and exit codes."""
 
+import asyncio
 import signal
 import subprocess
 import sys
+from pathlib import Path
+from random import Random
 
 import orjson
 import pytest
@@ -93,6 +96,75 @@
     run_scenario(scenario)
 
 
+#: Longest waits in seconds before a signal of the start; a seed draws more.
+SIGNAL_TIMES_S = (0.05, 0.1, 0.2, 0.4)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_signals_at_any_moment_are_handled(seed, tmp_path):
+    # Guards against processes that a signal ends without a drain.
+    async def scenario():
+        rng = Random(seed)
+        async with run_entry_site(nodes=0) as site:
+            await site.add_runner("r1", CALLS)
+            node = await site.start_process("a", tmp_path)
+            await node.kill()
+            for after_s in (*SIGNAL_TIMES_S, *(rng.uniform(0.05, 3) for _ in "abc")):
+                number = rng.choice((signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
+                started = await site.run_process("a", node.path)
+                assert await signal_and_stop(started, number, after_s, rng) == 0
+
+    run_scenario(scenario)
+
+
+async def signal_and_stop(started, number, after_s, rng):
+    """Send a signal up to three times and then SIGTERM; return the exit code."""
+    await wait_until_caught(started)
+    for _ in range(rng.randint(1, 3)):
+        await asyncio.sleep(after_s * rng.random())
+        started.signal(number)
+    if number is signal.SIGHUP:
+        await poll_until(lambda: "ready" in started.messages())
+        started.signal(signal.SIGTERM)
+        await asyncio.sleep(3 * rng.random())
+        started.signal(signal.SIGHUP)
+    return await started.process.wait()
+
+
+async def wait_until_caught(started):
+    """Wait until a process catches the signals, and return its processor time then."""
+    folder = Path(f"/proc/{started.process.pid}")
+    status = folder / "status"
+    await poll_until(lambda: _catches(status.read_text(), signal.SIGHUP))
+    return _processor_ticks(folder)
+
+
+def _processor_ticks(folder):
+    fields = (folder / "stat").read_text().rpartition(")")[2].split()
+    return int(fields[11]) + int(fields[12])
+
+
+def test_signals_are_caught_before_most_modules_are_loaded(tmp_path):
+    # Guards against a start in which a signal ends the process for half a second.
+    async def scenario():
+        async with run_entry_site(nodes=0) as site:
+            await site.add_runner("r1", CALLS)
+            node = await site.start_process("a", tmp_path)
+            await node.kill()
+            started = await site.run_process("a", node.path)
+            until_caught = await wait_until_caught(started)
+            await poll_until(lambda: "started" in started.messages())
+            folder = Path(f"/proc/{started.process.pid}")
+            assert until_caught < 0.5 * _processor_ticks(folder)
+
+    run_scenario(scenario)
+
+
+def _catches(status, number):
+    caught = int(status.partition("SigCgt:")[2].split()[0], 16)
+    return bool(caught & 1 << (number - 1))
+
+
 @pytest.mark.parametrize(
     ("content", "reason"),
     [(b"{", "line 1"), (b'{"node": "a"}', "listeners"), (None, "No such file")],
