Hold back early bytes of a caller instead of resetting its request

What callers saw: more than 64 KiB behind a request in progress reset that request.

Cause: the node reads behind a request to notice that its caller leaves, and bounded the memory for it by a reset. Change: it pauses reading, and the caller waits with further bytes until its request is answered (backpressure). A caller that leaves meanwhile is noticed when the node writes.

--- a/poplarrelay/commands/losses.py
+++ b/poplarrelay/commands/losses.py
@@ -59,7 +59,6 @@
     CutReason.CALLER_LEFT.value: Cause.CALLER_LEFT,
     CutReason.STOPPED.value: Cause.CUT_AT_STOP,
     CutReason.FAILED.value: Cause.CUT_BY_NODE,
-    CutReason.EARLY_BYTES.value: Cause.CUT_BY_NODE,
     "answered": Cause.ENDPOINT_ERROR,
 }
 
--- a/poplarrelay/entry/http/cuts.py
+++ b/poplarrelay/entry/http/cuts.py
@@ -23,8 +23,6 @@
         ended.
     FAILED
         The node could not handle the request or write its response.
-    EARLY_BYTES
-        The caller sent too many bytes before the response.
     """
 
     CALLER_LEFT = "caller left"
@@ -33,4 +31,3 @@
     STOPPED = "node stopped"
     UNDELIVERED = "not taken before the node ended"
     FAILED = "internal error"
-    EARLY_BYTES = "too many early bytes"
--- a/poplarrelay/entry/http/listener.py
+++ b/poplarrelay/entry/http/listener.py
@@ -31,8 +31,8 @@
 DISCARD_S = 1.0
 #: Statuses whose responses have no body.
 BODILESS = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
-#: Bytes that a caller can send before the answer to its request is written. Callers
-#: wait for answers; the node reads meanwhile only to notice that they disconnect.
+#: Bytes that are read behind a request in progress. The node reads only to notice that
+#: the caller disconnects; behind more bytes, it notices that when it writes.
 MAX_EARLY_BYTES = 65_536
 #: Largest number of connections that wait to be accepted.
 BACKLOG = 1024
@@ -189,6 +189,7 @@
         self._write_paused = False
         self._discarding = False
         self._early_bytes = 0
+        self._reading_paused = False
         self._cut_reason: CutReason | None = None
         self._answered_at = 0.0
         self._subject: dict[str, object] = {}
@@ -231,8 +232,7 @@
         if self._task is not None:
             self._early_bytes += len(data)
             if self._early_bytes > MAX_EARLY_BYTES:
-                self.abort(CutReason.EARLY_BYTES)
-                return
+                self._pause_reading()
         if self._started_at == 0.0:
             self._started_at = monotonic()
             self._first_limits = self._listener.limits()
@@ -241,6 +241,17 @@
         self._http.receive_data(data)
         self._parse()
 
+    def _pause_reading(self) -> None:
+        """Let the caller wait with further bytes until its request is answered."""
+        assert self._transport is not None
+        self._reading_paused = True
+        self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._reading_paused and self._transport is not None:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
     def eof_received(self) -> bool:
         """Treat the end of the caller's bytes as a disconnect."""
         return False
@@ -406,6 +417,7 @@
             return
         self._http.start_next_cycle()
         self._early_bytes = 0
+        self._resume_reading()
         self._first_limits = self._listener.limits()
         self._head = None
         pending, _ = self._http.trailing_data
