Answer callers that close their sending side, where the work runs to its end

What callers saw: no answer to a request that cannot be repeated if they closed their sending side behind it, though it ran to its end.

Cause: the end of the caller's bytes closed the connection. Change: it stays open for the answer of a request that runs to its end in any case. For all others the end still counts as a departure: it cannot be told from one, and endpoints must not go on working for callers that have left.

The new test failed before for work that runs to its end, and passes for both kinds.

--- a/poplarrelay/entry/http/listener.py
+++ b/poplarrelay/entry/http/listener.py
@@ -190,6 +190,7 @@
         self._discarding = False
         self._early_bytes = 0
         self._reading_paused = False
+        self._half_closed = False
         self._cut_reason: CutReason | None = None
         self._answered_at = 0.0
         self._subject: dict[str, object] = {}
@@ -253,8 +254,18 @@
             self._transport.resume_reading()
 
     def eof_received(self) -> bool:
-        """Treat the end of the caller's bytes as a disconnect."""
-        return False
+        """Treat the end of the caller's bytes as a disconnect.
+
+        Notes
+        -----
+        A caller that only closes its sending side looks like one that has left, for
+        which endpoints must not go on working. A request that runs to its end in any
+        case keeps the connection, and its answer is written.
+        """
+        if self._exchange is None or not self._exchange.notify_disconnect():
+            return False
+        self._half_closed = True
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop handling the request of a caller that has disconnected."""
@@ -410,8 +421,10 @@
         if self.closed or self._transport is None:
             return
         # The states are not DONE if the handler ended without an answer.
-        if self._http.our_state is not h11.DONE or (
-            self._http.their_state is not h11.DONE
+        if (
+            self._half_closed
+            or self._http.our_state is not h11.DONE
+            or self._http.their_state is not h11.DONE
         ):
             self.close()
             return
--- a/poplarrelay/entry/http/tests/test_callers.py
+++ b/poplarrelay/entry/http/tests/test_callers.py
@@ -4,8 +4,11 @@
 import socket
 from contextlib import asynccontextmanager
 
+import pytest
+
 from poplarrelay.entry.http.cuts import CutReason
 from poplarrelay.entry.http.listener import Listener
+from poplarrelay.testing.entry_site import poll_until
 
 #: Receive buffer of a caller in bytes, so that the kernel does not hold a whole answer.
 RECEIVE_BYTES = 65_536
@@ -76,6 +79,35 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("runs_to_end", [False, True])
+def test_half_closed_caller_gets_the_answer_of_work_that_runs_to_its_end(runs_to_end):
+    # Guards against an answer that is ready and not delivered.
+    async def scenario():
+        ended = []
+
+        async def answer(incoming, exchange):
+            if runs_to_end:
+                exchange.on_disconnect(lambda: None)
+            await asyncio.sleep(0.2)
+            ended.append(True)
+            await exchange.send(200, [], b"done")
+
+        async with connected(answer) as (listener, reasons, reader, writer):
+            writer.write(request("/"))
+            await poll_until(lambda: listener.busy)
+            writer.write_eof()
+            if runs_to_end:
+                assert await read_answer(reader) == (200, b"done")
+                assert reasons == []
+            else:
+                assert await reader.read() == b""
+                assert reasons == [CutReason.CALLER_LEFT]
+            await poll_until(lambda: not listener.connections)
+            assert bool(ended) is runs_to_end
+
+    asyncio.run(scenario())
+
+
 def test_answer_that_cannot_be_written_ends_with_a_failure_status():
     # Guards against a connection that closes without any answer.
     async def scenario():
