Discard bytes behind a last response instead of resetting it

What callers saw: a caller that sent further bytes behind its last answer (Connection: close, or a stopping node) lost the part of the answer that it had not read yet.

Cause: closing a connection with unread bytes resets it, and the reset destroys what is still on its way. Rejected requests were read on for a second, complete answers were not. Change: after a last response the node closes its sending side, and reads and discards for up to a second.

The new test failed before with a reset in the middle of an answer of 7 MB.

--- a/poplarrelay/entry/http/listener.py
+++ b/poplarrelay/entry/http/listener.py
@@ -26,8 +26,8 @@
 
 __all__ = ["Exchange", "Handler", "IncomingRequest", "Listener"]
 
-#: Seconds for which the rest of a rejected request is read and discarded. Closing a
-#: connection with unread bytes resets it, and the caller can lose the error response.
+#: Seconds for which bytes behind the last response are read and discarded. Closing a
+#: connection with unread bytes resets it, and the caller can lose the response.
 DISCARD_S = 1.0
 #: Statuses whose responses have no body.
 BODILESS = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
@@ -426,7 +426,7 @@
             or self._http.our_state is not h11.DONE
             or self._http.their_state is not h11.DONE
         ):
-            self.close()
+            self._close_after_response()
             return
         self._http.start_next_cycle()
         self._early_bytes = 0
@@ -444,6 +444,30 @@
             self._set_limit_timer(_idle_timeout_s, self.close)
         self._parse()
 
+    def _close_after_response(self) -> None:
+        """Close the connection; after a whole response, first discard what arrives.
+
+        Closing with unread bytes resets the connection, and the caller can lose the
+        part of the response that it has not read yet.
+        """
+        assert self._transport is not None
+        if self._http.our_state not in (h11.DONE, h11.MUST_CLOSE):
+            self.close()
+            return
+        self._discarding = True
+        self._started_at = 0.0
+        self._resume_reading()
+        self._transport.write_eof()
+        self._set_timer(DISCARD_S, self._close_if_delivered)
+
+    def _close_if_delivered(self) -> None:
+        """Close the connection once the whole response has left the process."""
+        assert self._transport is not None
+        if self._transport.get_write_buffer_size():
+            self._set_timer(DISCARD_S, self._close_if_delivered)
+        else:
+            self.close()
+
     # errors before a request has arrived completely
 
     def _head_timed_out(self) -> None:
--- a/poplarrelay/entry/http/tests/test_callers.py
+++ b/poplarrelay/entry/http/tests/test_callers.py
@@ -10,6 +10,7 @@
 from poplarrelay.entry.http.listener import Listener
 from poplarrelay.testing.entry_site import poll_until
 
+BODY = b"x" * 7_000_000
 #: Receive buffer of a caller in bytes, so that the kernel does not hold a whole answer.
 RECEIVE_BYTES = 65_536
 
@@ -108,6 +109,27 @@
     asyncio.run(scenario())
 
 
+def test_bytes_behind_the_last_answer_do_not_reset_it():
+    # Guards against a connection that is closed with unread bytes: its reset destroys
+    # the part of the answer that the caller has not read yet.
+    async def scenario():
+        async def answer(incoming, exchange):
+            await exchange.send(200, [], BODY)
+
+        async with connected(answer) as (_, reasons, reader, writer):
+            writer.write(request("/", 0, "Connection: close"))
+            await reader.readuntil(b"\r\n\r\n")
+            received = len(await reader.read(100_000))
+            while received < len(BODY):
+                writer.write(b"early bytes")
+                part = await reader.read(100_000)
+                assert part, f"{received} of {len(BODY)} bytes"
+                received += len(part)
+            assert reasons == []
+
+    asyncio.run(scenario())
+
+
 def test_answer_that_cannot_be_written_ends_with_a_failure_status():
     # Guards against a connection that closes without any answer.
     async def scenario():
