Bound the share of the event loop that one connection's bytes can take

What callers saw: an endpoint that sent interim responses without end kept the event loop of its nodes busy: other callers waited, calls got 504 long after their time-out, and the endpoint was not avoided. A store or cloud API in trouble and bodies in one-byte chunks did the same.

Cause: interim responses were skipped without a bound, and all elements of a read were parsed at once. Frames of a tunnel and incomplete events were copied again with each element. Change: parsing runs in turns of 2 ms and takes a tenth of the loop for one connection; at most 100 interim responses; a response that never catches up fails, and an event larger than 1 MB breaks its stream off. A read takes no more records from the store than it has asked for, and an answer that is too short is a failure of the store. Stand-ins of endpoints, store and cloud API send such bytes.

--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -48,6 +48,8 @@
 RUNNING_EVENTS = 2
 #: Maximum size of an answer that is held in memory until it is complete.
 MAX_ANSWER_BYTES = 8_000_000
+#: Maximum size of an event of a stream, which is held in memory until it is complete.
+MAX_EVENT_BYTES = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -296,6 +298,10 @@
             if part is None:
                 break
             events = splitter.feed(part)
+            if splitter.rest_size > MAX_EVENT_BYTES:
+                raise ExchangeFailed(
+                    f"event is larger than {MAX_EVENT_BYTES} bytes", sent=True
+                )
             if events.content:
                 self._note_events(events.count)
                 await self._forward_events(head, events.content, events.last_id)
--- a/poplarrelay/entry/events.py
+++ b/poplarrelay/entry/events.py
@@ -8,6 +8,8 @@
 __all__ = ["EventSplitter", "CompleteEvents"]
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+#: Length of the longest end of an event.
+LONGEST_END_BYTES = 4
 _ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
@@ -49,20 +51,28 @@
     """
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
 
     @property
     def rest(self) -> bytes:
         """Return the bytes of the event that is still incomplete."""
-        return self._rest
+        return bytes(self._rest)
+
+    @property
+    def rest_size(self) -> int:
+        """Return the number of bytes of the event that is still incomplete."""
+        return len(self._rest)
 
     def feed(self, data: bytes) -> CompleteEvents:
         """Add received bytes and return the events that they complete."""
-        content = self._rest + data
+        # The end of an event can begin in the bytes before.
+        start = max(0, len(self._rest) - LONGEST_END_BYTES + 1)
+        self._rest += data
         end = count = 0
-        for match in _END.finditer(content):
+        for match in _END.finditer(self._rest, start):
             end = match.end()
             count += 1
-        complete, self._rest = content[:end], content[end:]
+        complete = bytes(self._rest[:end])
+        del self._rest[:end]
         ids = _ID.findall(complete)
         return CompleteEvents(complete, ids[-1] if ids else None, count)
--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -17,6 +17,7 @@
     IDLE_SILENCE_MS,
     enable_dead_peer_detection,
 )
+from poplarrelay.entry.http.turns import ParsingTurns
 from poplarrelay.exception import ExchangeFailed
 
 __all__ = [
@@ -34,8 +35,9 @@
 #: Number of unread body bytes at which reading from the socket pauses, so that a slow
 #: consumer slows the sender down instead of filling memory.
 PAUSE_AT_BYTES = 262_144
-#: Largest size of a response's head in bytes.
-MAX_HEAD_BYTES = 65_536
+#: Largest size in bytes of a response's head, and largest number of interim responses
+#: before it.
+MAX_HEAD_BYTES, MAX_INTERIM_RESPONSES = 65_536, 100
 #: Share of the announced keep-alive time for which an idle connection is reused. The
 #: rest covers the network delay: bytes that arrive after the server has closed the
 #: connection are lost, and the client cannot tell whether the server read them.
@@ -113,6 +115,12 @@
         self._busy = False
         self._sent = False
         self._reading_paused = False
+        self._turns = ParsingTurns(
+            self._parse_event, self._turn_changed, self._fail_behind
+        )
+        self._held = False
+        self._interim_responses = 0
+        self._at_end = False
         self._idle_until = 0.0
         self._retired = False
         self._sent_at = 0.0
@@ -177,8 +185,11 @@
     def eof_received(self) -> bool:
         """Handle end-of-file, which ends a body without a stated length."""
         self._closed = self._failure is None
+        self._at_end = True
         if self._busy:
             self._parse(b"")
+        if self._turns.waiting:
+            return True
         self._fail("closed by the server")
         return False
 
@@ -197,32 +208,68 @@
     def _parse(self, data: bytes) -> None:
         try:
             self._http.receive_data(data)
-            while True:
-                event = self._http.next_event()
-                if not isinstance(event, h11.Event):
-                    break
-                if isinstance(event, h11.ConnectionClosed):
-                    break
-                if isinstance(event, h11.InformationalResponse):
-                    continue
-                self._events.append(event)
-                if isinstance(event, h11.Data):
-                    self._buffered_bytes += len(event.data)
-                if isinstance(event, h11.EndOfMessage):
-                    break
         except h11.RemoteProtocolError as error:
             self._fail(f"invalid HTTP response: {error}")
             return
-        if self._buffered_bytes > PAUSE_AT_BYTES and not self._reading_paused:
-            self._reading_paused = True
-            if self._transport is not None:
-                self._transport.pause_reading()
+        self._turns.run()
+
+    def _parse_event(self) -> bool:
+        """Parse one event; return whether another one may follow."""
+        if self._failure is not None:
+            return False
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            self._fail(f"invalid HTTP response: {error}")
+            return False
+        if not isinstance(event, h11.Event) or isinstance(event, h11.ConnectionClosed):
+            return False
+        if isinstance(event, h11.InformationalResponse):
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                self._fail(f"more than {MAX_INTERIM_RESPONSES} interim responses")
+            return True
+        self._events.append(event)
+        if isinstance(event, h11.Data):
+            self._buffered_bytes += len(event.data)
+            self._update_reading()
         self._wake()
+        return not isinstance(event, h11.EndOfMessage)
+
+    def _fail_behind(self) -> None:
+        self._fail("response in more pieces than can be parsed")
+
+    def _turn_changed(self) -> None:
+        if self._at_end and not self._turns.waiting:
+            self._fail("closed by the server")
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Read only if the parser and the consumer have caught up."""
+        if self._transport is None or self._failure is not None:
+            return
+        full = self._buffered_bytes > PAUSE_AT_BYTES
+        if self._reading_paused:
+            full = full or self._buffered_bytes >= PAUSE_AT_BYTES // 2
+        pause = full or self._turns.waiting or self._held
+        if pause == self._reading_paused:
+            return
+        self._reading_paused = pause
+        if pause:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def hold_reading(self, hold: bool) -> None:
+        """Read nothing while what carries the connection must catch up."""
+        self._held = hold
+        self._update_reading()
 
     def _fail(self, problem: str) -> None:
         """Abort the connection; every later use fails with the first problem."""
         if self._failure is None:
             self._failure = problem
+        self._turns.cancel()
         if self._transport is not None:
             self._transport.abort()
         self._wake()
@@ -243,10 +290,7 @@
         event = self._events.popleft()
         if isinstance(event, h11.Data):
             self._buffered_bytes -= len(event.data)
-            if self._reading_paused and self._buffered_bytes < PAUSE_AT_BYTES // 2:
-                self._reading_paused = False
-                if self._transport is not None and self._failure is None:
-                    self._transport.resume_reading()
+            self._update_reading()
         return event
 
     # request and response
@@ -267,6 +311,7 @@
             parts.append(self._http.send(h11.Data(data=body)) or b"")
         parts.append(self._http.send(h11.EndOfMessage()) or b"")
         self._busy = True
+        self._interim_responses = 0
         self._sent = True
         self._sent_at = monotonic()
         self.request_count += 1
--- a/poplarrelay/entry/http/listener.py
+++ b/poplarrelay/entry/http/listener.py
@@ -23,12 +23,14 @@
 from poplarrelay.entry.http.connection import Headers, header_value
 from poplarrelay.entry.http.cuts import CutReason
 from poplarrelay.entry.http.sockets import enable_dead_peer_detection
+from poplarrelay.entry.http.turns import ParsingTurns
 
 __all__ = ["Exchange", "Handler", "IncomingRequest", "Listener"]
 
-#: Seconds for which bytes behind the last response are read and discarded. Closing a
-#: connection with unread bytes resets it, and the caller can lose the response.
-DISCARD_S = 1.0
+#: Seconds for which bytes behind the last response are read and discarded, and largest
+#: number of these bytes. Closing a connection with unread bytes resets it, and the
+#: caller can lose the response.
+DISCARD_S, MAX_DISCARDED_BYTES = 1.0, 1_000_000
 #: Statuses whose responses have no body.
 BODILESS = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 #: Bytes that are read behind a request in progress. The node reads only to notice that
@@ -188,8 +190,11 @@
         self._write_resumed: asyncio.Future[None] | None = None
         self._write_paused = False
         self._discarding = False
+        self._discarded_bytes = 0
         self._early_bytes = 0
+        self._early_limit_reached = False
         self._reading_paused = False
+        self._turns = ParsingTurns(self._parse_event, self._update_reading)
         self._half_closed = False
         self._cut_reason: CutReason | None = None
         self._answered_at = 0.0
@@ -229,11 +234,14 @@
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes."""
         if self._discarding:
+            self._discarded_bytes += len(data)
+            self._update_reading()
             return
         if self._task is not None:
             self._early_bytes += len(data)
             if self._early_bytes > MAX_EARLY_BYTES:
-                self._pause_reading()
+                self._early_limit_reached = True
+                self._update_reading()
         if self._started_at == 0.0:
             self._started_at = monotonic()
             self._first_limits = self._listener.limits()
@@ -242,15 +250,20 @@
         self._http.receive_data(data)
         self._parse()
 
-    def _pause_reading(self) -> None:
-        """Let the caller wait with further bytes until its request is answered."""
+    def _update_reading(self) -> None:
+        """Read only while the parser keeps up and few early bytes wait."""
         assert self._transport is not None
-        self._reading_paused = True
-        self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if self._reading_paused and self._transport is not None:
-            self._reading_paused = False
+        pause = (
+            self._early_limit_reached
+            or self._turns.waiting
+            or self._discarded_bytes > MAX_DISCARDED_BYTES
+        )
+        if pause == self._reading_paused or self._transport.is_closing():
+            return
+        self._reading_paused = pause
+        if pause:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     def eof_received(self) -> bool:
@@ -270,6 +283,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop handling the request of a caller that has disconnected."""
         self.closed = True
+        self._turns.cancel()
         self._listener.connections.discard(self)
         self._set_timer(None)
         if self._write_resumed is not None and not self._write_resumed.done():
@@ -302,22 +316,26 @@
     # reading
 
     def _parse(self) -> None:
-        if self._task is not None or self.closed:
-            return
+        if self._task is None and not self.closed:
+            self._turns.run()
+
+    def _parse_event(self) -> bool:
+        """Parse one event; return whether another one may follow."""
+        if self._task is not None or self.closed or self._discarding:
+            return False
         try:
-            while self._task is None:
-                event = self._http.next_event()
-                if not isinstance(event, h11.Event):
-                    self._check_incomplete_event(event)
-                    return
-                if isinstance(event, h11.ConnectionClosed):
-                    return
-                self._handle_event(event)
-                if self._discarding:
-                    return
+            event = self._http.next_event()
+            if not isinstance(event, h11.Event):
+                self._check_incomplete_event(event)
+                return False
+            if isinstance(event, h11.ConnectionClosed):
+                return False
+            self._handle_event(event)
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             self._reject(status if status in (400, 431, 501) else 400, str(error))
+            return False
+        return True
 
     def _check_incomplete_event(self, event: type[h11.NEED_DATA | h11.PAUSED]) -> None:
         """Reject a head, or the head of a chunk, that is too large before its end."""
@@ -430,7 +448,8 @@
             return
         self._http.start_next_cycle()
         self._early_bytes = 0
-        self._resume_reading()
+        self._early_limit_reached = False
+        self._update_reading()
         self._first_limits = self._listener.limits()
         self._head = None
         pending, _ = self._http.trailing_data
@@ -456,7 +475,8 @@
             return
         self._discarding = True
         self._started_at = 0.0
-        self._resume_reading()
+        self._early_limit_reached = False
+        self._update_reading()
         self._transport.write_eof()
         self._set_timer(DISCARD_S, self._close_if_delivered)
 
--- a/poplarrelay/entry/http/tunnels.py
+++ b/poplarrelay/entry/http/tunnels.py
@@ -24,6 +24,7 @@
 from poplarrelay.entry.http.connection import Connection, header_value
 from poplarrelay.entry.http.dialing import Address, Dialer
 from poplarrelay.entry.http.sockets import BUSY_SILENCE_MS, enable_dead_peer_detection
+from poplarrelay.entry.http.turns import ParsingTurns
 from poplarrelay.exception import ExchangeFailed
 from poplarrelay.identifiers import EndpointId
 
@@ -37,7 +38,7 @@
 _LENGTH_BYTES = 4
 #: Largest number of bytes in a frame.
 MAX_FRAME_BYTES = 1 << 24
-#: Largest size of a request for a tunnel in bytes.
+#: Largest size of a request for a tunnel and of the response to it in bytes.
 MAX_HEAD_BYTES = 4096
 #: Largest port number.
 MAX_PORT = 65_535
@@ -106,8 +107,10 @@
         self._connection = connection
         self._http = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
-        self._header = b""
+        self._received = bytearray()
         self._remaining = 0
+        self._head_bytes = 0
+        self._turns = ParsingTurns(self._read_frame, self._update_reading)
         self._open = False
         self._ended = False
         self.opened: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -132,8 +135,10 @@
     def data_received(self, data: bytes) -> None:
         """Read the peer's response, or frames."""
         if self._open:
-            self._read_frames(data)
+            self._received += data
+            self._turns.run()
             return
+        self._head_bytes += len(data)
         try:
             self._http.receive_data(data)
             event = self._http.next_event()
@@ -141,6 +146,8 @@
             self._refuse(f"invalid response of the peer: {error}", None)
             return
         if not isinstance(event, h11.Response):
+            if event is not h11.NEED_DATA or self._head_bytes > MAX_HEAD_BYTES:
+                self._refuse("invalid response of the peer", None)
             return
         if event.status_code != HTTPStatus.OK:
             self._refuse(f"peer answers {event.status_code}", event.status_code)
@@ -153,7 +160,8 @@
         self.opened.set_result(None)
         self._http.next_event()
         rest, _ = self._http.trailing_data
-        self._read_frames(bytes(rest))
+        self._received += rest
+        self._turns.run()
 
     def _refuse(self, problem: str, status: int | None) -> None:
         if not self.opened.done():
@@ -162,27 +170,34 @@
             self.opened.exception()
         self.abort()
 
-    def _read_frames(self, data: bytes) -> None:
+    def _read_frame(self) -> bool:
+        """Read a frame's length or content; return whether more may follow."""
         assert self._transport is not None
-        while data and not self._transport.is_closing():
-            if self._remaining:
-                content, data = data[: self._remaining], data[self._remaining :]
-                self._remaining -= len(content)
-                self._connection.data_received(content)
-                continue
-            missing = _LENGTH_BYTES - len(self._header)
-            self._header, data = self._header + data[:missing], data[missing:]
-            if len(self._header) < _LENGTH_BYTES:
-                return
-            length = int.from_bytes(self._header)
-            self._header = b""
-            mark = _MARKS.get(length)
-            if mark is not None:
-                self._handle_mark(mark)
-            elif length > MAX_FRAME_BYTES:
-                self.abort()
-            else:
-                self._remaining = length
+        received = self._received
+        if not received or self._transport.is_closing():
+            return False
+        if self._remaining:
+            content = bytes(received[: self._remaining])
+            del received[: len(content)]
+            self._remaining -= len(content)
+            self._connection.data_received(content)
+            return True
+        if len(received) < _LENGTH_BYTES:
+            return False
+        length = int.from_bytes(received[:_LENGTH_BYTES])
+        del received[:_LENGTH_BYTES]
+        mark = _MARKS.get(length)
+        if mark is not None:
+            self._handle_mark(mark)
+        elif length > MAX_FRAME_BYTES:
+            self.abort()
+        else:
+            self._remaining = length
+        return True
+
+    def _update_reading(self) -> None:
+        """Read from the peer only if its frames have been parsed."""
+        self._connection.hold_reading(self._turns.waiting)
 
     def _handle_mark(self, mark: _Mark) -> None:
         if mark is _Mark.RETIRED:
@@ -199,6 +214,7 @@
 
         An error that is no `ConnectionError` shows this to `Connection`.
         """
+        self._turns.cancel()
         self._refuse(f"peer closed: {exc!r}", None)
         if self._open and not self._ended:
             self._connection.connection_lost(OSError(f"tunnel broke: {exc!r}"))
--- /dev/null
+++ b/poplarrelay/entry/http/turns.py
@@ -0,0 +1,85 @@
+"""Turns of parsing, so that no connection keeps the event loop for itself."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from time import perf_counter
+
+__all__ = ["ParsingTurns"]
+
+#: Seconds of one turn.
+TURN_S = 0.002
+#: Largest share of the event loop for a connection that needs more than one turn.
+MAX_LOOP_SHARE = 0.1
+#: Turns in a row after which a connection that has never caught up is given up.
+MAX_TURNS_BEHIND = 50
+
+
+class ParsingTurns:
+    """Divides the parsing of one connection's bytes into short turns.
+
+    Parameters
+    ----------
+    step : callable
+        Parses one element; returns whether another one may follow.
+    on_change : callable
+        Called when the connection begins or ends to wait for its next turn. It must not
+        be read from meanwhile.
+    give_up : callable
+        Called when parsing has not caught up for too many turns in a row.
+
+    Notes
+    -----
+    One read of a few hundred kilobytes can hold ten thousand elements, such as interim
+    responses or chunks of one byte. Parsed at once, they would delay all other
+    connections by most of a second.
+    """
+
+    def __init__(
+        self,
+        step: Callable[[], bool],
+        on_change: Callable[[], None],
+        give_up: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._step = step
+        self._on_change = on_change
+        self._give_up = give_up
+        self._turns_behind = 0
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def waiting(self) -> bool:
+        """Return whether the next turn is due later."""
+        return self._timer is not None
+
+    def run(self) -> None:
+        """Parse what has been received, or the beginning of it."""
+        if self._timer is not None:
+            return
+        started_at = perf_counter()
+        elapsed_s = 0.0
+        while elapsed_s < TURN_S:
+            if not self._step():
+                self._turns_behind = 0
+                return
+            elapsed_s = perf_counter() - started_at
+        self._turns_behind += 1
+        if self._turns_behind > MAX_TURNS_BEHIND:
+            self._give_up()
+        pause_s = elapsed_s * (1 / MAX_LOOP_SHARE - 1)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(pause_s, self._next_turn)
+        self._on_change()
+
+    def _next_turn(self) -> None:
+        self._timer = None
+        self.run()
+        if self._timer is None:
+            self._on_change()
+
+    def cancel(self) -> None:
+        """Parse nothing more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- a/poplarrelay/platform/store.py
+++ b/poplarrelay/platform/store.py
@@ -264,6 +264,8 @@
             raise HistoryTrimmed(int(_decode_json(response).get("startOffset", 0)))
         if response.status != 200:
             raise PlatformUnavailable("read", response.status, _body_text(response))
+        if len(response.body) < _OFFSETS.size:
+            raise PlatformUnavailable("read", response.status, "answer is too short")
         end, _ = _OFFSETS.unpack_from(response.body)
         records = _split_records(response.body[_OFFSETS.size :])
         return LogPage(records, Offset(start + len(records)), Offset(end))
@@ -447,7 +449,7 @@
 def _split_records(content: bytes) -> tuple[bytes, ...]:
     records: list[bytes] = []
     at = 0
-    while at + _LENGTH.size <= len(content):
+    while at + _LENGTH.size <= len(content) and len(records) < MAX_RECORDS:
         (size,) = _LENGTH.unpack_from(content, at)
         at += _LENGTH.size
         if at + size > len(content):
--- a/poplarrelay/standins/users/cloud.py
+++ b/poplarrelay/standins/users/cloud.py
@@ -11,6 +11,7 @@
 
 from poplarrelay.entry.http.connection import header_value
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest, Listener
+from poplarrelay.standins.users.floods import Flood, flood_caller
 
 __all__ = ["AcceptedCall", "CloudStandIn"]
 
@@ -42,6 +43,8 @@
         Calls in the order in which they were carried out.
     exhausted_domains : set of str
         Failure domains in which orders for reclaimable endpoints are refused.
+    flood : Flood or None
+        Bytes without end that it sends in place of its answers.
     lose_answers : bool
         Whether calls are carried out but not answered.
     """
@@ -53,6 +56,7 @@
         self.accepted: list[AcceptedCall] = []
         self.exhausted_domains: set[str] = set()
         self.lose_answers = False
+        self.flood: Flood | None = None
 
     async def start(self) -> None:
         """Start to listen."""
@@ -83,6 +87,9 @@
         return counts
 
     async def _handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
+        if self.flood is not None:
+            await flood_caller(exchange, self.flood, fast=True)
+            return
         value = orjson.loads(incoming.body)
         headers = incoming.headers
         holder = header_value(headers, b"x-poplarrelay-duty-holder") or b""
--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -13,6 +13,8 @@
 
 import h11
 
+from poplarrelay.standins.users.floods import Flood, send_flood
+
 __all__ = [
     "BadVersion",
     "Fault",
@@ -163,6 +165,10 @@
         Number of streams in progress.
     disconnected_attempts : list of str
         Attempt ids of streams whose caller closed the connection before the end.
+    flood : Flood or None
+        Bytes without end that it sends in place of its answers.
+    floods_fast : bool
+        Whether it sends them as fast as they are read.
     min_body_bytes : int
         Size to which shorter answers to calls are padded.
     broken_off : set of str
@@ -241,6 +247,8 @@
     on_fall: Callable[[], None] | None = None
     label: str = ""
     min_body_bytes: int = 0
+    flood: Flood | None = None
+    floods_fast: bool = True
     event_counts: Counter[str] = field(default_factory=Counter)
     _waiting: int = 0
     _server: asyncio.Server | None = None
@@ -376,6 +384,16 @@
         bad = self._bad_version(target)
         if bad is not None and self._fails(bad):
             fault = Fault.ERROR
+        if self.flood is not None:
+            self.broken_off.add(attempt)
+            await send_flood(
+                writer.write,
+                writer.drain,
+                writer.is_closing,
+                self.flood,
+                self.floods_fast,
+            )
+            return False
         if fault is not None:
             return await self._answer_with_fault(fault, http, reader, writer, attempt)
         pause_s = self.pause_s * (1.0 if bad is None else bad.slowdown)
--- a/poplarrelay/standins/users/store.py
+++ b/poplarrelay/standins/users/store.py
@@ -19,6 +19,7 @@
 
 from poplarrelay.entry.http.connection import Headers
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest, Listener
+from poplarrelay.standins.users.floods import Flood, flood_caller
 
 __all__ = ["Outage", "StoreCopy", "StoreListener", "StoreStandIn"]
 
@@ -98,6 +99,8 @@
     silent_topics : set of str
         Topics whose calls get no answer, for example reads. Calls for other topics
         are answered.
+    flood : Flood or None
+        Bytes without end that it sends in place of its answers.
     unanswered_reads : Counter of str
         Number of next calls for a topic, for example reads, that get no answer.
     """
@@ -109,6 +112,7 @@
         self._outage = Outage.NONE
         self._silences = 0
         self.lose_answers = False
+        self.flood: Flood | None = None
         self.silent_topics: set[str] = set()
         self.unanswered_reads: Counter[str] = Counter()
 
@@ -146,6 +150,9 @@
         return f"{self._host}:{self._listener.port}"
 
     async def _handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
+        if self.flood is not None:
+            await flood_caller(exchange, self.flood, fast=True)
+            return
         if self.outage is Outage.BUSY:
             await exchange.send(503, self._store.headers, b"")
             return
