--- a/poplarrelay/standins/users/cloud.py
+++ b/poplarrelay/standins/users/cloud.py
@@ -45,6 +45,8 @@
         Failure domains in which orders for reclaimable endpoints are refused.
     flood : Flood or None
         Bytes without end that it sends in place of its answers.
+    floods_fast : bool
+        Whether it sends them as fast as they are read.
     lose_answers : bool
         Whether calls are carried out but not answered.
     """
@@ -57,6 +59,7 @@
         self.exhausted_domains: set[str] = set()
         self.lose_answers = False
         self.flood: Flood | None = None
+        self.floods_fast = True
 
     async def start(self) -> None:
         """Start to listen."""
@@ -88,7 +91,7 @@
 
     async def _handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
         if self.flood is not None:
-            await flood_caller(exchange, self.flood, fast=True)
+            await flood_caller(exchange, self.flood, self.floods_fast)
             return
         value = orjson.loads(incoming.body)
         headers = incoming.headers
--- a/poplarrelay/standins/users/store.py
+++ b/poplarrelay/standins/users/store.py
@@ -101,6 +101,8 @@
         are answered.
     flood : Flood or None
         Bytes without end that it sends in place of its answers.
+    floods_fast : bool
+        Whether it sends them as fast as they are read.
     unanswered_reads : Counter of str
         Number of next calls for a topic, for example reads, that get no answer.
     """
@@ -113,6 +115,7 @@
         self._silences = 0
         self.lose_answers = False
         self.flood: Flood | None = None
+        self.floods_fast = True
         self.silent_topics: set[str] = set()
         self.unanswered_reads: Counter[str] = Counter()
 
@@ -151,7 +154,7 @@
 
     async def _handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
         if self.flood is not None:
-            await flood_caller(exchange, self.flood, fast=True)
+            await flood_caller(exchange, self.flood, self.floods_fast)
             return
         if self.outage is Outage.BUSY:
             await exchange.send(503, self._store.headers, b"")
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -106,6 +106,9 @@
     STOPS_IN_SERIES
         Nodes are stopped one after the other or together, beside slow calls and streams
         and further signals and changes. Callers use them until their processes end.
+    ENDLESS_ANSWERS
+        An endpoint, the store at some nodes or the cloud API sends bytes without end in
+        place of its answers.
     """
 
     KILL = "kill"
@@ -141,6 +144,7 @@
     LIGHT_PROMPT_PART_CRASHES = "prompt part crashes endpoints in light traffic"
     LIMITS_CHANGED = "limits changed"
     STOPS_IN_SERIES = "stops in series"
+    ENDLESS_ANSWERS = "endless answers"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
@@ -163,8 +167,8 @@
 EIGHTH_KINDS = tuple(FaultKind)[:27]
 #: Kinds before ``ALL_KILLED`` and the two after it were added.
 NINTH_KINDS = tuple(FaultKind)[:29]
-#: Kinds before ``STOPS_IN_SERIES`` was added. These tuples depend on the order of the
-#: enum: append new kinds at its end.
+#: Kinds before ``STOPS_IN_SERIES`` and ``ENDLESS_ANSWERS`` were added. These tuples
+#: depend on the order of the enum: append new kinds at its end.
 TENTH_KINDS = tuple(FaultKind)[:32]
 
 
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -22,8 +22,9 @@
 from poplarrelay.entry.duty_worker import GROUP
 from poplarrelay.entry.rollouts.records import RolloutState
 from poplarrelay.standins.users.cloud import CloudStandIn
+from poplarrelay.standins.users.floods import Flood
 from poplarrelay.standins.users.runner import BadVersion, Fault, RunnerStandIn
-from poplarrelay.standins.users.store import Outage, StoreStandIn
+from poplarrelay.standins.users.store import Outage, StoreListener, StoreStandIn
 from poplarrelay.testing.entry_site import (
     CALLS,
     STREAMS,
@@ -102,6 +103,8 @@
 FLOOD_GAP_S = 0.02
 #: Callers that take up broken streams, and tries of each.
 RESUMING_CALLERS, MAX_TRIES = 4, 4
+#: Share of the answers without end that are sent as fast as they are read.
+FAST_FLOOD_SHARE = 0.7
 #: Factors by which endpoints become slow.
 SLOWDOWNS = (3.0, 10.0)
 #: Share of the lost paths that concern some endpoints only, and numbers of cuts in one
@@ -360,6 +363,7 @@
             FaultKind.LIGHT_PROMPT_PART_CRASHES: self.targeted.crash_in_light_traffic,
             FaultKind.LIMITS_CHANGED: self.targeted.change_limits,
             FaultKind.STOPS_IN_SERIES: self.stops.stop_in_series,
+            FaultKind.ENDLESS_ANSWERS: self._answer_without_end,
         }
         self.injected.append((fault.kind, monotonic(), inf))
         index = len(self.injected) - 1
@@ -466,6 +470,20 @@
         faults = rng.choices(_ENDPOINT_FAULTS, k=FAULTY_REQUESTS)
         runner.faults.extend(faults)
 
+    async def _answer_without_end(self, rng: Random, duration_s: float) -> None:
+        flooding: RunnerStandIn | StoreListener | CloudStandIn
+        flooding = rng.choice(
+            (
+                self.site.runners[rng.choice(sorted(self.listed))],
+                self.site.store_listeners[self._choose_node(rng)],
+                self.site.cloud,
+            )
+        )
+        flooding.flood = rng.choice(list(Flood))
+        flooding.floods_fast = rng.random() < FAST_FLOOD_SHARE
+        await asyncio.sleep(duration_s)
+        flooding.flood = None
+
     async def _break_streams(self, rng: Random, duration_s: float) -> None:
         runner = self.site.runners[rng.choice(sorted(self.listed))]
         if runner.events:
@@ -669,8 +687,11 @@
         for store_listener in self.site.store_listeners.values():
             store_listener.outage = Outage.NONE
             store_listener.lose_answers = False
+            store_listener.flood = None
+        self.site.cloud.flood = None
         for runner in self.runners:
             runner.faults.clear()
+            runner.flood = None
             runner.break_after = None
             runner.limit = None
             runner.pause = None
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -61,6 +61,8 @@
 #: A seed whose plan has all killed nodes, changed limits and, in light traffic, a
 #: crashing prompt part.
 SEED_OF_ALL_KINDS = 126
+#: A seed that has found calls that a stopping node accepts and cuts.
+SEED_OF_STOPS = 3
 #: A seed that has found a fault of the soak: a path that was lost in one direction for
 #: a moment dropped bytes in the middle of a stream, which TCP never does.
 SEED_OF_A_LOST_DIRECTION = 347
@@ -246,6 +248,8 @@
         (1, (FaultKind.ALL_KILLED, FaultKind.VERSIONS_SIDE_BY_SIDE)),
         (1, (FaultKind.LIGHT_PROMPT_PART_CRASHES, FaultKind.ALL_KILLED)),
         (1, (FaultKind.LIMITS_CHANGED, FaultKind.STOP)),
+        (SEED_OF_STOPS, (FaultKind.STOPS_IN_SERIES,)),
+        (1, (FaultKind.ENDLESS_ANSWERS, FaultKind.STOP)),
     ],
 )
 def test_invariants_hold_under_random_faults(seed, kinds, tmp_path):
