Ignore SIGHUP in the project's own node

Same class as the signals of entry nodes: SIGHUP ended the process with all requests in progress. The settings of this node are read at the start only, so the signal needs no action. The new test failed before. A SIGHUP while the command line loads its modules still ends the process.

--- a/poplarrelay/node/process.py
+++ b/poplarrelay/node/process.py
@@ -189,7 +189,10 @@
                 self._loop.submit(notice)
 
     def install_signals(self) -> None:
-        """Make the node leave on SIGTERM or SIGINT, and sooner on a second signal."""
+        """Make the node leave on SIGTERM or SIGINT, and sooner on a second signal.
+
+        SIGHUP is ignored: the settings are read at the start only.
+        """
         signals: list[int] = []
 
         def leave(number: int, frame: FrameType | None) -> None:
@@ -201,6 +204,7 @@
 
         signal.signal(signal.SIGTERM, leave)
         signal.signal(signal.SIGINT, leave)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     def wait(self) -> int:
         """Wait until the node has left, and return the exit code."""
--- a/poplarrelay/testing/tests/test_leaving_nodes.py
+++ b/poplarrelay/testing/tests/test_leaving_nodes.py
@@ -39,6 +39,17 @@
     assert node.popen.wait(timeout=20.0) == 0
 
 
+def test_hang_up_signal_neither_ends_a_node_nor_its_stream(site):
+    # Guards against the loss of all requests at a signal that asks for no stop.
+    stream, result = start_stream(site, 150)
+    node = site.nodes[wait_until(lambda: busy_node(site))]
+    node.signal(signal.SIGHUP)
+    drain_stream(stream)
+    assert result.tokens == expected_tokens(PROMPT, 150)
+    assert result.streams == 1
+    assert node.popen.poll() is None
+
+
 def test_terminated_node_hands_over_a_long_stream(site):
     # The stream is longer than the node's time to drain. The node must tell the caller
     # at which node and from which index to resume.
