--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -37,6 +37,7 @@
 
 __all__ = [
     "CALLS",
+    "DEADLINE_S",
     "HOST",
     "KEY",
     "STREAMS",
@@ -55,6 +56,8 @@
 KEY = "key-of-alpha"
 #: Services of the example configuration: one for plain calls and one for streams.
 CALLS, STREAMS = "desk", "drafts"
+#: Deadline of a caller's request in seconds, unless a test states another one.
+DEADLINE_S = 5.0
 #: Seconds within which a condition must become true.
 CONDITION_TIMEOUT_S = 12.0
 #: Seconds within which nodes must detect the start or the end of another node.
@@ -591,7 +594,7 @@
         headers: Headers = [
             (b"Host", HOST.encode()),
             (b"X-Poplarrelay-Attempt-Id", f"attempt-{number}".encode()),
-            (b"X-Poplarrelay-Deadline-Ms", b"5000"),
+            (b"X-Poplarrelay-Deadline-Ms", str(int(1000 * DEADLINE_S)).encode()),
             (b"Authorization", f"Bearer {KEY}".encode()),
         ]
         for name, value in more.items():
--- a/poplarrelay/testing/resuming_callers.py
+++ b/poplarrelay/testing/resuming_callers.py
@@ -41,6 +41,8 @@
         Whether the stream has ended and looks complete.
     detail : str
         Reason of the last refusal.
+    whole : bool
+        Whether the last response has arrived completely, as its framing shows.
     gave_up : bool
         Whether the caller ended the last try, since it got no bytes for too long.
     """
@@ -55,6 +57,7 @@
     took_s: list[float] = field(default_factory=list)
     complete: bool = False
     detail: str = ""
+    whole: bool = False
     gave_up: bool = False
 
     async def ask(
@@ -68,7 +71,7 @@
             headers["Authorization"] = f"Bearer {self.key}"
         begun_at = asyncio.get_running_loop().time()
         self.statuses.append(0)
-        self.gave_up = False
+        self.whole = self.gave_up = False
         try:
             connection = await self.site.open(
                 self.path, node, body, X_Poplarrelay_Attempt_Id=attempt, **headers
@@ -82,12 +85,14 @@
             self.statuses[-1] = head.status
             if head.status != 200:
                 body = await connection.body(MAX_PROBLEM_BYTES)
+                self.whole = True
                 with contextlib.suppress(ValueError, LookupError, TypeError):
                     self.detail = str(orjson.loads(body)["detail"])
             while head.status == 200:
                 async with asyncio.timeout(SILENCE_S):
                     part = await connection.body_part()
                 if part is None:
+                    self.whole = True
                     self.complete = not splitter.rest
                     break
                 events = splitter.feed(part)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -601,12 +601,15 @@
 
     async def _slow_endpoint(self, rng: Random, duration_s: float) -> None:
         name = rng.choice(sorted(self.listed))
-        runner, service = self.site.runners[name], self.listed[name]
-        pause_s = runner.pause_s
-        runner.pause_s = pause_s * rng.choice(SLOWDOWNS)
-        self.site.list_runner(name, service, slots=rng.randint(1, 3))
-        await asyncio.sleep(duration_s)
-        runner.pause_s = pause_s
+        async with self.targeted.slowing:
+            if name not in self.listed:
+                return
+            runner, service = self.site.runners[name], self.listed[name]
+            pause_s = runner.pause_s
+            runner.pause_s = pause_s * rng.choice(SLOWDOWNS)
+            self.site.list_runner(name, service, slots=rng.randint(1, 3))
+            await asyncio.sleep(duration_s)
+            runner.pause_s = pause_s
         if name in self.listed:
             self.site.list_runner(name, service)
 
--- a/poplarrelay/testing/soak/stops.py
+++ b/poplarrelay/testing/soak/stops.py
@@ -83,7 +83,7 @@
         """
         if self._series.locked():
             return
-        async with self._series:
+        async with self._series, self.run.targeted.slowing:
             paces = self._pace_endpoints()
             try:
                 await self._change_timeouts(rng)
--- a/poplarrelay/testing/soak/targeted.py
+++ b/poplarrelay/testing/soak/targeted.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from poplarrelay.entry.outcomes import RefusalReason
-from poplarrelay.testing.entry_site import STREAMS, entry_configuration
+from poplarrelay.testing.entry_site import DEADLINE_S, STREAMS, entry_configuration
 from poplarrelay.testing.resuming_callers import ResumingCaller
 from poplarrelay.testing.soak.callers import KEYS, Caller, configuration_of
 from poplarrelay.testing.soak.ledger import (
@@ -69,6 +69,9 @@
         Prompt parts that sound prompts have shared with bad ones.
     limits : dict
         Limits on callers in force.
+    slowing : asyncio.Lock
+        Held while a fault has changed the pace of endpoints. Overlapping faults would
+        take each other's pace for the usual one.
     """
 
     run: SoakRun
@@ -79,7 +82,7 @@
     )
     _changing: asyncio.Lock = field(default_factory=asyncio.Lock)
     _crashing: asyncio.Lock = field(default_factory=asyncio.Lock)
-    _slowing: asyncio.Lock = field(default_factory=asyncio.Lock)
+    slowing: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     # loss of all nodes
 
@@ -88,8 +91,7 @@
         run, since = self.run, monotonic()
         names = sorted(run.site.processes)
         callers = [ResumingCaller(run.site) for _ in range(OPEN_STREAMS)]
-        # Overlapping faults would take each other's pace for the usual one.
-        async with self._slowing:
+        async with self.slowing:
             with self._long_streams():
                 asking = [asyncio.create_task(self.ask(each, rng)) for each in callers]
                 await asyncio.sleep(STREAM_AGE_S)
@@ -141,7 +143,7 @@
             streams=True,
             ending=Ending.CUT,
             sent_at=monotonic(),
-            timeout_s=run.timeouts_s["draft"],
+            timeout_s=min(DEADLINE_S, run.timeouts_s["draft"]),
         )
         sent.body_sent_at = sent.sent_at
         run.requests.append(sent)
@@ -149,7 +151,7 @@
         sent.ended_at = monotonic()
         if caller.gave_up:
             sent.ending = Ending.ABANDONED
-        elif caller.complete or caller.statuses[-1] not in (0, 200):
+        elif caller.whole:
             sent.ending = Ending.STREAMED
 
     async def _wait_until_ready(self, names: list[str]) -> None:
