Scale services without prices of their zones where they run

Without prices, the service is scaled in the zones in which it has endpoints, at equal prices.

The new test failed before (no order within 12 s).

--- a/poplarrelay/entry/scaling.py
+++ b/poplarrelay/entry/scaling.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil
 from time import monotonic
 
@@ -179,6 +179,11 @@
             # The next holder of the duty sends its own orders.
             self._orders.clear()
             return
+        if not limits.domain_prices:
+            # Without prices, the service is scaled where it runs.
+            domains = {row.domain for row in self._endpoints_of(service.name)}
+            limits = replace(limits, domain_prices=dict.fromkeys(domains, 1.0))
+        plan: Plan = ()
         # If an order shows that a domain is exhausted, the plan for the others changes.
         for _ in limits.domain_prices:
             exhausted_domains = self._exhausted_domains(service, monotonic())
--- a/poplarrelay/entry/tests/test_duties.py
+++ b/poplarrelay/entry/tests/test_duties.py
@@ -317,3 +317,23 @@
                 assert counts == [kept[number]] * len(counts)
 
     run_scenario(scenario)
+
+
+def test_service_without_prices_of_its_zones_is_scaled_where_it_runs():
+    # Guards against a configuration that fails the task of the duties.
+    async def scenario():
+        async with run_entry_site(nodes=1) as site:
+            await site.add_runner("r1", CALLS)
+            await site.ready("a", endpoints=1)
+            scaling = {"min": 2, "max": 3, "spotPrice": 0.2}
+            site.configure(2, services=[{"name": CALLS, "scaling": scaling}])
+
+            def orders():
+                calls = [c for c in site.cloud.accepted if c.subject != "usage"]
+                return [(call.value["service"], call.value["zone"]) for call in calls]
+
+            await poll_until(orders, "endpoints ordered")
+            assert set(orders()) == {(CALLS, "north")}
+            assert not site.nodes["a"]._supervisor.failures
+
+    run_scenario(scenario)
