Read an empty list of teams as no access, and reject malformed restrictions

A text in place of a list of keys admitted each of its letters, `anonymous` as "false" opened its route, and a quota that is no number was none.

Cause: fields were converted and tested for truth.

--- a/poplarrelay/entry/configuration.py
+++ b/poplarrelay/entry/configuration.py
@@ -172,13 +172,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    Attributes
+    ----------
+    checks_keys : bool
+        Whether requests need the key of a team. If there are no teams, nobody has one.
+    """
 
     version: ConfigurationVersion
     routes: tuple[Route, ...]
     services: dict[ServiceName, Service]
     teams: dict[TeamId, Team]
     limits: CallerLimits = CallerLimits()
+    checks_keys: bool = False
     routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     team_by_key: dict[str, Team] = field(default_factory=dict)
     most_urgent_by_service: dict[ServiceName, int] = field(default_factory=dict)
@@ -198,16 +205,22 @@
         version: ConfigurationVersion,
         routes: tuple[Route, ...],
         services: tuple[Service, ...],
-        teams: tuple[Team, ...],
+        teams: tuple[Team, ...] | None,
         limits: CallerLimits,
     ) -> Configuration:
         """Return a configuration with its lookup tables.
 
+        Parameters
+        ----------
+        teams : tuple of Team or None
+            The teams, None if requests need no keys.
+
         Notes
         -----
         The routes of a host are sorted by descending prefix length, so the first match
         has the longest prefix. A lookup scans only the routes of one host.
         """
+        checks_keys, teams = teams is not None, teams or ()
         by_host: dict[str, list[Route]] = {}
         most_urgent: dict[ServiceName, int] = {}
         team_priority = min(
@@ -225,6 +238,7 @@
             services={service.name: service for service in services},
             teams={team.name: team for team in teams},
             limits=limits,
+            checks_keys=checks_keys,
             routes_by_host={
                 host: tuple(sorted(found, key=lambda r: -len(r.prefix)))
                 for host, found in by_host.items()
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -181,7 +181,7 @@
             deadline=_deadline(request, route),
             version=configuration.version,
             progress=StreamProgress(request.last_event_id),
-            teams_configured=bool(configuration.teams),
+            teams_configured=configuration.checks_keys,
             fingerprint=request.fingerprint(None if team is None else team.name),
         )
         context.part_keys = self._part_keys(context)
--- a/poplarrelay/entry/routing.py
+++ b/poplarrelay/entry/routing.py
@@ -67,7 +67,7 @@
     if route is None:
         return NoRoute()
     team = configuration.team_by_key.get(request.key) if request.key else None
-    if configuration.teams and team is None and not route.anonymous:
+    if configuration.checks_keys and team is None and not route.anonymous:
         return Denied(route)
     priority = route.priority
     if team is not None and team.priority is not None:
--- a/poplarrelay/platform/records.py
+++ b/poplarrelay/platform/records.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any, Literal
 
 import orjson
@@ -113,26 +114,76 @@
     cold_s: float = field(default=0.0, compare=False)
 
 
+def _number(
+    raw: dict[str, Any], name: str, default: float | None = None, low: float = 0.0
+) -> float:
+    """Return a field that is a number, or the default if it is absent or null."""
+    value = raw.get(name)
+    if value is None:
+        if default is None:
+            raise LookupError(f"{name} is missing")
+        return default
+    if type(value) not in (int, float):
+        raise TypeError(f"{name}: {value!r} is not a number")
+    if not low <= value < inf:
+        raise ValueError(f"{name}: {value!r} is not a number from {low} up")
+    return float(value)
+
+
+def _count(
+    raw: dict[str, Any], name: str, default: int | None = None, low: int = 0
+) -> int:
+    """Return a field that is a whole number, or the default if absent or null."""
+    value = float(_number(raw, name, default, low))
+    if not value.is_integer():
+        raise ValueError(f"{name}: {value!r} is not a whole number")
+    return int(value)
+
+
+def _flag(raw: dict[str, Any], name: str) -> bool:
+    """Return a field that is true or false; false if it is absent or null."""
+    value = raw.get(name)
+    if value is not None and type(value) is not bool:
+        raise TypeError(f"{name}: {value!r} is neither true nor false")
+    return bool(value)
+
+
+def _text(raw: dict[str, Any], name: str) -> str:
+    """Return a field that is a text."""
+    value = raw[name]
+    if type(value) is not str:
+        raise TypeError(f"{name}: {value!r} is not a text")
+    return value
+
+
+def _list(raw: dict[str, Any], name: str) -> list[Any]:
+    """Return a field that is a list; an empty one if it is absent or null."""
+    value = raw.get(name)
+    if value is not None and type(value) is not list:
+        raise TypeError(f"{name}: {value!r} is not a list")
+    return value or []
+
+
 def _route(raw: dict[str, Any]) -> Route:
     # A route has either one service or a list of weighted "backends".
     shares = tuple(
-        ServiceShare(ServiceName(entry["service"]), float(entry.get("weight", 1)))
-        for entry in raw.get("backends") or [{"service": raw["service"]}]
+        ServiceShare(ServiceName(_text(entry, "service")), _number(entry, "weight", 1))
+        for entry in _list(raw, "backends") or [{"service": raw["service"]}]
     )
-    timeout_s = raw.get("timeoutMs", 30_000) / 1000
+    timeout_ms = _number(raw, "timeoutMs", 30_000)
     return Route(
         name=raw["name"],
-        host=raw["host"].lower(),
-        prefix=raw["pathPrefix"],
-        kind=_ROUTE_KINDS.get(raw.get("routeType", ""), RouteKind.NON_IDEMPOTENT),
-        timeout_s=timeout_s,
-        target_s=raw.get("targetLatencyMs", 1000 * timeout_s) / 1000,
-        priority=int(raw.get("priority", 0)),
+        host=_text(raw, "host").lower(),
+        prefix=_text(raw, "pathPrefix"),
+        kind=_ROUTE_KINDS.get(raw.get("routeType") or "", RouteKind.NON_IDEMPOTENT),
+        timeout_s=timeout_ms / 1000,
+        target_s=_number(raw, "targetLatencyMs", timeout_ms) / 1000,
+        priority=_count(raw, "priority", 0),
         shares=shares,
-        max_attempts=max(1, int(raw.get("maxAttempts", 1))),
-        anonymous=bool(raw.get("anonymous", False)),
-        affinity=bool(raw.get("sticky", False)),
-        resumable=bool(raw.get("resumable", False)),
+        max_attempts=max(1, _count(raw, "maxAttempts", 1)),
+        anonymous=_flag(raw, "anonymous"),
+        affinity=_flag(raw, "sticky"),
+        resumable=_flag(raw, "resumable"),
     )
 
 
@@ -140,56 +191,68 @@
     engine = raw.get("backend")
     scaling = raw.get("scaling")
     return Service(
-        name=ServiceName(raw["name"]),
-        max_connections=int(raw.get("maxConnections", 0)) or 1_000_000,
-        engine=EngineLimits(int(engine["slots"]), int(engine.get("kvCapacity", 0)))
-        if engine
-        else None,
-        scaling=ScalingLimits(
-            min_endpoints=int(scaling["min"]),
-            max_endpoints=int(scaling["max"]),
-            boot_s=float(scaling.get("bootS", 0)),
-            reclaimable_price=float(scaling.get("spotPrice", 1)),
-            domain_prices={
-                DomainId(name): float(price)
-                for name, price in scaling.get("zonePrices", {}).items()
-            },
+        name=ServiceName(_text(raw, "name")),
+        max_connections=_count(raw, "maxConnections", 0) or 1_000_000,
+        engine=EngineLimits(
+            _count(engine, "slots", low=1), _count(engine, "kvCapacity", 0)
         )
-        if scaling
+        if engine
         else None,
+        scaling=_scaling(scaling) if scaling else None,
+    )
+
+
+def _scaling(raw: dict[str, Any]) -> ScalingLimits:
+    prices = raw.get("zonePrices") or {}
+    return ScalingLimits(
+        min_endpoints=_count(raw, "min"),
+        max_endpoints=_count(raw, "max"),
+        boot_s=_number(raw, "bootS", 0),
+        reclaimable_price=_number(raw, "spotPrice", 1),
+        domain_prices={DomainId(name): _number(prices, name, 1) for name in prices},
     )
 
 
 def _team(raw: dict[str, Any]) -> Team:
-    rate = float(raw.get("ratePerS") or 0)
+    rate = _number(raw, "ratePerS", 0)
     quota = None
     if rate > 0:
         quota = Quota(
             per_s=rate,
-            burst=float(raw.get("burst") or 0),
+            burst=_number(raw, "burst", 0),
             in_tokens=raw.get("unit") == "token",
-            default_cost=float(raw.get("uncachedTokens") or 1),
+            default_cost=_number(raw, "uncachedTokens", 0) or 1.0,
         )
-    priority = raw.get("priority")
+    keys = _list(raw, "apiKeys")
+    if not all(type(key) is str and key for key in keys):
+        raise TypeError("apiKeys: a key is not a text")
     return Team(
-        name=TeamId(raw["name"]),
-        keys=frozenset(raw.get("apiKeys", ())),
-        priority=None if priority is None else int(priority),
+        name=TeamId(_text(raw, "name")),
+        keys=frozenset(keys),
+        priority=None if raw.get("priority") is None else _count(raw, "priority", 0),
         quota=quota,
     )
 
 
 def _limits(raw: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
+    header_ms = _number(raw, "headerTimeoutMs", 1000 * default.header_timeout_s)
+    idle_ms = _number(raw, "idleTimeoutMs", 1000 * default.idle_timeout_s)
     return CallerLimits(
-        max_header_bytes=int(raw.get("maxHeaderBytes", default.max_header_bytes)),
-        max_body_bytes=int(raw.get("maxBodyBytes", default.max_body_bytes)),
-        header_timeout_s=raw.get("headerTimeoutMs", 1000 * default.header_timeout_s)
-        / 1000,
-        idle_timeout_s=raw.get("idleTimeoutMs", 1000 * default.idle_timeout_s) / 1000,
+        max_header_bytes=_count(raw, "maxHeaderBytes", default.max_header_bytes),
+        max_body_bytes=_count(raw, "maxBodyBytes", default.max_body_bytes),
+        header_timeout_s=header_ms / 1000,
+        idle_timeout_s=idle_ms / 1000,
     )
 
 
+def _teams(raw: dict[str, Any]) -> tuple[Team, ...] | None:
+    """Return the teams, None if the configuration does not speak of any."""
+    if raw.get("tenants") is None:
+        return None
+    return tuple(_team(team) for team in _list(raw, "tenants"))
+
+
 def decode_configuration(content: bytes) -> Configuration:
     """Decode a record of the configuration.
 
@@ -204,9 +267,9 @@
             raise TypeError("version is not an integer")
         return Configuration.from_parts(
             ConfigurationVersion(raw["version"]),
-            tuple(_route(route) for route in raw.get("routes", ())),
-            tuple(_service(service) for service in raw.get("services", ())),
-            tuple(_team(team) for team in raw.get("tenants") or ()),
+            tuple(_route(route) for route in _list(raw, "routes")),
+            tuple(_service(service) for service in _list(raw, "services")),
+            _teams(raw),
             _limits(raw.get("limits") or {}),
         )
     except (
