--- a/poplarrelay/entry/http/tests/test_callers.py
+++ b/poplarrelay/entry/http/tests/test_callers.py
@@ -110,8 +110,7 @@
 
 
 def test_bytes_behind_the_last_answer_do_not_reset_it():
-    # Guards against a connection that is closed with unread bytes: its reset destroys
-    # the part of the answer that the caller has not read yet.
+    # Guards against a close with unread bytes, whose reset destroys a written answer.
     async def scenario():
         async def answer(incoming, exchange):
             await exchange.send(200, [], BODY)
--- a/poplarrelay/platform/tests/test_configuration_fields.py
+++ b/poplarrelay/platform/tests/test_configuration_fields.py
@@ -115,8 +115,7 @@
     ],
 )
 def test_malformed_limit_rejects_the_configuration(place, field, malformed):
-    # Guards against a malformed limit that is read as none; the last configuration
-    # stays in force.
+    # Guards against a malformed limit that is read as none.
     value = {
         "team": lambda: with_team(ratePerS=5, **{field: malformed}),
         "route": lambda: with_route(**{field: malformed}),
