--- a/poplarrelay/entry/tests/test_calls.py
+++ b/poplarrelay/entry/tests/test_calls.py
@@ -90,7 +90,7 @@
 def test_credentials_reach_endpoints_only_if_no_teams_are_configured():
     async def scenario():
         async with run_entry_site() as site:
-            site.configure(2, tenants=[])
+            site.configure(2, tenants=None)
             runner = await site.add_runner("r1", CALLS)
             await site.ready(endpoints=1)
             await poll_until(lambda: site.nodes["a"].state.me.configuration == 2)
