--- a/poplarrelay/entry/tests/test_supervision.py
+++ b/poplarrelay/entry/tests/test_supervision.py
@@ -57,7 +57,7 @@
             if task == "rollout progress":
                 site.order_rollout(CALLS, "2", 30.0)
                 await poll_until(lambda: node.state.rollouts.has_open)
-            asked = asyncio.create_task(site.call("/look/x"))
+            asked = asyncio.create_task(site.call("/book/x"))
             await poll_until(lambda: site.runners["r"].active)
             path, method = FAILING[task]
             target = node
