Name the stop as the reason of streams that it breaks off

Found by reading the change: the table of reasons in responses.py was not used, so a stream that the node cut at its close was logged and counted as broken off by its endpoint. The new test failed before.

--- a/poplarrelay/entry/responses.py
+++ b/poplarrelay/entry/responses.py
@@ -70,8 +70,8 @@
         if context.exchange.begun:
             # The caller already has a part of the stream. A reset of the connection
             # shows that the stream is incomplete.
-            late = refusal.reason is RefusalReason.LATE
-            context.exchange.abort(CutReason.DEADLINE if late else CutReason.BROKEN_OFF)
+            reason = _CUT_REASONS.get(refusal.reason, CutReason.BROKEN_OFF)
+            context.exchange.abort(reason)
             self.log_end(context, 0, f"broken off: {refusal.reason.value}")
             return
         await self._write_refusal(context.request, context.exchange, refusal, context)
--- a/poplarrelay/entry/tests/test_graceful_shutdown.py
+++ b/poplarrelay/entry/tests/test_graceful_shutdown.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from poplarrelay.entry.http.cuts import CutReason
 from poplarrelay.entry.shutdown import ShutdownSchedule
 from poplarrelay.testing.entry_site import (
     CALLS,
@@ -209,6 +210,26 @@
     run_scenario(scenario)
 
 
+def test_stream_that_a_stop_breaks_off_is_counted_as_cut_by_the_stop():
+    # Guards against a cut by the node that its log blames on the endpoint.
+    async def scenario():
+        async with run_entry_site(nodes=1, stop_grace_s=3.0) as site:
+            await site.add_runner("r", STREAMS, pause_s=0.5, events=100)
+            stop = Stop(site, 3.0, {"brief": 30.0})
+            await site.ready(endpoints=1)
+            await stop.configure()
+            reasons: list[CutReason] = []
+            site.nodes["a"]._listeners["callers"].on_cut = reasons.append
+            task = asyncio.create_task(stop.send("brief", 30.0))
+            await poll_until(lambda: site.runners["r"].event_counts)
+            stop.signal()
+            assert (await task).ending is Ending.CUT
+            await site.wait_until_ended("a")
+            assert reasons == [CutReason.STOPPED]
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("kind", ["book", "brief"])
 def test_stop_of_a_carrier_loses_no_request_of_another_node(kind):
     # Guards against requests of a node without paths that a stopping peer carries.
