--- a/poplarrelay/testing/entry_site.py
+++ b/poplarrelay/testing/entry_site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import sys
 import time
@@ -195,13 +196,14 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it still runs."""
+        # The process's own method may take the exit code, and asyncio reports 255 then.
         if self.process.returncode is None:
-            self.process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def kill(self) -> None:
         """Kill the process if it still runs, and wait until it has ended."""
-        if self.process.returncode is None:
-            self.process.kill()
+        self.signal(signal.SIGKILL)
         await self.process.wait()
 
 
@@ -346,7 +348,7 @@
         """Kill all nodes' processes at once, and start them some seconds later."""
         killed = dict(self.processes)
         for process in killed.values():
-            process.process.kill()
+            process.signal(signal.SIGKILL)
         for process in killed.values():
             await process.process.wait()
             value = orjson.loads(process.path.read_bytes())
