--- a/poplarrelay/entry/tests/test_sticky_versions.py
+++ b/poplarrelay/entry/tests/test_sticky_versions.py
@@ -362,11 +362,13 @@
                 )
                 site.list_runner(name, STREAMS, slots=SLOTS)
             await site.start_processes("abc", tmp_path)
-            running = asyncio.create_task(run_callers(site, "abc", CALLERS))
+            callers = make_callers(site, CALLERS)
+            running = asyncio.create_task(ask_nodes(callers, "abc"))
+            await poll_until(lambda: all(caller.last_id for caller in callers))
             await asyncio.sleep(ARCHIVED_S)
             for _ in range(kills):
                 await site.kill_and_restart_all_processes(0.2)
-            callers = await running
+            await running
             assert all(caller.broken for caller in callers)
             for runner in site.runners.values():
                 runner.pause_s = 0.005
@@ -384,7 +386,9 @@
             await site.add_runner("old", STREAMS, version="1", events=60, pause_s=0.1)
             site.list_runner("old", STREAMS, slots=SLOTS)
             await site.start_processes("abc", tmp_path)
-            running = asyncio.create_task(run_callers(site, "abc", CALLERS))
+            callers = make_callers(site, CALLERS)
+            running = asyncio.create_task(ask_nodes(callers, "abc"))
+            await poll_until(lambda: all(caller.last_id for caller in callers))
             await asyncio.sleep(ARCHIVED_S)
             restarted = asyncio.create_task(site.kill_and_restart_all_processes(0.5))
             await asyncio.sleep(0.2)
@@ -392,7 +396,7 @@
             await site.add_runner("new", STREAMS, version="2", events=60, pause_s=0.01)
             site.list_runner("new", STREAMS, slots=SLOTS)
             await restarted
-            callers = await running
+            await running
             resumed = await resume_all(callers, "abc")
             assert {caller.statuses[-1] for caller in resumed} == {503}
             assert max(caller.took_s[-1] for caller in resumed) < 1.0
