--- a/poplarrelay/entry/tests/test_sticky_versions.py
+++ b/poplarrelay/entry/tests/test_sticky_versions.py
@@ -58,6 +58,14 @@
     return b"".join(runner.event_of(number) for number in range(1, EVENTS + 1))
 
 
+async def begin_streams(site, nodes):
+    """Return callers whose streams have all begun, and the task that reads them."""
+    callers = make_callers(site, CALLERS)
+    running = asyncio.create_task(ask_nodes(callers, nodes))
+    await poll_until(lambda: all(caller.last_id for caller in callers))
+    return callers, running
+
+
 async def resume_all(callers, nodes):
     """Take up all broken streams at some nodes in turn, and return them."""
     broken = [caller for caller in callers if caller.broken]
@@ -129,9 +137,7 @@
     async def scenario():
         async with run_entry_site(4) as site:
             runners = await add_versions(site, "abcd", events=60, pause_s=0.1)
-            callers = make_callers(site, CALLERS)
-            running = asyncio.create_task(ask_nodes(callers, "a"))
-            await poll_until(lambda: all(caller.last_id for caller in callers))
+            callers, running = await begin_streams(site, "a")
             await site.kill_node("a")
             await running
             for runner in runners.values():
@@ -362,9 +368,7 @@
                 )
                 site.list_runner(name, STREAMS, slots=SLOTS)
             await site.start_processes("abc", tmp_path)
-            callers = make_callers(site, CALLERS)
-            running = asyncio.create_task(ask_nodes(callers, "abc"))
-            await poll_until(lambda: all(caller.last_id for caller in callers))
+            callers, running = await begin_streams(site, "abc")
             await asyncio.sleep(ARCHIVED_S)
             for _ in range(kills):
                 await site.kill_and_restart_all_processes(0.2)
@@ -386,9 +390,7 @@
             await site.add_runner("old", STREAMS, version="1", events=60, pause_s=0.1)
             site.list_runner("old", STREAMS, slots=SLOTS)
             await site.start_processes("abc", tmp_path)
-            callers = make_callers(site, CALLERS)
-            running = asyncio.create_task(ask_nodes(callers, "abc"))
-            await poll_until(lambda: all(caller.last_id for caller in callers))
+            callers, running = await begin_streams(site, "abc")
             await asyncio.sleep(ARCHIVED_S)
             restarted = asyncio.create_task(site.kill_and_restart_all_processes(0.5))
             await asyncio.sleep(0.2)
--- a/poplarrelay/testing/resuming_callers.py
+++ b/poplarrelay/testing/resuming_callers.py
@@ -132,9 +132,9 @@
 
 
 async def run_callers(
-    site: EntrySite, nodes: Sequence[str], count: int, prefix: str = "s"
+    site: EntrySite, nodes: Sequence[str], count: int
 ) -> list[ResumingCaller]:
     """Begin streams at some nodes in turn, and wait until each one has ended."""
     callers = make_callers(site, count)
-    await ask_nodes(callers, nodes, prefix)
+    await ask_nodes(callers, nodes)
     return callers
