--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,6 +10,8 @@
 
 #: Clients, requests of each, and those of them that find both runners full.
 CLIENTS, REQUESTS, FULL_TURNS = 8, 165, (40, 90)
+#: Clients that have such requests, and entry nodes.
+FULL_CLIENTS, NODES = 7, 4
 DEADLINE_MS = 1000
 #: Seconds for which one of the two runners sends second answers.
 DOUBLES_S = 5.0
@@ -22,7 +24,8 @@
     await client.connect()
     answers = []
     for turn in range(REQUESTS):
-        kind = "full" if turn in FULL_TURNS else "seat"
+        full = turn in FULL_TURNS and number < FULL_CLIENTS
+        kind = "full" if full else "seat"
         attempt = f"{kind}-{number}-{turn}"
         answer = await client.call("/confirm/1", attempt, DEADLINE_MS)
         answers.append(answer)
@@ -43,7 +46,7 @@
     doubles_s = DOUBLES_S if case.trouble else 0.0
     await site.start_runner("i-1", "desk", 6, full_for="full", doubles_s=doubles_s)
     await site.start_runner("i-2", "desk", 6, full_for="full")
-    await site.start_nodes(2)
+    await site.start_nodes(NODES)
     await asyncio.sleep(2.0)
     found = await asyncio.gather(*(_client(case, n) for n in range(CLIENTS)))
     answers = [answer for each in found for answer in each]
