--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -216,6 +216,7 @@
     slots: int
     born: int
     zone: str
+    options: dict[str, Any]
     sequence: int = 0
 
     def lines(self) -> list[dict[str, Any]]:
@@ -320,17 +321,8 @@
         """Start a runner, and write its entry at every heartbeat."""
         log = self._folder / f"{name}.log"
         log.touch()
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "review" / "runner_2.py"),
-            json.dumps({"name": name, "log": str(log), "slots": slots, **options}),
-            stdout=subprocess.PIPE,
-            env=environment(),
-            cwd=ROOT,
-        )
-        assert process.stdout is not None
-        async with asyncio.timeout(START_S):
-            address = (await process.stdout.readline()).decode().strip()
+        options |= {"name": name, "log": str(log), "slots": slots}
+        process, address = await self._launch({**options, "version": version})
         runner = Runner(
             name,
             service,
@@ -341,14 +333,49 @@
             slots,
             time.time_ns() // 1_000_000,
             "colombo-hall",
+            options,
         )
         self.runners[name] = runner
         self._tasks.append(asyncio.create_task(self._beat(runner)))
         return runner
 
+    async def _launch(
+        self, options: dict[str, Any]
+    ) -> tuple[asyncio.subprocess.Process, str]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "review" / "runner_2.py"),
+            json.dumps(options),
+            stdout=subprocess.PIPE,
+            env=environment(),
+            cwd=ROOT,
+        )
+        assert process.stdout is not None
+        async with asyncio.timeout(START_S):
+            address = (await process.stdout.readline()).decode().strip()
+        return process, address
+
+    async def kill_runner(self, runner: Runner) -> None:
+        """Kill a runner; its entry is not written any more."""
+        runner.process.kill()
+        await runner.process.wait()
+
+    async def start_runner_again(self, runner: Runner, version: str) -> None:
+        """Start a killed runner under its id and address, and write its entry."""
+        port = int(runner.address.rsplit(":", 1)[1])
+        options = {**runner.options, "version": version, "port": port}
+        runner.process, _ = await self._launch(options)
+        runner.version, runner.sequence = version, 0
+        runner.born = time.time_ns() // 1_000_000
+        self._write_entry(runner)
+
+    def _write_entry(self, runner: Runner) -> None:
+        if runner.process.returncode is None:
+            self._store.put("keyed.servers", runner.name, runner.record())
+
     async def _beat(self, runner: Runner) -> None:
         while True:
-            self._store.put("keyed.servers", runner.name, runner.record())
+            self._write_entry(runner)
             await asyncio.sleep(HEARTBEAT_S)
 
     def _find_ports(self, hosts: list[str]) -> None:
--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -37,6 +37,14 @@
         Events of a stream, 0 to answer calls.
     body_bytes : int
         Size of the body of an answer to a call.
+    port : int
+        Port to listen on, 0 for a free one.
+    version : str
+        Version of its software, which its events name.
+    halves_s : float
+        Seconds between the two halves of an answer to a call.
+    framed : bool
+        Whether answers have a length or chunks; others end with their connection.
     full_for : str
         Beginning of the ids of the attempts that find it full when they first arrive.
     doubles_s : float
@@ -51,6 +59,10 @@
     work_s: float = 0.02
     events: int = 0
     body_bytes: int = 800
+    port: int = 0
+    version: str = "1"
+    halves_s: float = 0.0
+    framed: bool = True
     full_for: str = ""
     doubles_s: float = 0.0
     _first_at: float = 0.0
@@ -89,6 +101,9 @@
                         late = rejection
                 else:
                     await self._run(attempt, headers, writer)
+                    if not self.framed:
+                        await writer.drain()
+                        return
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
@@ -143,9 +158,13 @@
                 await self._stream(attempt, headers, signature, writer)
             else:
                 await asyncio.sleep(self.work_s)
-                length = f"Content-Length: {self.body_bytes}"
-                writer.write(self._head(200, attempt, signature, length))
+                length = [f"Content-Length: {self.body_bytes}"] if self.framed else []
+                writer.write(self._head(200, attempt, signature, *length))
                 body = attempt.encode().ljust(self.body_bytes)
+                if self.halves_s:
+                    writer.write(body[: len(body) // 2])
+                    body = body[len(body) // 2 :]
+                    await asyncio.sleep(self.halves_s)
                 for start in range(0, len(body), WRITE_BYTES):
                     writer.write(body[start : start + WRITE_BYTES])
                     await writer.drain()
@@ -162,22 +181,25 @@
     ) -> None:
         first = int(headers.get("last-event-id", "0")) + 1
         stream = "Content-Type: text/event-stream"
-        head = self._head(200, attempt, signature, stream, "Transfer-Encoding: chunked")
+        chunked = ["Transfer-Encoding: chunked"] if self.framed else []
+        head = self._head(200, attempt, signature, stream, *chunked)
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.work_s)
-            event = f"id: {number}\ndata: token {number} of {self.name}\n\n".encode()
-            chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
-            writer.write(head + chunk)
+            data = f"token {number} of version {self.version} at {self.name}"
+            event = f"id: {number}\ndata: {data}\n\n".encode()
+            if self.framed:
+                event = f"{len(event):x}\r\n".encode() + event + b"\r\n"
+            writer.write(head + event)
             head = b""
             await writer.drain()
             if writer.is_closing():
                 raise ConnectionError("closed")
-        writer.write(head + b"0\r\n\r\n")
+        writer.write(head + (b"0\r\n\r\n" if self.framed else b""))
 
 
 async def _main(options: dict[str, Any]) -> None:
     runner = RunnerProgram(**options)
-    server = await asyncio.start_server(runner.serve, "127.0.0.1", 0)
+    server = await asyncio.start_server(runner.serve, "127.0.0.1", runner.port)
     host, port = server.sockets[0].getsockname()[:2]
     print(f"{host}:{port}", flush=True)
     await server.serve_forever()
