Add a review case: a stream that stops inside an event looks complete

Cause: at the end of a chunked stream the node passes on the incomplete last event and ends its own answer properly.

--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -45,6 +45,8 @@
         Seconds between the two halves of an answer to a call.
     framed : bool
         Whether answers have a length or chunks; others end with their connection.
+    stops_each : int
+        Of so many streams, one stops in the middle of an event; 0 for none.
     full_for : str
         Beginning of the ids of the attempts that find it full when they first arrive.
     doubles_s : float
@@ -63,6 +65,8 @@
     version: str = "1"
     halves_s: float = 0.0
     framed: bool = True
+    stops_each: int = 0
+    _streams: int = 0
     full_for: str = ""
     doubles_s: float = 0.0
     _first_at: float = 0.0
@@ -183,14 +187,22 @@
         stream = "Content-Type: text/event-stream"
         chunked = ["Transfer-Encoding: chunked"] if self.framed else []
         head = self._head(200, attempt, signature, stream, *chunked)
+        self._streams += 1
+        stops = self.stops_each > 0 and self._streams % self.stops_each == 0
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.work_s)
             data = f"token {number} of version {self.version} at {self.name}"
             event = f"id: {number}\ndata: {data}\n\n".encode()
+            stops_here = stops and number > self.events // 2
+            if stops_here:
+                event = event[: len(event) // 2]
             if self.framed:
                 event = f"{len(event):x}\r\n".encode() + event + b"\r\n"
             writer.write(head + event)
             head = b""
+            if stops_here:
+                self._note("stops in the middle of an event of", attempt)
+                break
             await writer.drain()
             if writer.is_closing():
                 raise ConnectionError("closed")
