--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -47,6 +47,9 @@
         Whether answers have a length or chunks; others end with their connection.
     stops_each : int
         Of so many streams, one stops in the middle of an event; 0 for none.
+    spoils_each : int
+        Of so many answers to calls, one has other bytes in place of its body and of the
+        headers that tell whose it is; 0 for none.
     full_for : str
         Beginning of the ids of the attempts that find it full when they first arrive.
     doubles_s : float
@@ -66,7 +69,9 @@
     halves_s: float = 0.0
     framed: bool = True
     stops_each: int = 0
+    spoils_each: int = 0
     _streams: int = 0
+    _calls: int = 0
     full_for: str = ""
     doubles_s: float = 0.0
     _first_at: float = 0.0
@@ -162,6 +167,12 @@
                 await self._stream(attempt, headers, signature, writer)
             else:
                 await asyncio.sleep(self.work_s)
+                self._calls += 1
+                if self.spoils_each > 0 and self._calls % self.spoils_each == 0:
+                    self._note("spoils the answer to", attempt)
+                    head = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+                    writer.write(head.encode() + b"\x00 spoiled")
+                    return
                 length = [f"Content-Length: {self.body_bytes}"] if self.framed else []
                 writer.write(self._head(200, attempt, signature, *length))
                 body = attempt.encode().ljust(self.body_bytes)
