Let case 6 also send bytes behind an answer

Cause: bytes without an id that follow an answer late are taken for the answer to the next request on the connection, mostly of another client. Change: of 100 answers of one runner, one is spoiled and one is followed by such bytes.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""An answer without the signature and the id of a runner is given to the client."""
+"""Bytes that belong to no request are given to clients as successes."""
 
 from __future__ import annotations
 
@@ -8,8 +8,9 @@
 
 from harness_2 import Answer, Case, Client, route, run_case
 
-#: Clients, requests of each, and one of so many answers of a runner that is spoiled.
-CLIENTS, REQUESTS, SPOILS_EACH = 8, 40, 50
+#: Clients, requests of each; of so many answers of a runner, one is spoiled and one is
+#: followed by more bytes.
+CLIENTS, REQUESTS, SPOILS_EACH = 8, 100, 100
 DEADLINE_MS = 1000
 
 
--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -17,6 +17,8 @@
 
 #: Bytes of one write of a body.
 WRITE_BYTES = 65_536
+#: Bytes that are no answer to a request: they have neither its id nor a signature.
+SPOILED = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n\x00 spoiled"
 
 
 @dataclass(slots=True)
@@ -48,8 +50,8 @@
     stops_each : int
         Of so many streams, one stops in the middle of an event; 0 for none.
     spoils_each : int
-        Of so many answers to calls, one has other bytes in place of its body and of the
-        headers that tell whose it is; 0 for none.
+        Of so many answers to calls, one is replaced by other bytes, and another one is
+        followed by such bytes, which come where the next answer is due; 0 for none.
     full_for : str
         Beginning of the ids of the attempts that find it full when they first arrive.
     doubles_s : float
@@ -110,6 +112,9 @@
                         late = rejection
                 else:
                     await self._run(attempt, headers, writer)
+                    if self.spoils_each > 0 and self._follows():
+                        self._note("sends more bytes after the answer to", attempt)
+                        late = SPOILED
                     if not self.framed:
                         await writer.drain()
                         return
@@ -139,6 +144,9 @@
         disturbed = time.monotonic() - self._first_at < self.doubles_s
         return disturbed and attempt.startswith(self.full_for)
 
+    def _follows(self) -> bool:
+        return self._calls % self.spoils_each == self.spoils_each // 2
+
     def _head(self, status: int, attempt: str, *more: str) -> bytes:
         lines = [
             f"HTTP/1.1 {status} Status",
@@ -170,8 +178,7 @@
                 self._calls += 1
                 if self.spoils_each > 0 and self._calls % self.spoils_each == 0:
                     self._note("spoils the answer to", attempt)
-                    head = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
-                    writer.write(head.encode() + b"\x00 spoiled")
+                    writer.write(SPOILED)
                     return
                 length = [f"Content-Length: {self.body_bytes}"] if self.framed else []
                 writer.write(self._head(200, attempt, signature, *length))
