--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -513,6 +513,9 @@
 
 
 async def _run(play: Callable[[Case], Awaitable[bool]], folder: Path) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     with tempfile.TemporaryDirectory() as temporary:
         site = Site(Path(temporary))
@@ -540,6 +543,6 @@
     """
     try:
         return asyncio.run(_run(play, folder))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         return NOT_RUN
