--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -42,6 +42,8 @@
 TENANT = "hule930"
 #: Seconds between two records of a runner (``heartbeatMs`` of the pages).
 HEARTBEAT_S = 1.2
+#: Heartbeats that a runner must miss until its entry is removed.
+MISSED_HEARTBEATS = 3
 #: Seconds within which a process must be ready.
 START_S = 20.0
 #: Exit codes of a script.
@@ -374,8 +376,12 @@
             self._store.put("keyed.servers", runner.name, runner.record())
 
     async def _beat(self, runner: Runner) -> None:
+        missed = 0
         while True:
             self._write_entry(runner)
+            missed = 0 if runner.process.returncode is None else missed + 1
+            if missed == MISSED_HEARTBEATS:
+                self._store.put("keyed.servers", runner.name, None)
             await asyncio.sleep(HEARTBEAT_S)
 
     def _find_ports(self, hosts: list[str]) -> None:
