Treat a stream that ends inside an event as broken off

Cause: the end of the body was taken for the end of the stream unless the body had neither a length nor chunks. Evidence: the attempts' log lines have result=Streamed for the streams that the endpoint cut; the same with a length. The end of an event was also missed after an empty line with another line end than the line before it.

`entry/answers.py` states when a stream is complete, `EventSplitter.inside_event` whether an event has begun. A resumable stream goes on after its last whole event, any other one looks broken off. The end counts for the endpoint's health and in a roll-out; it is no crash, no fault of a path or a carrier. A request whose first event had begun counts in the usage. New: metric streams_incomplete, the stand-in's break_ends_body, break_bytes, line_end and states_length.

--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 from time import monotonic, time
 
+from poplarrelay.entry.answers import incomplete_stream
 from poplarrelay.entry.endpoints import UNKNOWN_VERSION, Endpoint
 from poplarrelay.entry.events import EventSplitter
 from poplarrelay.entry.http.connection import (
@@ -30,7 +31,7 @@
 from poplarrelay.entry.paths import EndpointPaths
 from poplarrelay.entry.rate_limits import StatedLimit
 from poplarrelay.entry.requests import CallerRequest
-from poplarrelay.exception import EndpointDown, ExchangeFailed
+from poplarrelay.exception import EndpointDown, ExchangeFailed, IncompleteStream
 from poplarrelay.identifiers import SoftwareVersion, TeamId
 from poplarrelay.platform.headers import (
     AttemptHeaders,
@@ -197,7 +198,13 @@
         except ExchangeFailed as failure:
             if isinstance(failure, EndpointDown):
                 return NotRun(str(failure), arrived=False, gone=True)
-            return self._failed(str(failure), failure.sent, closed=failure.closed)
+            return self._failed(
+                str(failure),
+                failure.sent,
+                closed=failure.closed,
+                inside_event=isinstance(failure, IncompleteStream)
+                and failure.inside_event,
+            )
         except TimeoutError:
             return self._failed("silent", self.sent, silent=True)
         finally:
@@ -207,13 +214,17 @@
                 self._connection.abort()
 
     def _failed(
-        self, reason: str, sent: bool, silent: bool = False, closed: bool = False
+        self,
+        reason: str,
+        sent: bool,
+        silent: bool = False,
+        closed: bool = False,
+        inside_event: bool = False,
     ) -> AttemptResult:
         if not sent:
             return NotRun(reason, arrived=False)
-        if self.exchange.begun:
-            return StreamBroken(reason, silent, closed)
-        return Broken(reason, silent, closed)
+        kind = StreamBroken if self.exchange.begun else Broken
+        return kind(reason, silent, closed, inside_event)
 
     async def _run(self) -> AttemptResult:
         await self._send()
@@ -305,17 +316,12 @@
             if events.content:
                 self._note_events(events.count)
                 await self._forward_events(head, events.content, events.last_id)
+        inside_event = splitter.inside_event
+        problem = incomplete_stream(head.framed, self._events, inside_event)
+        if problem is not None:
+            raise IncompleteStream(problem, not head.framed, inside_event)
         if splitter.rest:
-            if not head.framed:
-                # The connection closed inside an event, so the endpoint has crashed.
-                raise ExchangeFailed(
-                    "connection closed inside an event", sent=True, closed=True
-                )
             await self._forward_events(head, splitter.rest, None)
-        if not head.framed and not self._events:
-            raise ExchangeFailed(
-                "connection closed before the first event", sent=True, closed=True
-            )
         self._return_connection(head.headers)
         self._start(head)
         self.exchange.finish()
--- a/poplarrelay/entry/events.py
+++ b/poplarrelay/entry/events.py
@@ -7,7 +7,11 @@
 
 __all__ = ["EventSplitter", "CompleteEvents"]
 
-_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+# A CR at the end of the data may be the first half of CR LF. It ends an empty line only
+# after a line that ended with CR alone.
+_END = re.compile(rb"(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))|\r\r\n?")
+#: Empty lines and comments, which are no event.
+_BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?(?:\r\n|\n|\r))*")
 #: Length of the longest end of an event.
 LONGEST_END_BYTES = 4
 _ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
@@ -48,6 +52,8 @@
     CompleteEvents(content=b'id: 1\ndata: a\n\n', last_id=b'1', count=1)
     >>> splitter.rest
     b'id: 2'
+    >>> splitter.inside_event
+    True
     """
 
     def __init__(self) -> None:
@@ -58,6 +64,11 @@
         """Return the bytes of the event that is still incomplete."""
         return bytes(self._rest)
 
+    @property
+    def inside_event(self) -> bool:
+        """Return whether an event has begun and not ended."""
+        return _BETWEEN_EVENTS.fullmatch(self._rest) is None
+
     @property
     def rest_size(self) -> int:
         """Return the number of bytes of the event that is still incomplete."""
--- a/poplarrelay/entry/outcomes.py
+++ b/poplarrelay/entry/outcomes.py
@@ -97,11 +97,14 @@
         Whether the node stopped waiting because the endpoint sent nothing.
     closed : bool
         Whether the endpoint closed or reset the connection.
+    inside_event : bool
+        Whether the endpoint ended the body of a stream inside an event.
     """
 
     why: str
     silent: bool = False
     closed: bool = False
+    inside_event: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +114,7 @@
     why: str
     silent: bool = False
     closed: bool = False
+    inside_event: bool = False
 
 
 AttemptResult = Answered | Streamed | NotRun | Broken | StreamBroken
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -539,6 +539,9 @@
                 self._report_end(context, row, end, first_event_s is not None)
         if isinstance(result, NotRun):
             context.may_have_run = ran_before
+        elif isinstance(result, Broken | StreamBroken) and result.inside_event:
+            self._state.streams_incomplete += 1
+            self._count_usage(context)
         path_failed = await self._path_failed(row, attempt, result)
         if not path_failed:
             self._update_health(context, row, result)
@@ -591,6 +594,9 @@
         if isinstance(result, NotRun):
             unsent = not result.arrived and not result.gone
             return unsent and self._paths.is_lost(row)
+        if result.inside_event and not result.closed:
+            # All bytes that the endpoint sent have arrived.
+            return False
         if attempt.carrier is not None:
             if not result.closed:
                 self._paths.carriers.note_refused(attempt.carrier, monotonic())
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -102,6 +102,8 @@
         Called when a configuration has come into force.
     streams_unknown : int
         Resumed streams that were refused because nobody knew their version.
+    streams_incomplete : int
+        Attempts whose endpoint ended the body of a stream inside an event.
     recent_node_counts : list of tuple of float and int
         Times at which the number of live nodes changed, with the new number.
     """
@@ -134,6 +136,7 @@
     quarantine: QuarantineTable = field(default_factory=QuarantineTable)
     versions: VersionHistory = field(default_factory=VersionHistory)
     streams_unknown: int = 0
+    streams_incomplete: int = 0
     shutdown: ShutdownSchedule | None = None
     started_at: float = field(default_factory=monotonic)
     listed_nodes: Mapping[NodeId, str] | None = None
--- a/poplarrelay/exception.py
+++ b/poplarrelay/exception.py
@@ -25,6 +25,7 @@
     "ExchangeFailed",
     "FieldError",
     "HistoryTrimmed",
+    "IncompleteStream",
     "InvalidConfiguration",
     "KeyReused",
     "LogRefused",
@@ -242,6 +243,20 @@
         self.closed = closed
 
 
+class IncompleteStream(ExchangeFailed):
+    """The body of a stream ended before the stream did.
+
+    Attributes
+    ----------
+    inside_event : bool
+        Whether an event had begun and not ended.
+    """
+
+    def __init__(self, problem: str, closed: bool, inside_event: bool) -> None:
+        super().__init__(problem, sent=True, closed=closed)
+        self.inside_event = inside_event
+
+
 class EndpointDown(ExchangeFailed):
     """No process listens at the endpoint's address, also as seen by a peer."""
 
--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -157,6 +157,16 @@
         Faults of the next requests, in order; each request removes one.
     break_after : int or None
         Number of the event in the middle of which streams are reset.
+    break_ends_body : bool
+        Whether such a stream ends its body regularly instead.
+    break_bytes : int or None
+        Bytes of that event that are sent, None for a half. A negative number counts
+        from the end of the event.
+    line_end : bytes
+        Line end of events.
+    states_length : bool
+        Whether streams that end their body regularly have a length instead of chunks.
+        All of their bytes are sent at once then.
     received : list of ReceivedRequest
         All requests, in order of arrival.
     connections : int
@@ -223,6 +233,10 @@
     pause_s: float = 0.01
     faults: list[Fault] = field(default_factory=list)
     break_after: int | None = None
+    break_ends_body: bool = False
+    break_bytes: int | None = None
+    line_end: bytes = b"\n"
+    states_length: bool = False
     received: list[ReceivedRequest] = field(default_factory=list)
     disconnected_attempts: list[str] = field(default_factory=list)
     broken_off: set[str] = field(default_factory=set)
@@ -459,7 +473,13 @@
 
     def event_of(self, number: int) -> bytes:
         """Return an event of a stream; it is the same at every endpoint of a label."""
-        return f"id: {number}\ndata: token {number}{self.label}\n\n".encode()
+        event = f"id: {number}\ndata: token {number}{self.label}\n\n".encode()
+        return event.replace(b"\n", self.line_end)
+
+    def _part_of(self, event: bytes) -> bytes:
+        """Return the part of an event that is sent before its stream breaks off."""
+        size = len(event) // 2 if self.break_bytes is None else self.break_bytes
+        return event[:size]
 
     def _response_headers(
         self, attempt: str, *extra_headers: tuple[str, str], refused: bool = False
@@ -484,10 +504,10 @@
             return [*headers, ("X-Poplarrelay-Not-Executed", "1")]
         return [*headers, ("X-Poplarrelay-Response-Signature", f"sig-{self.endpoint}")]
 
-    def _write_unframed_head(
+    def _write_head(
         self, writer: asyncio.StreamWriter, headers: list[tuple[str, str]]
     ) -> None:
-        """Write the head of an answer that ends with its connection."""
+        """Write the head of an answer that h11 does not frame."""
         lines = [f"{name}: {value}\r\n" for name, value in headers]
         writer.write(f"HTTP/1.1 200 OK\r\n{''.join(lines)}\r\n".encode())
 
@@ -501,7 +521,7 @@
         refused: bool = False,
     ) -> bool:
         if not self.framed and status == 200:
-            self._write_unframed_head(writer, self._response_headers(attempt))
+            self._write_head(writer, self._response_headers(attempt))
             writer.write(body)
             return False
         headers = self._response_headers(
@@ -513,7 +533,7 @@
             h11.EndOfMessage(),
         ):
             writer.write(http.send(event) or b"")
-        return http.our_state is h11.DONE and http.their_state is h11.DONE
+        return _can_go_on(http)
 
     def _crash(
         self, http: h11.Connection, writer: asyncio.StreamWriter, attempt: str
@@ -575,6 +595,9 @@
         pause_s: float,
     ) -> bool:
         first = int(headers.get("last-event-id", "0")) + 1
+        if self.states_length:
+            self._send_whole_stream(writer, attempt, first)
+            return False
         send = self._begin_stream(http, writer, attempt)
         disconnected = asyncio.ensure_future(reader.read(1))
         self.active_streams += 1
@@ -587,8 +610,11 @@
                 event = self.event_of(number)
                 if self.break_after == number:
                     self.broken_off.add(attempt)
-                    send(event[: len(event) // 2])
+                    send(self._part_of(event))
                     await writer.drain()
+                    if self.framed and self.break_ends_body:
+                        writer.write(http.send(h11.EndOfMessage()) or b"")
+                        return _can_go_on(http)
                     if self.framed:
                         writer.transport.abort()
                     return False
@@ -603,6 +629,24 @@
         await writer.drain()
         return False
 
+    def _send_whole_stream(
+        self, writer: asyncio.StreamWriter, attempt: str, first: int
+    ) -> None:
+        """Send a stream with a length, which is right also if the stream breaks off."""
+        last = self.events if self.break_after is None else self.break_after - 1
+        events = [self.event_of(number) for number in range(first, last + 1)]
+        if self.break_after is not None:
+            self.broken_off.add(attempt)
+            events.append(self._part_of(self.event_of(self.break_after)))
+        body = b"".join(events)
+        headers = self._response_headers(
+            attempt,
+            ("Content-Type", "text/event-stream"),
+            ("Content-Length", str(len(body))),
+        )
+        self._write_head(writer, headers)
+        writer.write(body)
+
     def _begin_stream(
         self, http: h11.Connection, writer: asyncio.StreamWriter, attempt: str
     ) -> Callable[[bytes], None]:
@@ -610,7 +654,7 @@
         content_type = ("Content-Type", "text/event-stream")
         if not self.framed:
             headers = self._response_headers(attempt, content_type)
-            self._write_unframed_head(writer, headers)
+            self._write_head(writer, headers)
             return writer.write
         encoding = ("Transfer-Encoding", "chunked")
         headers = self._response_headers(attempt, content_type, encoding)
@@ -619,6 +663,11 @@
         return lambda data: writer.write(http.send(h11.Data(data=data)) or b"")
 
 
+def _can_go_on(http: h11.Connection) -> bool:
+    """Return whether the connection can serve another request."""
+    return http.our_state is h11.DONE and http.their_state is h11.DONE
+
+
 def _parts(headers: dict[str, str]) -> set[str]:
     """Return the ids of the parts of a prompt that other requests can share."""
     entries = headers.get("x-poplarrelay-prefix-hash", "").split(",")
--- a/poplarrelay/testing/resuming_callers.py
+++ b/poplarrelay/testing/resuming_callers.py
@@ -93,7 +93,7 @@
                     part = await connection.body_part()
                 if part is None:
                     self.whole = True
-                    self.complete = not splitter.rest
+                    self.complete = not splitter.inside_event
                     break
                 events = splitter.feed(part)
                 if events.content and self.last_id is None:
