Believe a response only if it is the answer to the attempt

Cause: an id was compared only if there was one, the signature nowhere; not_executed and 421 were trusted from any head, and limits, pauses, departures and brittleness were taken before the id was compared.

`foreign_answer` in entry/answers.py states which response is the answer, and is asked before anything is read from a head. Foreign bytes become 502 for a request that may run once and a further attempt for others, and change no belief; on a new, direct connection the attempt counts as failed for the health. The answer to a call is collected whatever its content type is, and a 204 or 304 is framed. New: metric answers_foreign.

Tests that change: a departure in an answer to another request counted (test_departure_notices); it must not, as that answer may be another endpoint's request, and a test asks for that now. Floods of the stand-in have an id and a signature where they are part of an answer, so that they still reach the bounds of bodies and events; the ones without are tested beside them.

--- a/poplarrelay/entry/answers.py
+++ b/poplarrelay/entry/answers.py
@@ -2,7 +2,65 @@
 
 from __future__ import annotations
 
-__all__ = ["incomplete_stream"]
+from dataclasses import dataclass
+
+from poplarrelay.identifiers import RequestId
+
+__all__ = ["AnswerMarks", "foreign_answer", "incomplete_stream"]
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerMarks:
+    """What the head of a response states about the request that it answers.
+
+    Attributes
+    ----------
+    requests : tuple of RequestId
+        Ids of requests, in the order of the headers.
+    signed : bool
+        Whether it has a signature that is not empty.
+    encoded : bool
+        Whether its body has a content encoding.
+    """
+
+    requests: tuple[RequestId, ...] = ()
+    signed: bool = False
+    encoded: bool = False
+
+
+def foreign_answer(request: RequestId, status: int, marks: AnswerMarks) -> str | None:
+    """Return why a response is not the answer to a request, None if it is.
+
+    Parameters
+    ----------
+    request : RequestId
+        Id of the request, empty if it has none.
+    status : int
+        Status of the response.
+    marks : AnswerMarks
+        What the response's head states.
+
+    Notes
+    -----
+    A response without the id can be late, or bytes in place of the answer. Its promise
+    that a request has not run is about some other request.
+
+    Examples
+    --------
+    >>> foreign_answer(RequestId("a"), 503, AnswerMarks())
+    'not the answer: no id'
+    >>> foreign_answer(RequestId("a"), 503, AnswerMarks((RequestId("a"),)))
+    """
+    if request and not marks.requests:
+        return "not the answer: no id"
+    if any(stated != request for stated in marks.requests):
+        return "not the answer: another id"
+    if 200 <= status < 300:
+        if not marks.signed:
+            return "not the answer: no signature"
+        if marks.encoded:
+            return "not the answer: a content encoding"
+    return None
 
 
 def incomplete_stream(framed: bool, event_count: int, inside_event: bool) -> str | None:
--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 from time import monotonic, time
 
-from poplarrelay.entry.answers import incomplete_stream
+from poplarrelay.entry.answers import foreign_answer, incomplete_stream
 from poplarrelay.entry.endpoints import UNKNOWN_VERSION, Endpoint
 from poplarrelay.entry.events import EventSplitter
 from poplarrelay.entry.http.connection import (
@@ -31,12 +31,17 @@
 from poplarrelay.entry.paths import EndpointPaths
 from poplarrelay.entry.rate_limits import StatedLimit
 from poplarrelay.entry.requests import CallerRequest
-from poplarrelay.exception import EndpointDown, ExchangeFailed, IncompleteStream
+from poplarrelay.exception import (
+    EndpointDown,
+    ExchangeFailed,
+    ForeignAnswer,
+    IncompleteStream,
+)
 from poplarrelay.identifiers import SoftwareVersion, TeamId
 from poplarrelay.platform.headers import (
     AttemptHeaders,
+    answer_marks,
     attempt_headers,
-    echoed_request,
     endpoint_notice,
     not_executed,
     response_headers,
@@ -74,6 +79,8 @@
         Whether the request may run more than once.
     is_blocked : callable
         Returns whether the request must not be sent any more.
+    streams : bool
+        Whether the answer is a stream of events, which is forwarded as it arrives.
     sticky : bool
         Whether the attempt continues a stream that the endpoint's version has begun.
     """
@@ -86,6 +93,7 @@
     fetch_from: Address | None = None
     pass_credentials: bool = False
     repeatable: bool = True
+    streams: bool = False
     sticky: bool = False
     is_blocked: Callable[[], bool] = lambda: False
 
@@ -123,7 +131,7 @@
         Called with the limit stated in the answer and the monotonic time at which
         the request was sent.
     on_head : callable
-        Called with the status of each answer and with what its head states about new
+        Called with the status of the answer and with what its head states about new
         requests.
     on_running : callable
         Called when the endpoint has sent a second event, or a whole framed answer.
@@ -183,6 +191,15 @@
         """Return whether the request was sent on a kept connection."""
         return self._reused
 
+    @property
+    def alone_on_connection(self) -> bool:
+        """Return whether a connection to the endpoint has carried nothing else.
+
+        Whatever comes on it comes in place of the answer, and is no late answer to
+        another request.
+        """
+        return self.sent and not self._reused and self._carrier is None
+
     @property
     def carrier(self) -> str | None:
         """Return the host of the peer that relays it, None for a direct connection."""
@@ -204,6 +221,7 @@
                 closed=failure.closed,
                 inside_event=isinstance(failure, IncompleteStream)
                 and failure.inside_event,
+                foreign=isinstance(failure, ForeignAnswer),
             )
         except TimeoutError:
             return self._failed("silent", self.sent, silent=True)
@@ -220,22 +238,23 @@
         silent: bool = False,
         closed: bool = False,
         inside_event: bool = False,
+        foreign: bool = False,
     ) -> AttemptResult:
         if not sent:
             return NotRun(reason, arrived=False)
         kind = StreamBroken if self.exchange.begun else Broken
-        return kind(reason, silent, closed, inside_event)
+        return kind(reason, silent, closed, inside_event, foreign)
 
     async def _run(self) -> AttemptResult:
         await self._send()
         assert self._connection is not None
         async with asyncio.timeout(self.plan.silence_timeout_s):
             head = await self._connection.response_head()
+        marks = answer_marks(head.headers)
+        problem = foreign_answer(self.request.request, head.status, marks)
+        if problem is not None:
+            raise ForeignAnswer(problem)
         self.on_head(head.status, endpoint_notice(head.status, head.headers, time()))
-        echoed = echoed_request(head.headers)
-        if echoed is not None and echoed != self.request.request:
-            # This is a late second answer to the previous request on the connection.
-            raise ExchangeFailed("answer to another request", sent=True)
         stated = stated_limit(head.headers)
         if head.status == 200 or stated.per_s is not None:
             # Answers with another status may omit the header while a limit applies.
@@ -243,7 +262,7 @@
         if head.status == 200 and not _closes(head):
             # A leaving endpoint closes its connections with every answer.
             self.plan.endpoint.last_accepting_at = self._sent_at
-        if head.status == 200 and _is_event_stream(head):
+        if head.status == 200 and self.plan.streams and _is_event_stream(head):
             return await self._forward_stream(head)
         return await self._collect(head)
 
--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -6,6 +6,7 @@
 import socket
 from collections import deque
 from dataclasses import dataclass
+from http import HTTPStatus
 from time import monotonic
 from typing import Protocol
 
@@ -38,6 +39,8 @@
 #: Largest size in bytes of a response's head, and largest number of interim responses
 #: before it.
 MAX_HEAD_BYTES, MAX_INTERIM_RESPONSES = 65_536, 100
+#: Statuses of responses that never have a body.
+_BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 #: Share of the announced keep-alive time for which an idle connection is reused. The
 #: rest covers the network delay: bytes that arrive after the server has closed the
 #: connection are lost, and the client cannot tell whether the server read them.
@@ -61,8 +64,8 @@
     Attributes
     ----------
     framed : bool
-        Whether the body has a stated length or is chunked. Any other body ends when
-        the connection is closed.
+        Whether the body has a stated length, is chunked, or is empty because of the
+        status. Any other body ends when the connection is closed.
     """
 
     status: int
@@ -326,7 +329,8 @@
             )
         headers = [(bytes(k), bytes(v)) for k, v in event.headers.raw_items()]
         framed = (
-            header_value(headers, b"content-length") is not None
+            event.status_code in _BODILESS_STATUSES
+            or header_value(headers, b"content-length") is not None
             or header_value(headers, b"transfer-encoding") is not None
         )
         return ResponseHead(event.status_code, headers, framed)
--- a/poplarrelay/entry/node_handlers.py
+++ b/poplarrelay/entry/node_handlers.py
@@ -190,6 +190,7 @@
             "part_probes_discriminating": float(state.quarantine.discriminating_probes),
             "part_crashes_outlived": float(state.quarantine.survived),
             "streams_unknown": float(state.streams_unknown),
+            "answers_foreign": float(state.answers_foreign),
             "streams_incomplete": float(state.streams_incomplete),
             "running": float(sum(r.running for r in state.endpoints.rows.values())),
         }
--- a/poplarrelay/entry/outcomes.py
+++ b/poplarrelay/entry/outcomes.py
@@ -99,12 +99,15 @@
         Whether the endpoint closed or reset the connection.
     inside_event : bool
         Whether the endpoint ended the body of a stream inside an event.
+    foreign : bool
+        Whether other bytes came in place of the answer.
     """
 
     why: str
     silent: bool = False
     closed: bool = False
     inside_event: bool = False
+    foreign: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +118,7 @@
     silent: bool = False
     closed: bool = False
     inside_event: bool = False
+    foreign: bool = False
 
 
 AttemptResult = Answered | Streamed | NotRun | Broken | StreamBroken
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -440,6 +440,7 @@
             fetch_from=choice.fetch_from,
             pass_credentials=not context.teams_configured,
             repeatable=context.route.repeatable,
+            streams=context.streams,
             sticky=context.progress.version is not None,
             is_blocked=lambda: self._blocking.find_restriction(context) is not None,
         )
@@ -542,13 +543,17 @@
         elif isinstance(result, Broken | StreamBroken) and result.inside_event:
             self._state.streams_incomplete += 1
             self._count_usage(context)
-        path_failed = await self._path_failed(row, attempt, result)
-        if not path_failed:
+        foreign = isinstance(result, Broken | StreamBroken) and result.foreign
+        self._state.answers_foreign += foreign
+        path_failed = not foreign and await self._path_failed(row, attempt, result)
+        if foreign:
+            if attempt.alone_on_connection:
+                self._update_health(context, row, result)
+        elif not path_failed:
             self._update_health(context, row, result)
             await self._evidence.note(
                 EndedAttempt(context, row, attempt, result, ended_at, probed)
             )
-        if not path_failed:
             note_attempt(self._state, context.route, row, attempt, result)
         _LOG.info(
             "attempt",
--- a/poplarrelay/entry/state.py
+++ b/poplarrelay/entry/state.py
@@ -102,6 +102,8 @@
         Called when a configuration has come into force.
     streams_unknown : int
         Resumed streams that were refused because nobody knew their version.
+    answers_foreign : int
+        Attempts that got other bytes in place of an answer.
     streams_incomplete : int
         Attempts whose endpoint ended the body of a stream inside an event.
     recent_node_counts : list of tuple of float and int
@@ -136,6 +138,7 @@
     quarantine: QuarantineTable = field(default_factory=QuarantineTable)
     versions: VersionHistory = field(default_factory=VersionHistory)
     streams_unknown: int = 0
+    answers_foreign: int = 0
     streams_incomplete: int = 0
     shutdown: ShutdownSchedule | None = None
     started_at: float = field(default_factory=monotonic)
--- a/poplarrelay/exception.py
+++ b/poplarrelay/exception.py
@@ -24,6 +24,7 @@
     "EndpointRefused",
     "ExchangeFailed",
     "FieldError",
+    "ForeignAnswer",
     "HistoryTrimmed",
     "IncompleteStream",
     "InvalidConfiguration",
@@ -243,6 +244,13 @@
         self.closed = closed
 
 
+class ForeignAnswer(ExchangeFailed):
+    """The bytes in place of an answer belong to another request or to none."""
+
+    def __init__(self, problem: str) -> None:
+        super().__init__(problem, sent=True)
+
+
 class IncompleteStream(ExchangeFailed):
     """The body of a stream ended before the stream did.
 
--- a/poplarrelay/platform/headers.py
+++ b/poplarrelay/platform/headers.py
@@ -12,6 +12,7 @@
 from http import HTTPStatus
 from math import isfinite
 
+from poplarrelay.entry.answers import AnswerMarks
 from poplarrelay.entry.brittleness import StatedBrittleness
 from poplarrelay.entry.http.connection import Headers, header_value
 from poplarrelay.entry.http.listener import IncomingRequest
@@ -23,9 +24,9 @@
 
 __all__ = [
     "AttemptHeaders",
+    "answer_marks",
     "attempt_headers",
     "decode_request",
-    "echoed_request",
     "endpoint_notice",
     "not_executed",
     "response_headers",
@@ -38,6 +39,7 @@
 _TEAM = b"X-Poplarrelay-Tenant"
 _PRIORITY = b"X-Poplarrelay-Request-Priority"
 _NOT_EXECUTED = b"x-poplarrelay-not-executed"
+_SIGNATURE = b"x-poplarrelay-response-signature"
 _USAGE = b"x-poplarrelay-token-usage"
 _PREFIX = b"x-poplarrelay-prefix-hash"
 _MODEL = b"x-poplarrelay-model"
@@ -284,10 +286,15 @@
     return status == 421 or header_value(headers, _NOT_EXECUTED) is not None
 
 
-def echoed_request(headers: Headers) -> RequestId | None:
-    """Return the id of the request that a response answers, None if not stated."""
-    value = header_value(headers, _ATTEMPT.lower())
-    return None if value is None else RequestId(value.decode("latin-1"))
+def answer_marks(headers: Headers) -> AnswerMarks:
+    """Return what the head of a response states about the request that it answers."""
+    stated = (value for name, value in headers if name.lower() == _ATTEMPT.lower())
+    encoding = header_value(headers, b"content-encoding") or b"identity"
+    return AnswerMarks(
+        requests=tuple(RequestId(value.decode("latin-1")) for value in stated),
+        signed=bool((header_value(headers, _SIGNATURE) or b"").strip()),
+        encoded=encoding.strip().lower() != b"identity",
+    )
 
 
 def stated_limit(headers: Headers) -> StatedLimit:
--- a/poplarrelay/standins/users/floods.py
+++ b/poplarrelay/standins/users/floods.py
@@ -14,6 +14,7 @@
 #: a slow one.
 BLOCK_BYTES, SLOW_PAUSE_S = 65_536, 0.02
 
+_STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 _STREAM = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -74,6 +75,7 @@
     is_closed: Callable[[], bool],
     flood: Flood,
     fast: bool,
+    headers: bytes = b"",
 ) -> None:
     """Send bytes until the client closes the connection.
 
@@ -86,8 +88,10 @@
         What is sent.
     fast : bool
         Whether it is sent as fast as the client reads.
+    headers : bytes
+        Lines that a response with a whole status line begins with.
     """
-    write(flood.beginning)
+    write(flood.beginning.replace(_STATUS_LINE, _STATUS_LINE + headers, 1))
     unit = flood.unit
     if fast:
         unit *= BLOCK_BYTES // len(unit)
