Send no attempt on a connection that has carried its request

Both endpoints had rejected it, and the further attempt at the first one went out on the kept connection of the rejection, where a late second copy of it came first.

Cause: the id in a response is the caller's, the same in all attempts, so it cannot tell them apart; only the connection can.

`UsedConnections` in entry/answers.py keeps the connections that have carried a request while a request with its id is in progress at the node, so that two callers with one id are covered as well. The pool leaves such connections to other requests. `attempt` lines name their connection.

--- a/poplarrelay/entry/answers.py
+++ b/poplarrelay/entry/answers.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
 
 from poplarrelay.identifiers import RequestId
 
-__all__ = ["AnswerMarks", "foreign_answer", "incomplete_stream"]
+__all__ = ["AnswerMarks", "UsedConnections", "foreign_answer", "incomplete_stream"]
+
+ConnectionT = TypeVar("ConnectionT")
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,3 +96,46 @@
     if not framed and not event_count:
         return "connection closed before the first event"
     return None
+
+
+@dataclass(slots=True)
+class UsedConnections(Generic[ConnectionT]):
+    """Connections that have carried the requests in progress at a node.
+
+    Notes
+    -----
+    The id that an answer states is the caller's, the same in all attempts of a request.
+    A late copy of the answer to one attempt is told apart from the answer to the next
+    one only by its connection. Requests that have the same id at the same time share
+    their connections for that reason.
+
+    Examples
+    --------
+    >>> used = UsedConnections()
+    >>> with used.of(RequestId("a")) as first, used.of(RequestId("a")) as second:
+    ...     first.add("connection 1")
+    ...     sorted(second)
+    ['connection 1']
+    >>> len(used)
+    0
+    """
+
+    _sets: dict[RequestId, set[ConnectionT]] = field(default_factory=dict)
+    _counts: Counter[RequestId] = field(default_factory=Counter)
+
+    def __len__(self) -> int:
+        return len(self._sets)
+
+    @contextmanager
+    def of(self, request: RequestId) -> Iterator[set[ConnectionT]]:
+        """Return the connections that have carried a request, while it is served.
+
+        None of them may carry another attempt of it.
+        """
+        self._counts[request] += 1
+        try:
+            yield self._sets.setdefault(request, set())
+        finally:
+            self._counts[request] -= 1
+            if not self._counts[request]:
+                del self._counts[request], self._sets[request]
--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -79,6 +79,9 @@
         Whether the request may run more than once.
     is_blocked : callable
         Returns whether the request must not be sent any more.
+    used_connections : set of Connection
+        Connections that have carried the request and must not carry it again; the
+        attempt adds its own.
     streams : bool
         Whether the answer is a stream of events, which is forwarded as it arrives.
     sticky : bool
@@ -96,6 +99,7 @@
     streams: bool = False
     sticky: bool = False
     is_blocked: Callable[[], bool] = lambda: False
+    used_connections: set[Connection] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -156,6 +160,7 @@
     _last_event_at: float = 0.0
     _events: int = 0
     _reused: bool = False
+    _connection_number: int | None = None
     _carrier: str | None = None
     _version: SoftwareVersion = UNKNOWN_VERSION
 
@@ -191,6 +196,11 @@
         """Return whether the request was sent on a kept connection."""
         return self._reused
 
+    @property
+    def connection_number(self) -> int | None:
+        """Return the number of the connection that it was sent on, None before."""
+        return self._connection_number
+
     @property
     def alone_on_connection(self) -> bool:
         """Return whether a connection to the endpoint has carried nothing else.
@@ -269,7 +279,10 @@
     async def _send(self) -> None:
         plan = self.plan
         self._connection = await self.paths.take(
-            plan.endpoint, plan.repeatable, plan.silence_timeout_s is not None
+            plan.endpoint,
+            plan.repeatable,
+            plan.silence_timeout_s is not None,
+            plan.used_connections,
         )
         self._carrier = self._connection.carrier
         if not plan.endpoint.accepts(plan.sticky):
@@ -296,9 +309,11 @@
         self._connection.send(
             self.request.method, self.request.target, headers, self.request.body
         )
+        plan.used_connections.add(self._connection)
         self._sent_at = monotonic()
         self._version = plan.endpoint.version
         self._reused = self._connection.request_count > 1
+        self._connection_number = self._connection.number
 
     async def _collect(self, head: ResponseHead) -> AttemptResult:
         """Return a complete answer; a truncated answer must never count as complete."""
--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -7,6 +7,7 @@
 from collections import deque
 from dataclasses import dataclass
 from http import HTTPStatus
+from itertools import count
 from time import monotonic
 from typing import Protocol
 
@@ -33,6 +34,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+_NUMBERS = count(1)
 #: Number of unread body bytes at which reading from the socket pauses, so that a slow
 #: consumer slows the sender down instead of filling memory.
 PAUSE_AT_BYTES = 262_144
@@ -97,6 +99,8 @@
 
     Attributes
     ----------
+    number : int
+        Number of the connection in its process, for the log.
     request_count : int
         Number of requests sent on it.
     carrier : str or None
@@ -128,6 +132,7 @@
         self._retired = False
         self._sent_at = 0.0
         self._received_at = 0.0
+        self.number = next(_NUMBERS)
         self.request_count = 0
         self.carrier: str | None = None
         self.observer: ConnectionObserver | None = None
--- a/poplarrelay/entry/http/pool.py
+++ b/poplarrelay/entry/http/pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from time import monotonic
 
 from poplarrelay.entry.http.connection import (
@@ -33,7 +33,10 @@
         self._idle: dict[Address, list[Connection]] = {}
 
     def take_idle(
-        self, address: Address, accepts: Callable[[Connection], bool] | None = None
+        self,
+        address: Address,
+        accepts: Callable[[Connection], bool] | None = None,
+        avoided: Collection[Connection] = (),
     ) -> Connection | None:
         """Return the most recently used idle connection, None if there is none.
 
@@ -43,15 +46,24 @@
             Address of the server.
         accepts : callable or None
             Returns whether a connection may be used; others are aborted.
+        avoided : collection of Connection
+            Connections that stay idle, for other requests.
         """
-        idle = self._idle.get(address)
-        now = monotonic()
-        while idle:
+        idle = self._idle.get(address, [])
+        kept: list[Connection] = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
-            if connection.usable(now) and (accepts is None or accepts(connection)):
-                return connection
-            connection.abort()
-        return None
+            if connection in avoided:
+                kept.append(connection)
+            elif connection.usable(monotonic()) and (
+                accepts is None or accepts(connection)
+            ):
+                found = connection
+            else:
+                connection.abort()
+        idle.extend(reversed(kept))
+        return found
 
     async def take(self, address: Address) -> Connection:
         """Return an idle connection or open a new one.
--- a/poplarrelay/entry/paths.py
+++ b/poplarrelay/entry/paths.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
@@ -144,7 +144,11 @@
     # connections for requests
 
     async def take(
-        self, row: Endpoint, repeatable: bool, abandonable: bool
+        self,
+        row: Endpoint,
+        repeatable: bool,
+        abandonable: bool,
+        avoided: Collection[Connection] = (),
     ) -> Connection:
         """Return a connection to an endpoint, a kept or a new one.
 
@@ -157,6 +161,8 @@
             connection only if the path is known to work.
         abandonable : bool
             Whether the attempt may be ended early when the path is lost.
+        avoided : collection of Connection
+            Kept connections that must not carry the request.
 
         Raises
         ------
@@ -169,7 +175,7 @@
         connection = None
         if repeatable or lost or self._trusted(monotonic()):
             accepts = None if repeatable else self._carrier_is_heard
-            connection = self._idle.take_idle(row.address, accepts)
+            connection = self._idle.take_idle(row.address, accepts, avoided)
         if connection is None:
             connection = await self._open(row, lost)
         use = self._direct.get(connection)
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 from time import monotonic
 
+from poplarrelay.entry.answers import UsedConnections
 from poplarrelay.entry.attempts import Attempt, AttemptPlan, StreamProgress
 from poplarrelay.entry.backlog_client import BacklogClient
 from poplarrelay.entry.backlogs import Placement, PromptEnd
@@ -20,6 +21,7 @@
 from poplarrelay.entry.crash_evidence import CrashEvidence, EndedAttempt
 from poplarrelay.entry.endpoints import Endpoint
 from poplarrelay.entry.health import note_failure, note_success, note_success_time
+from poplarrelay.entry.http.connection import Connection
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest
 from poplarrelay.entry.notices import EndpointNotice
 from poplarrelay.entry.outcomes import (
@@ -130,6 +132,7 @@
         self._permits = permits
         self._patient = FractionMarker()
         self._timeouts: dict[asyncio.Timeout, None] = {}
+        self._used_connections: UsedConnections[Connection] = UsedConnections()
         self.slot_allocator = SlotAllocator(state, backlog_client, permits, slot_broker)
 
     async def handle(self, incoming: IncomingRequest, exchange: Exchange) -> None:
@@ -205,7 +208,9 @@
                 origin = StreamOrigin(context.service, context.progress.version)
                 self._resumption.continue_stream(context.stream, origin)
             try:
-                refusal = await self._run_before_deadline(context)
+                with self._used_connections.of(request.request) as used:
+                    context.used_connections = used
+                    refusal = await self._run_before_deadline(context)
             except asyncio.CancelledError:
                 outcome = context.exchange.cut_reason.value
                 self._response_writer.log_end(context, 0, outcome)
@@ -443,6 +448,7 @@
             streams=context.streams,
             sticky=context.progress.version is not None,
             is_blocked=lambda: self._blocking.find_restriction(context) is not None,
+            used_connections=context.used_connections,
         )
 
         queued_tokens = choice.unread_tokens
@@ -579,6 +585,7 @@
                 "backoff_s": notice.backoff_s,
                 "avoided": row.health.avoided_until > sent_at,
                 "reused": attempt.reused,
+                "connection": attempt.connection_number,
                 "carrier": attempt.carrier,
                 "path_failed": path_failed,
                 "result": type(result).__name__,
--- a/poplarrelay/entry/request_context.py
+++ b/poplarrelay/entry/request_context.py
@@ -7,6 +7,7 @@
 
 from poplarrelay.entry.attempts import StreamProgress
 from poplarrelay.entry.configuration import Route, RouteKind, ServiceName, Team
+from poplarrelay.entry.http.connection import Connection
 from poplarrelay.entry.http.listener import Exchange
 from poplarrelay.entry.outcomes import Answered
 from poplarrelay.entry.probe_leases import ProbeLease
@@ -52,6 +53,8 @@
         Whether the whole stream has been sent to the caller.
     tried : list of EndpointId
         Endpoints to which the node has sent the request or tried to send it.
+    used_connections : set of Connection
+        Connections that have carried the request, or another one with the same id.
     may_have_run : bool
         Whether an endpoint may have run the request.
     execution_started : bool
@@ -87,6 +90,7 @@
     stream: StreamKey | None = None
     stream_complete: bool = False
     tried: list[EndpointId] = field(default_factory=list)
+    used_connections: set[Connection] = field(default_factory=set)
     may_have_run: bool = False
     execution_started: bool = False
     last_error_response: Answered | None = None
