Use no kept connection that has unread bytes

Bytes that arrived on an idle connection while the event loop did something else were read after the next request had been sent on it, and taken for its response: to endpoints, where the id may be the same, and on connections to the store and the cloud API, where nothing identifies a response.

The pool looks into the socket's buffer in the same turn of the loop that sends the request, and drops a connection that has bytes, its end, or frames of a tunnel waiting. What arrives after the send is judged by its id; on connections to the store nothing can tell it apart.

--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections import deque
 from dataclasses import dataclass
@@ -426,6 +427,21 @@
         """Return whether an idle connection can be used for a request now."""
         return self._failure is None and now < self._idle_until
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes, or the end of the connection, have not been read yet.
+
+        Notes
+        -----
+        On an idle connection they belong to no request. The event loop reads them
+        later, when they would be taken for the answer to a request sent meanwhile.
+        """
+        if self._held or self._transport is None:
+            return True
+        poller = select.poll()
+        sock = self._transport.get_extra_info("socket")
+        poller.register(sock.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def retire(self) -> None:
         """Abort the connection, or after the request in progress."""
         self._retired = True
--- a/poplarrelay/entry/http/pool.py
+++ b/poplarrelay/entry/http/pool.py
@@ -40,6 +40,9 @@
     ) -> Connection | None:
         """Return the most recently used idle connection, None if there is none.
 
+        The request must be sent before the event loop runs again: the connection is
+        checked for bytes that have arrived until now.
+
         Parameters
         ----------
         address : tuple of str and int
@@ -56,8 +59,10 @@
             connection = idle.pop()
             if connection in avoided:
                 kept.append(connection)
-            elif connection.usable(monotonic()) and (
-                accepts is None or accepts(connection)
+            elif (
+                connection.usable(monotonic())
+                and not connection.has_unread_bytes()
+                and (accepts is None or accepts(connection))
             ):
                 found = connection
             else:
--- a/poplarrelay/entry/tests/test_late_rejections.py
+++ b/poplarrelay/entry/tests/test_late_rejections.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
 from poplarrelay.entry.answers import UsedConnections
 from poplarrelay.entry.http.connection import Connection
-from poplarrelay.entry.http.pool import ConnectionPool
+from poplarrelay.entry.http.pool import ConnectionPool, JsonClient
 from poplarrelay.identifiers import RequestId
 from poplarrelay.standins.users.runner import Fault
 from poplarrelay.testing.entry_site import (
@@ -27,6 +28,7 @@
     "too many": b"HTTP/1.1 429 Later\r\n" + REFUSED,
     "misdirected": b"HTTP/1.1 421 Other\r\n" + ID + b"Content-Length: 0\r\n\r\n",
 }
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
 
 
 def routes(**changes):
@@ -116,3 +118,51 @@
                 end.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("data", [b"HTTP/1.1 503 Full\r\n\r\n", b""])
+def test_kept_connection_with_unread_bytes_is_not_used(data):
+    # Guards against bytes that the event loop reads after the next request is sent.
+    async def scenario():
+        pool = ConnectionPool(1.0)
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address, ends = await open_pair(listener, pool)
+            ((connection, end),) = ends
+            end.sendall(data)
+            end.shutdown(socket.SHUT_WR)
+            # The event loop must not run until the bytes have arrived.
+            time.sleep(0.05)
+            assert pool.take_idle(address) is None
+            assert connection.ended
+            end.close()
+
+    asyncio.run(scenario())
+
+
+def test_second_response_is_not_the_response_to_the_next_call():
+    # Guards against a call to the store whose response belongs to an earlier call.
+    async def scenario():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            loop = asyncio.get_running_loop()
+            listener.setblocking(False)
+            client = JsonClient(listener.getsockname(), 1.0, 1000)
+
+            async def answer(end, response):
+                await loop.sock_recv(end, 1000)
+                await loop.sock_sendall(end, response)
+
+            call = asyncio.create_task(client.call("GET", "/first", [], b""))
+            end, _ = await loop.sock_accept(listener)
+            await answer(end, RESPONSE + b"first")
+            assert (await call).body == b"first"
+            end.sendall(RESPONSE + b"again")
+            time.sleep(0.05)
+            call = asyncio.create_task(client.call("GET", "/second", [], b""))
+            second, _ = await asyncio.wait_for(loop.sock_accept(listener), 2.0)
+            await answer(second, RESPONSE + b"other")
+            assert (await call).body == b"other"
+            client.close()
+            end.close()
+            second.close()
+
+    asyncio.run(scenario())
