--- a/poplarrelay/standins/users/runner.py
+++ b/poplarrelay/standins/users/runner.py
@@ -647,8 +647,7 @@
                     await writer.drain()
                     if self.framed and self.break_ends_body:
                         writer.write(http.send(h11.EndOfMessage()) or b"")
-                        return _can_go_on(http)
-                    if self.framed:
+                    elif self.framed:
                         writer.transport.abort()
                     return False
                 send(event)
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "EIGHTH_KINDS",
+    "ELEVENTH_KINDS",
     "FIFTH_KINDS",
     "FIRST_KINDS",
     "FOURTH_KINDS",
@@ -109,6 +110,9 @@
     ENDLESS_ANSWERS
         An endpoint, the store at some nodes or the cloud API sends bytes without end in
         place of its answers.
+    WRONG_ANSWERS
+        Endpoints send other bytes in place of answers, send late second answers, and
+        end streams regularly inside an event. Many requests are rejected meanwhile.
     """
 
     KILL = "kill"
@@ -145,6 +149,7 @@
     LIMITS_CHANGED = "limits changed"
     STOPS_IN_SERIES = "stops in series"
     ENDLESS_ANSWERS = "endless answers"
+    WRONG_ANSWERS = "wrong answers"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
@@ -167,9 +172,11 @@
 EIGHTH_KINDS = tuple(FaultKind)[:27]
 #: Kinds before ``ALL_KILLED`` and the two after it were added.
 NINTH_KINDS = tuple(FaultKind)[:29]
-#: Kinds before ``STOPS_IN_SERIES`` and ``ENDLESS_ANSWERS`` were added. These tuples
-#: depend on the order of the enum: append new kinds at its end.
+#: Kinds before ``STOPS_IN_SERIES`` and ``ENDLESS_ANSWERS`` were added.
 TENTH_KINDS = tuple(FaultKind)[:32]
+#: Kinds before ``WRONG_ANSWERS`` was added. These tuples depend on the order of the
+#: enum: append new kinds at its end.
+ELEVENTH_KINDS = tuple(FaultKind)[:34]
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable, Iterator
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count
 from math import inf
 from pathlib import Path
@@ -55,6 +56,7 @@
 from poplarrelay.testing.soak.plan import FaultKind, PlannedFault, draw_plan
 from poplarrelay.testing.soak.stops import NodeStops, routes_with
 from poplarrelay.testing.soak.targeted import STREAM_EVENTS, TargetedFaults
+from poplarrelay.testing.soak.wrong_answers import answer_wrongly
 
 __all__ = ["SoakReport", "SoakRun", "SoakSize", "soak"]
 
@@ -197,6 +199,8 @@
         Stops of nodes.
     timeouts_s : dict of str to float
         Time-out of each route in seconds.
+    max_attempts : dict of str to int
+        Attempts of the routes that have others than the example's.
     errors : list of str
         Tracebacks of faults that could not be injected: errors of the soak itself.
     crash_bodies : set of bytes
@@ -225,6 +229,7 @@
     start_locks: dict[str, asyncio.Lock] = field(default_factory=dict)
     disruptions: list[Disruption] = field(default_factory=list)
     timeouts_s: dict[str, float] = field(default_factory=route_timeouts_s)
+    max_attempts: dict[str, int] = field(default_factory=dict)
     errors: list[str] = field(default_factory=list)
     crash_bodies: set[bytes] = field(default_factory=set)
     crash_parts: set[str] = field(default_factory=set)
@@ -290,7 +295,7 @@
             self.version,
             tenants=teams,
             limits=limits,
-            routes=routes_with(self.timeouts_s),
+            routes=routes_with(self.timeouts_s, self.max_attempts),
         )
         self.site.store.put("keyed.op", "config", value)
 
@@ -364,6 +369,7 @@
             FaultKind.LIMITS_CHANGED: self.targeted.change_limits,
             FaultKind.STOPS_IN_SERIES: self.stops.stop_in_series,
             FaultKind.ENDLESS_ANSWERS: self._answer_without_end,
+            FaultKind.WRONG_ANSWERS: partial(answer_wrongly, self),
         }
         self.injected.append((fault.kind, monotonic(), inf))
         index = len(self.injected) - 1
@@ -694,6 +700,8 @@
         self.site.cloud.flood = None
         for runner in self.runners:
             runner.faults.clear()
+            runner.raw_answers.clear()
+            runner.late_answers.clear()
             runner.flood = None
             runner.break_after = None
             runner.limit = None
--- a/poplarrelay/testing/soak/stops.py
+++ b/poplarrelay/testing/soak/stops.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import signal
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine, Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 from time import monotonic
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
 from poplarrelay.testing.entry_site import CALLS, STREAMS, entry_configuration
@@ -182,9 +183,15 @@
             caller.close()
 
 
-def routes_with(timeouts_s: dict[str, float]) -> list[dict[str, Any]]:
-    """Return the example configuration's routes with other time-outs."""
-    return [
-        {**route, "timeoutMs": int(1000 * timeouts_s[route["name"]])}
-        for route in entry_configuration()["routes"]
-    ]
+def routes_with(
+    timeouts_s: dict[str, float], max_attempts: Mapping[str, int] = MappingProxyType({})
+) -> list[dict[str, Any]]:
+    """Return the example configuration's routes with other time-outs and attempts."""
+    routes = []
+    for route in entry_configuration()["routes"]:
+        name = route["name"]
+        changed = {**route, "timeoutMs": int(1000 * timeouts_s[name])}
+        if name in max_attempts:
+            changed["maxAttempts"] = max_attempts[name]
+        routes.append(changed)
+    return routes
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -250,6 +250,7 @@
         (1, (FaultKind.LIMITS_CHANGED, FaultKind.STOP)),
         (SEED_OF_STOPS, (FaultKind.STOPS_IN_SERIES,)),
         (1, (FaultKind.ENDLESS_ANSWERS, FaultKind.STOP)),
+        (1, (FaultKind.WRONG_ANSWERS,)),
     ],
 )
 def test_invariants_hold_under_random_faults(seed, kinds, tmp_path):
