Keep connections of callers that read slowly until their deadline

Cause: TCP_USER_TIMEOUT also ends a connection whose peer answers every probe with a closed window, and callers' connections had the 1.8 s that bound the silence of idle ones. The time-out is raised to the deadline of the connection's request now and never lowered. A caller that is gone without a word holds its connection until its deadline.

--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import select
-import socket
 from collections import deque
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -18,6 +17,7 @@
 from poplarrelay.entry.http.sockets import (
     BUSY_SILENCE_MS,
     IDLE_SILENCE_MS,
+    allow_silence,
     enable_dead_peer_detection,
 )
 from poplarrelay.entry.http.turns import ParsingTurns
@@ -415,8 +415,7 @@
         """
         if self._transport is not None and self._failure is None:
             sock = self._transport.get_extra_info("socket")
-            limit_ms = BUSY_SILENCE_MS if expected else IDLE_SILENCE_MS
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+            allow_silence(sock, BUSY_SILENCE_MS if expected else IDLE_SILENCE_MS)
 
     @property
     def ended(self) -> bool:
--- a/poplarrelay/entry/http/listener.py
+++ b/poplarrelay/entry/http/listener.py
@@ -15,6 +15,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
+from math import ceil
 from time import monotonic
 
 import h11
@@ -22,7 +23,11 @@
 from poplarrelay.entry.configuration import CallerLimits
 from poplarrelay.entry.http.connection import Headers, header_value
 from poplarrelay.entry.http.cuts import CutReason
-from poplarrelay.entry.http.sockets import enable_dead_peer_detection
+from poplarrelay.entry.http.sockets import (
+    IDLE_SILENCE_MS,
+    allow_silence,
+    enable_dead_peer_detection,
+)
 from poplarrelay.entry.http.turns import ParsingTurns
 
 __all__ = ["Exchange", "Handler", "IncomingRequest", "Listener"]
@@ -92,6 +97,10 @@
         """Return why the connection was closed."""
         return self._connection.cut_reason
 
+    def allow_silence_until(self, at: float) -> None:
+        """Keep the connection while the caller reads nothing until a monotonic time."""
+        self._connection.allow_silence_until(at)
+
     def on_disconnect(self, callback: Callable[[], None] | None) -> None:
         """Call back when the caller disconnects, instead of cancelling the handler."""
         self._on_disconnect = callback
@@ -198,6 +207,7 @@
         self._half_closed = False
         self._cut_reason: CutReason | None = None
         self._answered_at = 0.0
+        self._silence_ms = IDLE_SILENCE_MS
         self._subject: dict[str, object] = {}
         self.closed = False
 
@@ -227,10 +237,25 @@
         """Set the socket's options and wait for the first request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        enable_dead_peer_detection(transport.get_extra_info("socket"))
+        enable_dead_peer_detection(transport.get_extra_info("socket"), self._silence_ms)
         self._listener.connections.add(self)
         self._set_limit_timer(_idle_timeout_s, self.close)
 
+    def allow_silence_until(self, at: float) -> None:
+        """Keep the connection while the caller reads nothing until a monotonic time.
+
+        Notes
+        -----
+        Linux also breaks a connection whose peer answers all probes and has a closed
+        window for so long. The time is never lowered: the caller may still take the
+        response to an earlier request.
+        """
+        silence_ms = ceil(1000 * (at - monotonic()))
+        if self.closed or self._transport is None or silence_ms <= self._silence_ms:
+            return
+        self._silence_ms = silence_ms
+        allow_silence(self._transport.get_extra_info("socket"), silence_ms)
+
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes."""
         if self._discarding:
--- a/poplarrelay/entry/http/sockets.py
+++ b/poplarrelay/entry/http/sockets.py
@@ -4,7 +4,12 @@
 
 import socket
 
-__all__ = ["BUSY_SILENCE_MS", "IDLE_SILENCE_MS", "enable_dead_peer_detection"]
+__all__ = [
+    "BUSY_SILENCE_MS",
+    "IDLE_SILENCE_MS",
+    "allow_silence",
+    "enable_dead_peer_detection",
+]
 
 #: Milliseconds of silence after which a connection breaks. Long enough for one
 #: retransmission after loss, shorter than the callers' timeout of 2 s.
@@ -40,4 +45,9 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S)
+    allow_silence(sock, silence_ms)
+
+
+def allow_silence(sock: socket.socket, silence_ms: int) -> None:
+    """Set the milliseconds of silence after which the kernel breaks a connection."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -187,6 +187,7 @@
             teams_configured=configuration.checks_keys,
             fingerprint=request.fingerprint(None if team is None else team.name),
         )
+        exchange.allow_silence_until(context.deadline)
         context.part_keys = self._part_keys(context)
         context.probes = self._state.quarantine.take_probe(
             context.service, context.part_keys, monotonic()
