Go on with a stream only if the run that began it is certain

Cause: the version of a stream was that of the endpoint's row when the request was sent, although the list can be a second older than the run that answers. A connection leads to one process, so a run that the list shows later than the connection was opened is the one that was there. A stream goes on elsewhere only once that is so, or is broken off; a record that turns out to be doubtful is withdrawn by a second one. Runs of the same version, and kept connections, change nothing.

--- a/poplarrelay/entry/attempts.py
+++ b/poplarrelay/entry/attempts.py
@@ -114,12 +114,18 @@
     version : SoftwareVersion or None
         Version of the endpoint that sent the first event, in this answer or in an
         earlier one that the caller resumes; None before that.
+    origin : Endpoint or None
+        Endpoint that sent the first event in this answer, None if none did.
+    connected_at : float
+        Monotonic time at which the connection to it was opened.
     """
 
     last_id: bytes | None
     forwarded_bytes: int = 0
     first_event_at: float | None = None
     version: SoftwareVersion | None = None
+    origin: Endpoint | None = None
+    connected_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -382,7 +388,10 @@
             self.progress.first_event_at = monotonic()
             self.on_started(self.progress.first_event_at - self._sent_at)
         if self.progress.version is None:
+            assert self._connection is not None
             self.progress.version = self._version
+            self.progress.origin = self.plan.endpoint
+            self.progress.connected_at = self._connection.opened_at
             await self.on_origin(self._version)
         self._start(head)
         if last_id is not None:
--- a/poplarrelay/entry/endpoint_list.py
+++ b/poplarrelay/entry/endpoint_list.py
@@ -356,6 +356,9 @@
         departs = row is not None and record.leaving and not row.leaving
         change = "new"
         if row is not None and not _same_run(row, record):
+            if row.version != record.version:
+                # The list is confirmed again only when all new records are applied.
+                row.current_until = self._state.freshness.confirmed_at
             self._state.endpoints.drop(record.endpoint)
             self._on_run_ended(row)
             row = None
--- a/poplarrelay/entry/endpoints.py
+++ b/poplarrelay/entry/endpoints.py
@@ -93,6 +93,9 @@
         Whether a roll-out keeps all requests from the endpoint's version.
     warm_at : float
         Monotonic time from which the endpoint is no longer slow after its start.
+    current_until : float
+        Monotonic time at which the list still showed this run, before it showed one of
+        another version under the id; infinite if it has not.
     started_ms : StartTime or None
         Start of this run of the endpoint, by the endpoint's own clock; None if unknown.
     limit_per_s : float or None
@@ -135,6 +138,7 @@
     version: SoftwareVersion = UNKNOWN_VERSION
     barred: bool = False
     warm_at: float = float("-inf")
+    current_until: float = float("inf")
     started_ms: StartTime | None = None
     limit_per_s: float | None = None
     limit_updated_at: float = float("-inf")
--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -100,6 +100,8 @@
 
     Attributes
     ----------
+    opened_at : float
+        Monotonic time at which it was opened.
     number : int
         Number of the connection in its process, for the log.
     request_count : int
@@ -133,6 +135,7 @@
         self._retired = False
         self._sent_at = 0.0
         self._received_at = 0.0
+        self.opened_at = 0.0
         self.number = next(_NUMBERS)
         self.request_count = 0
         self.carrier: str | None = None
@@ -177,6 +180,7 @@
         """Store the transport and set the socket's options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.opened_at = monotonic()
         enable_dead_peer_detection(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -24,6 +24,7 @@
 from poplarrelay.entry.http.connection import Connection
 from poplarrelay.entry.http.listener import Exchange, IncomingRequest
 from poplarrelay.entry.notices import EndpointNotice
+from poplarrelay.entry.origins import OriginCertainty
 from poplarrelay.entry.outcomes import (
     Answered,
     AttemptResult,
@@ -343,6 +344,7 @@
                 context.last_error_response = result
             refusal = self._blocking.refuse(context)
             refusal = refusal or self._refuse_retry(context, result, sends)
+            refusal = refusal or await self._refuse_doubtful_origin(context)
             if refusal is not None:
                 return await self._pass_on_last_error(context, refusal)
 
@@ -393,6 +395,19 @@
             return None
         return Refusal(503, RefusalReason.STOPPING, STOPPING_RETRY_S)
 
+    async def _refuse_doubtful_origin(self, context: RequestContext) -> Refusal | None:
+        """Refuse to go on with a stream that another run may have begun."""
+        progress = context.progress
+        if progress.origin is None:
+            return None
+        certainty = await self._resumption.settle_origin(
+            progress.origin, progress.connected_at
+        )
+        if certainty is OriginCertainty.CERTAIN:
+            return None
+        self._state.streams_unknown += 1
+        return Refusal(503, RefusalReason.VERSION_UNKNOWN, detail=certainty.value)
+
     async def _pass_on_last_error(
         self, context: RequestContext, refusal: Refusal
     ) -> Refusal | None:
@@ -506,6 +521,7 @@
             if context.route.resumable:
                 key = stream_key(context.team_name, context.request.request)
                 context.stream = key
+                self._resumption.watch(key, row, context.progress.connected_at)
                 await self._resumption.record(key, StreamOrigin(row.service, version))
 
         attempt = Attempt(
--- a/poplarrelay/entry/resumption.py
+++ b/poplarrelay/entry/resumption.py
@@ -21,6 +21,8 @@
 from typing import Any, Protocol
 
 from poplarrelay.entry.configuration import ServiceName
+from poplarrelay.entry.endpoints import UNKNOWN_VERSION, Endpoint
+from poplarrelay.entry.origins import OriginCertainty, judge_origin
 from poplarrelay.entry.stream_archive import StreamArchive
 from poplarrelay.entry.stream_versions import (
     STREAM_MEMORY_S,
@@ -132,6 +134,8 @@
     lookups, found, found_archived : int
         Origins that peers were asked for, those that a peer knew, and those that only
         the archive had.
+    withdrawn : int
+        Origins that this node has recorded and found to be doubtful.
     """
 
     own_host: str
@@ -147,7 +151,9 @@
     lookups: int = 0
     found: int = 0
     found_archived: int = 0
+    withdrawn: int = 0
     _pending: dict[StreamKey, _PendingCopy] = field(default_factory=dict)
+    _watched: dict[StreamKey, tuple[Endpoint, float]] = field(default_factory=dict)
     _lookups: dict[StreamKey, list[_Lookup]] = field(default_factory=dict)
 
     def _peers(self, key: StreamKey, count: int) -> list[str]:
@@ -186,6 +192,60 @@
         except TimeoutError:
             self.unconfirmed += 1
 
+    def watch(self, key: StreamKey, row: Endpoint, connected_at: float) -> None:
+        """Withdraw the origin of a stream if the list shows that it is doubtful.
+
+        Parameters
+        ----------
+        key : StreamKey
+            Key of the stream.
+        row : Endpoint
+            Endpoint that has begun it.
+        connected_at : float
+            Monotonic time at which the connection to the endpoint was opened.
+        """
+        self._watched[key] = (row, connected_at)
+
+    def _judge(self, row: Endpoint, connected_at: float) -> OriginCertainty:
+        now = self.monotonic()
+        listed_at = now - self.list_age_s(now)
+        return judge_origin(connected_at, listed_at, row.current_until)
+
+    async def settle_origin(
+        self, row: Endpoint, connected_at: float
+    ) -> OriginCertainty:
+        """Return what is known of a stream's origin, after a wait for the list."""
+        until = self.monotonic() + LIST_WAIT_S
+        while True:
+            certainty = self._judge(row, connected_at)
+            if certainty is not OriginCertainty.OPEN or self.monotonic() > until:
+                return certainty
+            await asyncio.sleep(LIST_POLL_S)
+
+    def _check_watched(self) -> None:
+        for key, (row, connected_at) in list(self._watched.items()):
+            certainty = self._judge(row, connected_at)
+            if certainty is OriginCertainty.OPEN:
+                continue
+            del self._watched[key]
+            if certainty is OriginCertainty.DOUBTFUL:
+                self.withdrawn += 1
+                self._withdraw(key, StreamOrigin(row.service, UNKNOWN_VERSION))
+
+    def _withdraw(self, key: StreamKey, doubt: StreamOrigin) -> None:
+        """Tell all who know the origin of a stream that it is unknown.
+
+        A second record that differs from the first one makes the origin unknown.
+        """
+        self.table.add(key, doubt, self.monotonic())
+        if self.archive is not None:
+            self.archive.withdraw(key, doubt)
+        hosts = self._peers(key, COPIES)
+        if hosts:
+            pending = _PendingCopy(doubt, set(hosts), asyncio.Event())
+            self._pending[key] = pending
+            self._send_copy(key, pending)
+
     def continue_stream(self, key: StreamKey, origin: StreamOrigin) -> None:
         """Note that this node sends a stream to its caller, from the start or not."""
         if self.archive is not None:
@@ -211,7 +271,8 @@
         self.sender.send_resumption(sorted(pending.unconfirmed), message)
 
     def tick(self) -> None:
-        """Send the copies again that peers have not confirmed."""
+        """Withdraw doubtful origins, and send again what peers have not confirmed."""
+        self._check_watched()
         for key, pending in list(self._pending.items()):
             if pending.sends_left <= 0:
                 del self._pending[key]
@@ -230,6 +291,7 @@
             "streams_known": float(len(self.table)),
             "streams_copied": float(self.copied),
             "streams_unconfirmed": float(self.unconfirmed),
+            "streams_withdrawn": float(self.withdrawn),
             "stream_lookups": float(self.lookups),
             "stream_lookups_found": float(self.found),
             "stream_lookups_archived": float(self.found_archived),
--- a/poplarrelay/entry/stream_archive.py
+++ b/poplarrelay/entry/stream_archive.py
@@ -212,6 +212,11 @@
         if len(self._unfinished) < MAX_UNFINISHED:
             self._unfinished[key] = _Unfinished(origin)
 
+    def withdraw(self, key: StreamKey, doubt: StreamOrigin) -> None:
+        """Archive another origin of an unfinished stream, which makes it unknown."""
+        if key in self._unfinished:
+            self._unfinished[key] = _Unfinished(doubt, self._unfinished[key].until)
+
     def end(self, key: StreamKey, complete: bool) -> None:
         """Note the end of a stream; a complete one is not resumed."""
         stream = self._unfinished.get(key)
