Check the end of a stream in linear time

The pattern for what stands between events could read each CR LF as one line end or as two, so a stream that ended after many comments was checked in exponential time. Found by reading the change; the new test does not end within 20 s without this.

--- a/poplarrelay/entry/events.py
+++ b/poplarrelay/entry/events.py
@@ -11,7 +11,7 @@
 # after a line that ended with CR alone.
 _END = re.compile(rb"(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))|\r\r\n?")
 #: Empty lines and comments, which are no event.
-_BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?(?:\r\n|\n|\r))*")
+_BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?(?:\r\n|\n|\r(?!\n)))*")
 #: Length of the longest end of an event.
 LONGEST_END_BYTES = 4
 _ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
--- a/poplarrelay/entry/tests/test_events.py
+++ b/poplarrelay/entry/tests/test_events.py
@@ -61,6 +61,12 @@
     assert splitter.inside_event is inside
 
 
+def test_many_comments_are_checked_in_linear_time():
+    # Guards against a stream whose end keeps the event loop busy.
+    splitter, _, _ = split([b":\r\n" * 100_000 + b"x"])
+    assert splitter.inside_event
+
+
 @given(st.data(), st.sampled_from(LINE_ENDS))
 def test_events_do_not_depend_on_how_their_bytes_arrive(data, line_end):
     # Guards against an event that is lost or split where two reads meet.
