--- a/poplarrelay/entry/tests/test_foreign_answers.py
+++ b/poplarrelay/entry/tests/test_foreign_answers.py
@@ -236,12 +236,12 @@
                 ID + b"{id}",
                 SIGNED,
                 b"Content-Type: text/event-stream",
-                body=EVENT,
+                body=2 * EVENT,
                 notices=(),
             )
             runner.raw_answers += [whole, whole[:-2]]
             answer = await site.call("/book/x", X_Poplarrelay_Attempt_Id="one")
-            assert answer.body == EVENT
+            assert answer.body == 2 * EVENT
             connection = await site.open("/book/x", X_Poplarrelay_Attempt_Id="two")
             await poll_until(lambda: len(runner.ran) == 2)
             await asyncio.sleep(0.1)
--- a/poplarrelay/entry/tests/test_incomplete_streams.py
+++ b/poplarrelay/entry/tests/test_incomplete_streams.py
@@ -6,10 +6,13 @@
 from poplarrelay.exception import ExchangeFailed
 from poplarrelay.testing.entry_site import (
     STREAMS,
+    hosts,
     poll_until,
     run_entry_site,
     run_scenario,
+    wait_until_resolved,
 )
+from poplarrelay.testing.links import PathFault
 
 EVENTS = 6
 #: Ends inside an event: where, and how many bytes of it are sent.
@@ -113,3 +116,24 @@
             assert counted == 4
 
     run_scenario(scenario)
+
+
+def test_peer_that_carries_an_incomplete_stream_is_not_blamed(caplog):
+    # Guards against a peer that is avoided for what it has relayed as it came.
+    async def scenario():
+        caplog.set_level("INFO")
+        async with run_entry_site(2, use_links=True) as site:
+            await add_breaking_runners(site, 1, 3, None)
+            for node in "ab":
+                await site.ready(node, endpoints=1)
+            await wait_until_resolved(site, "a", hosts(site, "a", "b"))
+            site.set_paths("a", PathFault.RESET)
+            with pytest.raises(ExchangeFailed):
+                await site.call("/brief/x", X_Poplarrelay_Attempt_Id="carried")
+            records = [r for r in caplog.records if r.getMessage() == "attempt"]
+            (attempt,) = [r for r in records if r.request == "carried"]
+            assert attempt.carrier is not None
+            assert attempt.result == "StreamBroken"
+            assert not attempt.path_failed
+
+    run_scenario(scenario)
