--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -24,6 +24,7 @@
 from poplarrelay.exception import ExchangeFailed
 
 __all__ = [
+    "BODILESS_STATUSES",
     "CompleteResponse",
     "Connection",
     "ConnectionObserver",
@@ -43,7 +44,7 @@
 #: before it.
 MAX_HEAD_BYTES, MAX_INTERIM_RESPONSES = 65_536, 100
 #: Statuses of responses that never have a body.
-_BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 #: Share of the announced keep-alive time for which an idle connection is reused. The
 #: rest covers the network delay: bytes that arrive after the server has closed the
 #: connection are lost, and the client cannot tell whether the server read them.
@@ -339,7 +340,7 @@
             )
         headers = [(bytes(k), bytes(v)) for k, v in event.headers.raw_items()]
         framed = (
-            event.status_code in _BODILESS_STATUSES
+            event.status_code in BODILESS_STATUSES
             or header_value(headers, b"content-length") is not None
             or header_value(headers, b"transfer-encoding") is not None
         )
--- a/poplarrelay/entry/http/listener.py
+++ b/poplarrelay/entry/http/listener.py
@@ -21,7 +21,7 @@
 import h11
 
 from poplarrelay.entry.configuration import CallerLimits
-from poplarrelay.entry.http.connection import Headers, header_value
+from poplarrelay.entry.http.connection import BODILESS_STATUSES, Headers, header_value
 from poplarrelay.entry.http.cuts import CutReason
 from poplarrelay.entry.http.sockets import (
     IDLE_SILENCE_MS,
@@ -36,8 +36,6 @@
 #: number of these bytes. Closing a connection with unread bytes resets it, and the
 #: caller can lose the response.
 DISCARD_S, MAX_DISCARDED_BYTES = 1.0, 1_000_000
-#: Statuses whose responses have no body.
-BODILESS = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 #: Bytes that are read behind a request in progress. The node reads only to notice that
 #: the caller disconnects; behind more bytes, it notices that when it writes.
 MAX_EARLY_BYTES = 65_536
@@ -114,7 +112,7 @@
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response."""
-        if status not in BODILESS:
+        if status not in BODILESS_STATUSES:
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         self._connection.write_head(status, headers)
         self.begun = True
@@ -555,7 +553,7 @@
     def expects_body(self, status: int) -> bool:
         """Return whether a response to the current request has a body."""
         is_head = self._head is not None and self._head.method == b"HEAD"
-        return not is_head and status not in BODILESS
+        return not is_head and status not in BODILESS_STATUSES
 
     def write_event(self, event: h11.Event) -> None:
         """Write one event, unless the caller has disconnected."""
--- a/poplarrelay/entry/http/pool.py
+++ b/poplarrelay/entry/http/pool.py
@@ -53,6 +53,7 @@
             Connections that stay idle, for other requests.
         """
         idle = self._idle.get(address, [])
+        now = monotonic()
         kept: list[Connection] = []
         found = None
         while idle and found is None:
@@ -60,9 +61,9 @@
             if connection in avoided:
                 kept.append(connection)
             elif (
-                connection.usable(monotonic())
-                and not connection.has_unread_bytes()
+                connection.usable(now)
                 and (accepts is None or accepts(connection))
+                and not connection.has_unread_bytes()
             ):
                 found = connection
             else:
--- a/poplarrelay/entry/resumption.py
+++ b/poplarrelay/entry/resumption.py
@@ -179,13 +179,10 @@
         """
         self.table.add(key, origin, self.monotonic())
         self.continue_stream(key, origin)
-        hosts = self._peers(key, COPIES)
-        if not hosts:
+        pending = self._copy_to_peers(key, origin)
+        if pending is None:
             return
-        pending = _PendingCopy(origin, set(hosts), asyncio.Event())
-        self._pending[key] = pending
         self.copied += 1
-        self._send_copy(key, pending)
         try:
             async with asyncio.timeout(MAX_COPY_WAIT_S):
                 await pending.confirmed.wait()
@@ -240,11 +237,7 @@
         self.table.add(key, doubt, self.monotonic())
         if self.archive is not None:
             self.archive.withdraw(key, doubt)
-        hosts = self._peers(key, COPIES)
-        if hosts:
-            pending = _PendingCopy(doubt, set(hosts), asyncio.Event())
-            self._pending[key] = pending
-            self._send_copy(key, pending)
+        self._copy_to_peers(key, doubt)
 
     def continue_stream(self, key: StreamKey, origin: StreamOrigin) -> None:
         """Note that this node sends a stream to its caller, from the start or not."""
@@ -265,6 +258,18 @@
         late = self.list_age_s(self.monotonic()) > LIST_WAIT_S
         return UNKNOWN_RETRY_S if unreadable or late else None
 
+    def _copy_to_peers(
+        self, key: StreamKey, origin: StreamOrigin
+    ) -> _PendingCopy | None:
+        """Send an origin to the peers that keep it; return None if there are none."""
+        hosts = self._peers(key, COPIES)
+        if not hosts:
+            return None
+        pending = _PendingCopy(origin, set(hosts), asyncio.Event())
+        self._pending[key] = pending
+        self._send_copy(key, pending)
+        return pending
+
     def _send_copy(self, key: StreamKey, pending: _PendingCopy) -> None:
         origin = pending.origin
         message = [_Kind.COPY.value, key, origin.service, origin.version]
