--- a/poplarrelay/entry/command.py
+++ b/poplarrelay/entry/command.py
@@ -15,6 +15,16 @@
 
 __all__ = ["entry", "run_entry"]
 
+#: Messages of which callers and peers can cause any number without being served.
+LIMITED_MESSAGES = (
+    "refused",
+    "request failed",
+    "response cut",
+    "tunnel refused",
+    "unreadable news",
+    "unreadable request",
+)
+
 
 def entry(*, settings: Path) -> None:
     """Run an entry node on an operator's platform until it gets a stop signal.
@@ -41,7 +51,9 @@
         checked = EntrySettings.from_file(settings)
     except SettingsError as error:
         fail(ExitCode.CONFIGURATION, *(str(fault) for fault in error.faults))
-    listener = start_logging(checked.node, checked.log_level)
+    listener = start_logging(
+        checked.node, checked.log_level, limited_messages=LIMITED_MESSAGES
+    )
     node = EntryNode.from_settings(checked, settings)
     try:
         asyncio.run(node.run(signals))
