Keep digests of long ids, and few parts of a prompt, in tables

Callers choose the ids of their requests and of the parts of their prompts, up to the limit on heads. Cause of what they could fill: an id of 15 kB was a key at its node and at coordinators, in each message about its slot or its place in a queue; a head of 16 kB can list 4,000 parts, each an object of routing, of a message and of a coordinator's table; and parts that state no tokens were never evicted there, as eviction counts tokens.

An id of more than 64 characters is a digest in tables and messages, unchanged for the endpoint and in what the caller gets. An engine has 4,096 parts at most, the least recently used go first.

--- a/poplarrelay/entry/backlogs.py
+++ b/poplarrelay/entry/backlogs.py
@@ -45,6 +45,9 @@
 #: them. If an evicted part counts as cached, its prefill is repeated. If a cached part
 #: counts as evicted, another engine gets a copy of it.
 EVICTION_TOKENS = 400_000
+#: Most shared parts that are remembered for one engine. Prompts can state parts without
+#: tokens, which evict nothing.
+MAX_CACHED_PARTS = 4096
 
 
 class PromptEnd(Enum):
@@ -290,7 +293,10 @@
 
     def _note_cached(self, prompt: _QueuedPrompt) -> None:
         for part in prompt.parts:
+            self._part_last_used.pop(part, None)
             self._part_last_used[part] = self._placed_tokens
+        while len(self._part_last_used) > MAX_CACHED_PARTS:
+            del self._part_last_used[next(iter(self._part_last_used))]
 
     def has_requests(self, now: float) -> bool:
         """Return whether requests are queued or running at the engine."""
--- a/poplarrelay/entry/relaying.py
+++ b/poplarrelay/entry/relaying.py
@@ -480,7 +480,7 @@
             first_event_s = took_s
             if context.request.prompt_tokens:
                 self._backlog_client.remove_prompt(
-                    row.endpoint, context.request.request, PromptEnd.BEGAN
+                    row.endpoint, context.request.short_id, PromptEnd.BEGAN
                 )
                 self._note_first_event(context, choice, took_s)
             note_success_time(row, took_s)
@@ -648,7 +648,7 @@
         self, context: RequestContext, row: Endpoint, end: PromptEnd, begun: bool
     ) -> None:
         """Report to the engine's coordinator that an attempt has ended."""
-        request = context.request.request
+        request = context.request.short_id
         if begun:
             self._backlog_client.report_end(row.endpoint, request)
         else:
@@ -675,7 +675,7 @@
         self._backlog_client.add_prompt(
             Placement(
                 choice.endpoint.endpoint,
-                request.request,
+                request.short_id,
                 choice.unread_tokens,
                 parts,
                 request.prompt_tokens,
--- a/poplarrelay/entry/requests.py
+++ b/poplarrelay/entry/requests.py
@@ -8,12 +8,30 @@
 from poplarrelay.entry.http.connection import Headers
 from poplarrelay.identifiers import RequestFingerprint, RequestId, TeamId
 
-__all__ = ["CallerRequest", "PromptPart"]
+__all__ = ["CallerRequest", "PromptPart", "shorten_id"]
 
+#: Longest id that a caller chooses and that tables and messages keep as it is.
+MAX_ID_CHARS = 64
 #: Size of the digest in bytes; the hexadecimal fingerprint has two characters a byte.
 FINGERPRINT_BYTES = 12
 
 
+def shorten_id(text: str) -> str:
+    """Return an id that a caller has chosen, or a digest in place of a long one.
+
+    Examples
+    --------
+    >>> shorten_id("q1")
+    'q1'
+    >>> len(shorten_id(15_000 * "q"))
+    25
+    """
+    if len(text) <= MAX_ID_CHARS:
+        return text
+    digest = hashlib.blake2b(text.encode(), digest_size=FINGERPRINT_BYTES)
+    return "~" + digest.hexdigest()
+
+
 @dataclass(frozen=True, slots=True)
 class PromptPart:
     """A part of a prompt that other requests can share.
@@ -86,6 +104,11 @@
     resumes: RequestId | None = None
     model: str = ""
 
+    @property
+    def short_id(self) -> RequestId:
+        """Return the id of this try for tables and for messages to other nodes."""
+        return RequestId(shorten_id(self.request))
+
     @property
     def tokens(self) -> int:
         """Return the prompt tokens plus the largest number of output tokens."""
--- a/poplarrelay/entry/slots.py
+++ b/poplarrelay/entry/slots.py
@@ -373,7 +373,7 @@
             # A request that a brittle endpoint has rejected does not wait once more.
             since = context.request.started_at
         return Waiting(
-            context.request.request,
+            context.request.short_id,
             self._state.me.host,
             context.team_name,
             context.priority,
@@ -401,7 +401,7 @@
         Choice, Refusal or None
             None if slots are not coordinated, or if no coordinator replies.
         """
-        request = context.request.request
+        request = context.request.short_id
         if not request:
             return None
         wait_s = 0.0
@@ -620,9 +620,9 @@
         row.running -= 1
         brittle = self._state.brittleness.of(context.service, monotonic()) is not None
         if rejected and brittle:
-            self._slot_broker.reject(row, context.request.request)
+            self._slot_broker.reject(row, context.request.short_id)
         else:
-            self._slot_broker.end(row, context.request.request)
+            self._slot_broker.end(row, context.request.short_id)
         self.dispatch_queued(context.service)
 
     def release_unused_slot(self, context: RequestContext, row: Endpoint) -> None:
--- a/poplarrelay/platform/headers.py
+++ b/poplarrelay/platform/headers.py
@@ -19,7 +19,7 @@
 from poplarrelay.entry.http.pool import Address
 from poplarrelay.entry.notices import EndpointNotice
 from poplarrelay.entry.rate_limits import StatedLimit
-from poplarrelay.entry.requests import CallerRequest, PromptPart
+from poplarrelay.entry.requests import CallerRequest, PromptPart, shorten_id
 from poplarrelay.identifiers import EndpointId, RequestId, TeamId
 
 __all__ = [
@@ -59,6 +59,8 @@
 MAX_BACKOFF_S = 3600.0
 #: Longest id of a try that a resumed stream can name.
 MAX_REQUEST_ID_BYTES = 256
+#: Parts of a prompt that routing distinguishes, and most digits of their token counts.
+MAX_PARTS, MAX_TOKEN_DIGITS = 64, 12
 #: Address of an endpoint from which the engine first fetches the prompt's KV cache.
 _FETCH_FROM = b"Kv-Fetch"
 
@@ -156,12 +158,20 @@
 
 
 def _prefix(value: bytes | None) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt; those beyond `MAX_PARTS` count as one."""
     parts: list[PromptPart] = []
+    rest_tokens = 0
     for entry in (value or b"").split(b","):
         part, _, tokens = entry.strip().partition(b":")
-        if not part or not tokens.isdigit():
-            return tuple(parts)
-        parts.append(PromptPart(part.decode("latin-1"), int(tokens)))
+        if not part or not tokens.isdigit() or len(tokens) > MAX_TOKEN_DIGITS:
+            break
+        if len(parts) < MAX_PARTS:
+            parts.append(PromptPart(shorten_id(part.decode("latin-1")), int(tokens)))
+        else:
+            rest_tokens += int(tokens)
+    if rest_tokens:
+        last = parts.pop()
+        parts.append(replace(last, tokens=last.tokens + rest_tokens))
     return tuple(parts)
 
 
