Ignore token counts that no request can have

A caller could state a negative number of tokens, which its team's quota was refilled by, or one of hundreds of digits, for which sums of the node overflow and the request ended with 502 and a traceback. Cause: any integer was taken. Found by reading; the new test fails before.

--- a/poplarrelay/entry/tests/test_bounded_tables.py
+++ b/poplarrelay/entry/tests/test_bounded_tables.py
@@ -1,5 +1,7 @@
 """Rows, ids and messages whose number or size callers and senders choose."""
 
+import pytest
+
 from poplarrelay.entry.backlogs import (
     MAX_CACHED_PARTS,
     BacklogTable,
@@ -54,6 +56,13 @@
         few = decode(X_Poplarrelay_Prefix_Hash=prefix([("a", 5), ("b", 7), ("c", 9)]))
         assert [part.part for part in few.prefix] == ["a", "b", "c"]
 
+    @pytest.mark.parametrize("usage", ["-5,10", "5,-10", "9" * 400, "1," + "9" * 400])
+    def test_token_counts_of_nobody_are_not_stated(self, usage):
+        # Guards against counts that refill a quota or overflow a sum.
+        request = decode(X_Poplarrelay_Token_Usage=usage)
+        assert request.prompt_tokens is None
+        assert request.max_output_tokens is None
+
 
 def test_cached_parts_of_an_engine_are_bounded():
     # Guards against prompts that state parts without tokens, which evict nothing.
--- a/poplarrelay/platform/headers.py
+++ b/poplarrelay/platform/headers.py
@@ -151,10 +151,13 @@
     if value is None:
         return None, None
     first, _, second = value.partition(b",")
+    if max(len(first), len(second)) > MAX_TOKEN_DIGITS:
+        return None, None
     try:
-        return int(first), int(second or 0)
+        prompt, output = int(first), int(second or 0)
     except ValueError:
         return None, None
+    return (prompt, output) if min(prompt, output) >= 0 else (None, None)
 
 
 def _prefix(value: bytes | None) -> tuple[PromptPart, ...]:
