Bound the rows and the messages of unknown senders

The gossip port takes datagrams of anybody. Rows of nodes that no node knows, earlier processes of one node, contacts, cells and clock readings had no largest number, and a compressed datagram of 64 kB could grow to 64 MB.

The tables of peers have 512 rows each (a cell has a few dozen nodes), the clock 4,096 readings, and the content of a datagram 1 MB, beyond which it is unreadable news. Known nodes keep their rows. Found by reading; the new tests fail before. That a sender can pretend to be a node is unchanged.

--- a/poplarrelay/entry/clock.py
+++ b/poplarrelay/entry/clock.py
@@ -11,6 +11,8 @@
 
 #: Minimum number of peers with recent readings needed to correct this host's clock.
 MIN_PEERS = 2
+#: Largest number of peers whose readings are stored.
+MAX_PEERS = 4096
 #: Difference in seconds up to which clocks count as equal. Datagrams take some
 #: milliseconds, and the clocks of hosts always differ a little.
 TOLERANCE_S = 0.25
@@ -71,6 +73,8 @@
         at : float
             Monotonic time of arrival.
         """
+        if peer not in self._readings and len(self._readings) >= MAX_PEERS:
+            return
         # The reading is stored relative to the monotonic clock, which never jumps.
         peer_readings = self._readings.setdefault(
             peer, deque(maxlen=MAX_READINGS_PER_PEER)
--- a/poplarrelay/entry/gossip.py
+++ b/poplarrelay/entry/gossip.py
@@ -57,6 +57,8 @@
 DEPARTURE_FANOUT = 4
 #: Largest datagram; larger messages are split.
 MAX_DATAGRAM_BYTES = 8_000
+#: Largest content of a compressed datagram.
+MAX_MESSAGE_BYTES = 1_000_000
 #: Most rows in one datagram; the limit bounds the time to encode them.
 MAX_ROWS = 40
 
@@ -68,6 +70,17 @@
 MALFORMED = (ValueError, LookupError, TypeError, AttributeError)
 
 
+def _unpack(data: bytes) -> bytes:
+    """Return the content of a datagram; raise `ValueError` if it is too large."""
+    if data.startswith(_UNCOMPRESSED_START):
+        return data
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(data, MAX_MESSAGE_BYTES)
+    if decompressor.unconsumed_tail or not decompressor.eof:
+        raise ValueError(f"truncated, or larger than {MAX_MESSAGE_BYTES} bytes")
+    return content
+
+
 def pick_targets(
     alive: Sequence[str], silent: Sequence[str], seeds: Sequence[str], rng: Random
 ) -> list[str]:
@@ -232,10 +245,7 @@
         """
         self.received_bytes += len(data)
         try:
-            content = (
-                data if data.startswith(_UNCOMPRESSED_START) else zlib.decompress(data)
-            )
-            message = orjson.loads(content)
+            message = orjson.loads(_unpack(data))
             self._dispatch(message, addr[0])
         except (zlib.error, *MALFORMED) as error:
             _LOG.warning("unreadable news", extra={"from": addr[0], "why": str(error)})
--- a/poplarrelay/entry/peers.py
+++ b/poplarrelay/entry/peers.py
@@ -40,6 +40,9 @@
 FORGET_S = 25.0
 #: Maximum number of addresses in one reply to a caller.
 MAX_ADDRESSES = 64
+#: Most nodes, cells and earlier processes of nodes that the table has rows of. Cells
+#: have a few dozen nodes.
+MAX_ROWS = 512
 
 
 @dataclass(slots=True)
@@ -139,6 +142,8 @@
         if row.node == self.me.node or not self.in_cell(row.node):
             return False
         known = self.seen.get(row.node)
+        if known is None and len(self.seen) >= MAX_ROWS:
+            return False
         if known is None:
             self.contacts.pop(row.node, None)
             self.seen[row.node] = SeenPeer(row, now)
@@ -147,6 +152,7 @@
             return False
         if row.incarnation != known.row.incarnation:
             self.replaced.append(known)
+            del self.replaced[:-MAX_ROWS]
         self.seen[row.node] = SeenPeer(row, now)
         return True
 
@@ -166,6 +172,8 @@
             self._add_contacts(summary)
             return False
         known = self.summaries.get(summary.cell)
+        if known is None and len(self.summaries) >= MAX_ROWS:
+            return False
         if known is not None and known.summary.incarnation != summary.incarnation:
             has_precedence = summary.representative <= known.summary.representative
             if (
@@ -180,7 +188,8 @@
         """Add nodes of this cell whose rows this node has not received."""
         for member in summary.members:
             known = member.node == self.me.node or member.node in self.seen
-            if not known and self.in_cell(member.node):
+            full = len(self.contacts) >= MAX_ROWS
+            if not known and not full and self.in_cell(member.node):
                 self.contacts[member.node] = member.host
 
     def forget(self, now: float) -> None:
--- a/poplarrelay/entry/tests/test_bounded_tables.py
+++ b/poplarrelay/entry/tests/test_bounded_tables.py
@@ -1,5 +1,7 @@
 """Rows, ids and messages whose number or size callers and senders choose."""
 
+import zlib
+
 import pytest
 
 from poplarrelay.entry.backlogs import (
@@ -8,9 +10,13 @@
     Placement,
     PromptEnd,
 )
+from poplarrelay.entry.clock import MAX_PEERS, ClusterClock
+from poplarrelay.entry.gossip import MAX_MESSAGE_BYTES
 from poplarrelay.entry.http.listener import IncomingRequest
+from poplarrelay.entry.peers import MAX_ROWS, PeerTable
 from poplarrelay.identifiers import EndpointId, RequestId
 from poplarrelay.platform.headers import MAX_PARTS, decode_request
+from poplarrelay.testing.rows import make_network, make_row
 
 
 def decode(**headers):
@@ -76,3 +82,32 @@
     assert len(backlog._part_last_used) == MAX_CACHED_PARTS
     assert table.view("b", engine, ("199-0", "199-1"), 0.1).cached_parts == 2
     assert table.view("b", engine, ("0-0",), 0.1).cached_parts == 0
+
+
+class TestSenders:
+    def test_rows_of_nodes_that_nobody_knows_are_bounded(self):
+        table = PeerTable(make_row("me"))
+        for number in range(2 * MAX_ROWS):
+            table.receive(make_row(f"n{number}"), 0.0)
+        assert len(table.seen) == MAX_ROWS
+        assert table.receive(make_row("n0", started=2), 1.0)
+
+    def test_earlier_processes_of_one_node_are_bounded(self):
+        table = PeerTable(make_row("me"))
+        for number in range(2 * MAX_ROWS):
+            table.receive(make_row("n", started=number + 1), 0.0)
+        assert len(table.replaced) == MAX_ROWS
+
+    def test_clock_readings_are_bounded(self):
+        clock = ClusterClock(lambda: 100.0)
+        for number in range(2 * MAX_PEERS):
+            clock.receive(f"n{number}", 100.0, 0.0)
+        assert len(clock._readings) == MAX_PEERS
+
+    def test_datagram_that_grows_without_end_is_unreadable(self, caplog):
+        network = make_network(2, warm_up_s=2.0)
+        one, other = network.alive
+        content = b'{"rows": [' + b" " * 50 * MAX_MESSAGE_BYTES + b"]}"
+        node = network.nodes[other]
+        node.datagram_received(zlib.compress(content), (one, 0))
+        assert "unreadable news" in caplog.messages
