Answer the next request on a connection once its caller has the last answer

Causes, by reading and by what grows: - an answer was written whole, and the next request was parsed however much was unsent; - the allowance for bytes behind a request in progress began anew with each request, 64 kB for 30 bytes that were taken, so the parser's buffer grew with each answer (810 kB on one connection after 300 answers that were read); - each read took up to 256 kB.

The next request now waits until the system has taken the answer before it. Bytes that wait behind a request count over all requests of a connection, 16 kB at most, and reads go through one buffer of 32 kB. A caller that has not taken its answer by its deadline, and for the idle time after it, is cut ("not taken in time"). Requests sent ahead, large heads and bodies in many pieces take turns that all connections share, at most half of the event loop: small requests also cost time, and a hundred connections with a tenth of the loop each left nothing.

--- a/poplarrelay/entry/http/connection.py
+++ b/poplarrelay/entry/http/connection.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from poplarrelay.entry.http.buffers import read_buffer
 from poplarrelay.entry.http.dialing import Dialer
 from poplarrelay.entry.http.sockets import (
     BUSY_SILENCE_MS,
@@ -39,7 +40,7 @@
 _NUMBERS = count(1)
 #: Number of unread body bytes at which reading from the socket pauses, so that a slow
 #: consumer slows the sender down instead of filling memory.
-PAUSE_AT_BYTES = 262_144
+PAUSE_AT_BYTES = 32_768
 #: Largest size in bytes of a response's head, and largest number of interim responses
 #: before it.
 MAX_HEAD_BYTES, MAX_INTERIM_RESPONSES = 65_536, 100
@@ -96,7 +97,7 @@
         """Note the end of the connection."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One HTTP/1.1 connection to a server.
 
     Attributes
@@ -184,6 +185,14 @@
         self.opened_at = monotonic()
         enable_dead_peer_detection(transport.get_extra_info("socket"))
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes."""
+        return read_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes in the buffer."""
+        self.data_received(bytes(read_buffer()[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes."""
         self._received_at = monotonic()
--- a/poplarrelay/entry/http/cuts.py
+++ b/poplarrelay/entry/http/cuts.py
@@ -21,6 +21,9 @@
     UNDELIVERED
         The response is complete, and the caller has not taken all of it before the node
         ended.
+    LIMIT
+        The caller has not taken the response by its deadline, and the node needs the
+        place.
     FAILED
         The node could not handle the request or write its response.
     """
@@ -30,4 +33,5 @@
     DEADLINE = "deadline"
     STOPPED = "node stopped"
     UNDELIVERED = "not taken before the node ended"
+    LIMIT = "not taken in time"
     FAILED = "internal error"
--- a/poplarrelay/entry/http/dialing.py
+++ b/poplarrelay/entry/http/dialing.py
@@ -11,7 +11,7 @@
 #: Host and port.
 Address = tuple[str, int]
 
-ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
+ProtocolT = TypeVar("ProtocolT", bound=asyncio.BaseProtocol)
 
 
 class Dialer:
--- a/poplarrelay/entry/http/listener.py
+++ b/poplarrelay/entry/http/listener.py
@@ -21,8 +21,10 @@
 import h11
 
 from poplarrelay.entry.configuration import CallerLimits
+from poplarrelay.entry.http.buffers import read_buffer
 from poplarrelay.entry.http.connection import BODILESS_STATUSES, Headers, header_value
 from poplarrelay.entry.http.cuts import CutReason
+from poplarrelay.entry.http.shared_turns import SharedTurns
 from poplarrelay.entry.http.sockets import (
     IDLE_SILENCE_MS,
     allow_silence,
@@ -30,7 +32,12 @@
 )
 from poplarrelay.entry.http.turns import ParsingTurns
 
-__all__ = ["Exchange", "Handler", "IncomingRequest", "Listener"]
+__all__ = [
+    "Exchange",
+    "Handler",
+    "IncomingRequest",
+    "Listener",
+]
 
 #: Seconds for which bytes behind the last response are read and discarded, and largest
 #: number of these bytes. Closing a connection with unread bytes resets it, and the
@@ -38,9 +45,14 @@
 DISCARD_S, MAX_DISCARDED_BYTES = 1.0, 1_000_000
 #: Bytes that are read behind a request in progress. The node reads only to notice that
 #: the caller disconnects; behind more bytes, it notices that when it writes.
-MAX_EARLY_BYTES = 65_536
+MAX_EARLY_BYTES = 16_384
 #: Largest number of connections that wait to be accepted.
 BACKLOG = 1024
+#: Bytes of a head from which it is parsed in a shared turn: it can have thousands of
+#: fields.
+LARGE_HEAD_BYTES = 4096
+#: Largest number of characters of a parser's error that is sent and logged.
+MAX_PROBLEM_CHARS = 200
 
 _LOG = logging.getLogger("poplarrelay.entry.listener")
 
@@ -150,7 +162,6 @@
 
 Handler = Callable[[IncomingRequest, Exchange], Awaitable[None]]
 
-
 @dataclass(frozen=True, slots=True)
 class _LimitTimeout:
     """Wait for a caller whose length is one of the limits.
@@ -177,7 +188,7 @@
     return limits.header_timeout_s
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One accepted connection."""
 
     def __init__(self, listener: Listener) -> None:
@@ -187,8 +198,8 @@
         self._first_limits = listener.limits()
         self._transport: asyncio.Transport | None = None
         self._head: h11.Request | None = None
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
+        self._unparsed_bytes = 0
         self._started_at = 0.0
         self._exchange: Exchange | None = None
         self._task: asyncio.Task[None] | None = None
@@ -196,12 +207,17 @@
         self._timeout: _LimitTimeout | None = None
         self._write_resumed: asyncio.Future[None] | None = None
         self._write_paused = False
+        self._undelivered = False
+        self._queued = False
+        self._deliver_until = 0.0
         self._discarding = False
         self._discarded_bytes = 0
         self._early_bytes = 0
         self._early_limit_reached = False
         self._reading_paused = False
-        self._turns = ParsingTurns(self._parse_event, self._update_reading)
+        self._turns = ParsingTurns(
+            self._parse_event, self._update_reading, shared=listener.shared_turns
+        )
         self._half_closed = False
         self._cut_reason: CutReason | None = None
         self._answered_at = 0.0
@@ -216,8 +232,13 @@
 
     @property
     def idle(self) -> bool:
-        """Return whether no request is being answered and none has begun to arrive."""
-        return self._task is None and self._started_at == 0.0
+        """Return whether no request is being answered and none has begun to arrive.
+
+        A request that waits behind an answer which the caller does not take has not
+        begun to arrive.
+        """
+        waiting = self._started_at == 0.0 or self._undelivered
+        return self._task is None and waiting
 
     @property
     def _max_header_bytes(self) -> int:
@@ -235,6 +256,8 @@
         """Set the socket's options and wait for the first request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        # Unsent bytes pause the writer at once: the system's buffer holds enough.
+        transport.set_write_buffer_limits(high=0)
         enable_dead_peer_detection(transport.get_extra_info("socket"), self._silence_ms)
         self._listener.connections.add(self)
         self._set_limit_timer(_idle_timeout_s, self.close)
@@ -248,31 +271,48 @@
         window for so long. The time is never lowered: the caller may still take the
         response to an earlier request.
         """
+        self._deliver_until = max(self._deliver_until, at)
         silence_ms = ceil(1000 * (at - monotonic()))
         if self.closed or self._transport is None or silence_ms <= self._silence_ms:
             return
         self._silence_ms = silence_ms
         allow_silence(self._transport.get_extra_info("socket"), silence_ms)
 
-    def data_received(self, data: bytes) -> None:
+    @property
+    def _answering(self) -> bool:
+        """Return whether the next request must wait, for an answer or for its turn."""
+        return self._task is not None or self._undelivered or self._queued
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes."""
+        buffer = read_buffer()
+        if self._answering and not self._discarding:
+            return buffer[: max(1, MAX_EARLY_BYTES - self._early_bytes)]
+        return buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse the received bytes."""
         if self._discarding:
-            self._discarded_bytes += len(data)
+            self._discarded_bytes += nbytes
             self._update_reading()
             return
-        if self._task is not None:
-            self._early_bytes += len(data)
-            if self._early_bytes > MAX_EARLY_BYTES:
-                self._early_limit_reached = True
-                self._update_reading()
+        if self._answering:
+            self._note_early_bytes(self._early_bytes + nbytes)
         if self._started_at == 0.0:
             self._started_at = monotonic()
             self._first_limits = self._listener.limits()
-            if self._task is None:
+            if not self._answering:
                 self._set_limit_timer(_header_timeout_s, self._head_timed_out)
-        self._http.receive_data(data)
+        self._unparsed_bytes += nbytes
+        self._http.receive_data(bytes(read_buffer()[:nbytes]))
         self._parse()
 
+    def _note_early_bytes(self, size: int) -> None:
+        """Read on behind a request in progress only if few bytes wait there."""
+        self._early_bytes = size
+        self._early_limit_reached = size >= MAX_EARLY_BYTES
+        self._update_reading()
+
     def _update_reading(self) -> None:
         """Read only while the parser keeps up and few early bytes wait."""
         assert self._transport is not None
@@ -325,6 +365,9 @@
         self._write_paused = False
         if self._write_resumed is not None and not self._write_resumed.done():
             self._write_resumed.set_result(None)
+        if self._undelivered:
+            self._undelivered = False
+            self._next_request()
 
     async def writable(self) -> None:
         """Wait until the caller has read enough for more to be written."""
@@ -339,12 +382,33 @@
     # reading
 
     def _parse(self) -> None:
-        if self._task is None and not self.closed:
-            self._turns.run()
+        """Parse what has arrived, a large head in a shared turn."""
+        if self._answering or self.closed:
+            return
+        if self._head is None and self._unparsed_bytes > LARGE_HEAD_BYTES:
+            self._queue()
+            return
+        self._turns.run()
+
+    def _queue(self) -> None:
+        """Parse the next request in a shared turn, and read little meanwhile."""
+        self._queued = True
+        self._note_early_bytes(self._unparsed_bytes)
+        self._listener.shared_turns.run(self._begin_queued)
+
+    def _begin_queued(self) -> None:
+        self._queued = False
+        if self.closed or self._transport is None or self._transport.is_closing():
+            return
+        self._note_early_bytes(0)
+        if self._timer is None:
+            # The time for the head of a request that was sent ahead begins now.
+            self._set_limit_timer(_header_timeout_s, self._head_timed_out)
+        self._turns.run()
 
     def _parse_event(self) -> bool:
         """Parse one event; return whether another one may follow."""
-        if self._task is not None or self.closed or self._discarding:
+        if self._answering or self.closed or self._discarding:
             return False
         try:
             event = self._http.next_event()
@@ -369,15 +433,15 @@
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head too large")
 
     def _handle_event(self, event: h11.Event) -> None:
+        self._unparsed_bytes = 0
         if isinstance(event, h11.Request):
             self._head = event
             self._expect_body(event)
         elif isinstance(event, h11.Data):
-            self._size += len(event.data)
-            if self._size > self._max_body_bytes:
+            if len(self._body) + len(event.data) > self._max_body_bytes:
                 self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
                 return
-            self._parts.append(bytes(event.data))
+            self._body += event.data
         elif isinstance(event, h11.EndOfMessage):
             self._serve()
 
@@ -408,16 +472,16 @@
             method=bytes(self._head.method),
             target=bytes(self._head.target),
             headers=headers,
-            body=b"".join(self._parts),
+            body=bytes(self._body),
             has_body=bool(
-                self._parts
+                self._body
                 or header_value(headers, b"content-length") is not None
                 or header_value(headers, b"transfer-encoding") is not None
             ),
             started_at=self._started_at,
         )
-        self._parts = []
-        self._size = 0
+        self._body = bytearray()
+        self._note_early_bytes(len(self._http.trailing_data[0]))
         self._exchange = Exchange(self)
         self._task = asyncio.create_task(self._run(request, self._exchange))
 
@@ -461,6 +525,11 @@
     def _next_request(self) -> None:
         if self.closed or self._transport is None:
             return
+        if self._write_paused:
+            self._undelivered = True
+            self._started_at = 0.0
+            self._set_timer(self._deliver_until - monotonic(), self._expire_delivery)
+            return
         # The states are not DONE if the handler ended without an answer.
         if (
             self._half_closed
@@ -470,9 +539,6 @@
             self._close_after_response()
             return
         self._http.start_next_cycle()
-        self._early_bytes = 0
-        self._early_limit_reached = False
-        self._update_reading()
         self._first_limits = self._listener.limits()
         self._head = None
         pending, _ = self._http.trailing_data
@@ -480,11 +546,20 @@
         if self._listener.draining and not pending:
             self.close()
             return
+        self._unparsed_bytes = len(pending)
+        self._set_timer(None)
         if pending:
-            self._set_limit_timer(_header_timeout_s, self._head_timed_out)
+            self._queue()
         else:
+            self._note_early_bytes(0)
             self._set_limit_timer(_idle_timeout_s, self.close)
-        self._parse()
+
+    def _expire_delivery(self) -> None:
+        """Give a caller that has not taken its answer by its deadline a last time."""
+        self._set_timer(self._listener.limits().idle_timeout_s, self._abort_late)
+
+    def _abort_late(self) -> None:
+        self.abort(CutReason.LIMIT)
 
     def _close_after_response(self) -> None:
         """Close the connection; after a whole response, first discard what arrives.
@@ -520,6 +595,7 @@
         self._reject(HTTPStatus.REQUEST_TIMEOUT, "body took too long")
 
     def _reject(self, status: int, problem: str) -> None:
+        problem = problem[:MAX_PROBLEM_CHARS]
         extra: dict[str, object] = {"status": status, "why": problem}
         extra["max_header_bytes"] = self._max_header_bytes
         extra["max_body_bytes"] = self._max_body_bytes
@@ -535,7 +611,19 @@
             self.write_event(h11.Response(status_code=status, headers=headers))
             self.write_event(h11.Data(data=body))
             self.write_event(h11.EndOfMessage())
-        self._set_timer(DISCARD_S, self.close)
+        self._head = None
+        self._body = bytearray()
+        self._http = h11.Connection(h11.SERVER)
+        self._update_reading()
+        self._set_timer(DISCARD_S, self._close_rejected)
+
+    def _close_rejected(self) -> None:
+        """Close the connection, whether its caller has read the refusal or not."""
+        assert self._transport is not None
+        if self._transport.get_write_buffer_size():
+            self._transport.abort()
+        else:
+            self.close()
 
     # writing
 
@@ -614,7 +702,9 @@
         if self._transport is None or self.closed:
             return
         if self._task is None and self._transport.get_write_buffer_size():
-            self._note_cut(CutReason.UNDELIVERED, self._answered_at, True)
+            late = reason is CutReason.LIMIT
+            reason = CutReason.LIMIT if late else CutReason.UNDELIVERED
+            self._note_cut(reason, self._answered_at, True)
         self._transport.abort()
 
 
@@ -634,6 +724,9 @@
 
     Attributes
     ----------
+    shared_turns : SharedTurns
+        Turns of requests that were sent ahead, of large heads and of bodies in many
+        pieces; listeners can share them.
     draining : bool
         Whether each answer asks the caller to close the connection.
     """
@@ -649,6 +742,7 @@
         self._host = host
         self._port = port
         self._server: asyncio.Server | None = None
+        self.shared_turns = SharedTurns()
         self.handler = handler
         self.limits = limits
         self.on_cut = on_cut
--- a/poplarrelay/entry/http/turns.py
+++ b/poplarrelay/entry/http/turns.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from time import perf_counter
 
+from poplarrelay.entry.http.shared_turns import SharedTurns
+
 __all__ = ["ParsingTurns"]
 
 #: Seconds of one turn.
@@ -30,6 +32,8 @@
         be read from meanwhile.
     give_up : callable
         Called when parsing has not caught up for too many turns in a row.
+    shared : SharedTurns or None
+        Turns that connections share, for all but the first turn of a read.
 
     Notes
     -----
@@ -43,21 +47,24 @@
         step: Callable[[], bool],
         on_change: Callable[[], None],
         give_up: Callable[[], None] = lambda: None,
+        shared: SharedTurns | None = None,
     ) -> None:
         self._step = step
         self._on_change = on_change
         self._give_up = give_up
+        self._shared = shared
         self._turns_behind = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._waiting = False
 
     @property
     def waiting(self) -> bool:
         """Return whether the next turn is due later."""
-        return self._timer is not None
+        return self._waiting
 
     def run(self) -> None:
         """Parse what has been received, or the beginning of it."""
-        if self._timer is not None:
+        if self._waiting:
             return
         end = perf_counter() + TURN_S
         while self._step():
@@ -69,18 +76,29 @@
         self._turns_behind += 1
         if self._turns_behind > MAX_TURNS_BEHIND:
             self._give_up()
+        self._waiting = True
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(PAUSE_S, self._next_turn)
+        self._timer = loop.call_later(PAUSE_S, self._end_pause)
         self._on_change()
 
-    def _next_turn(self) -> None:
+    def _end_pause(self) -> None:
         self._timer = None
+        if self._shared is None:
+            self._next_turn()
+        else:
+            self._shared.run(self._next_turn)
+
+    def _next_turn(self) -> None:
+        if not self._waiting:
+            return
+        self._waiting = False
         self.run()
-        if self._timer is None:
+        if not self._waiting:
             self._on_change()
 
     def cancel(self) -> None:
         """Parse nothing more."""
+        self._waiting = False
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
