--- a/poplarrelay/entry/settings.py
+++ b/poplarrelay/entry/settings.py
@@ -17,6 +17,7 @@
     "BoundSettings",
     "EntryListeners",
     "EntrySettings",
+    "ResourceSettings",
     "SchedulingSettings",
     "StoreSettings",
     "TunnelSettings",
@@ -172,6 +173,22 @@
     max_carried: int = Field(default=500, ge=0)
 
 
+class ResourceSettings(StrictModel):
+    """Resources of the process's host, of which callers get a part.
+
+    Attributes
+    ----------
+    memory_mb : float or None
+        Memory that the process may use, in MB; None for 256.
+    descriptors : int or None
+        Descriptors that the process may open, at most those that the system allows it;
+        None for these.
+    """
+
+    memory_mb: float | None = Field(default=None, ge=64)
+    descriptors: int | None = Field(default=None, ge=64)
+
+
 class EntrySettings(StrictModel):
     """Settings of one entry node.
 
@@ -201,6 +218,7 @@
     bounds: BoundSettings = BoundSettings()
     scheduling: SchedulingSettings = SchedulingSettings()
     tunnels: TunnelSettings = TunnelSettings()
+    resources: ResourceSettings = ResourceSettings()
     log_level: str = Field(default="INFO", pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")
 
     @classmethod
