Add clients that do not behave to the soak

A new kind, "callers misbehave": a crowd of a random kind at a random listener of a node, whose descriptors may be lowered or raised in its settings meanwhile, beside the other faults. Its requests are none that endpoints run, so all other checks stay as strict. A node that exceeds the memory of its host (160 MB) or the largest number of descriptors breaks WITHIN_RESOURCES.

--- a/poplarrelay/testing/soak/ledger.py
+++ b/poplarrelay/testing/soak/ledger.py
@@ -58,6 +58,7 @@
     NOTHING_LOST = "a request that ran or was read whole gets an answer"
     STOPS_IN_TIME = "a node that is stopped ends within its grace time"
     SERVES_AGAIN = "all nodes serve, by the newest configuration, after the faults"
+    WITHIN_RESOURCES = "a node keeps the memory and descriptors of its host"
 
 
 class Ending(Enum):
--- a/poplarrelay/testing/soak/plan.py
+++ b/poplarrelay/testing/soak/plan.py
@@ -19,6 +19,7 @@
     "SIXTH_KINDS",
     "TENTH_KINDS",
     "THIRD_KINDS",
+    "TWELFTH_KINDS",
     "FaultKind",
     "PlannedFault",
     "draw_plan",
@@ -113,6 +114,9 @@
     WRONG_ANSWERS
         Endpoints send other bytes in place of answers, send late second answers, and
         end streams regularly inside an event. Many requests are rejected meanwhile.
+    CALLERS_MISBEHAVE
+        Clients that keep no limit crowd a listener of a node, whose resources may be
+        lowered or raised meanwhile.
     """
 
     KILL = "kill"
@@ -150,6 +154,7 @@
     STOPS_IN_SERIES = "stops in series"
     ENDLESS_ANSWERS = "endless answers"
     WRONG_ANSWERS = "wrong answers"
+    CALLERS_MISBEHAVE = "callers misbehave"
 
 
 #: Kinds before ``ENDPOINT_RESTARTS`` and ``FOREIGN_RECORDS`` were added. Seeds that
@@ -174,9 +179,11 @@
 NINTH_KINDS = tuple(FaultKind)[:29]
 #: Kinds before ``STOPS_IN_SERIES`` and ``ENDLESS_ANSWERS`` were added.
 TENTH_KINDS = tuple(FaultKind)[:32]
-#: Kinds before ``WRONG_ANSWERS`` was added. These tuples depend on the order of the
-#: enum: append new kinds at its end.
+#: Kinds before ``WRONG_ANSWERS`` was added.
 ELEVENTH_KINDS = tuple(FaultKind)[:34]
+#: Kinds before ``CALLERS_MISBEHAVE`` was added. These tuples depend on the order of the
+#: enum: append new kinds at its end.
+TWELFTH_KINDS = tuple(FaultKind)[:35]
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrelay/testing/soak/run.py
+++ b/poplarrelay/testing/soak/run.py
@@ -41,6 +41,7 @@
     configuration_of,
     route_timeouts_s,
 )
+from poplarrelay.testing.soak.crowding import RESOURCES, crowd_node
 from poplarrelay.testing.soak.ledger import (
     Disruption,
     Invariant,
@@ -209,6 +210,8 @@
         Prompt parts that crash endpoints; cleared when the faults end.
     stream_violations : list of Violation
         Violations on streams of callers that take them up.
+    resource_violations : list of Violation
+        Violations on the resources of crowded nodes.
     targeted : TargetedFaults
         Faults with callers of their own.
     injected : list of tuple of FaultKind, float and float
@@ -234,6 +237,7 @@
     crash_bodies: set[bytes] = field(default_factory=set)
     crash_parts: set[str] = field(default_factory=set)
     stream_violations: list[Violation] = field(default_factory=list)
+    resource_violations: list[Violation] = field(default_factory=list)
     targeted: TargetedFaults = field(init=False)
     stops: NodeStops = field(init=False)
     injected: list[tuple[FaultKind, float, float]] = field(default_factory=list)
@@ -370,6 +374,7 @@
             FaultKind.STOPS_IN_SERIES: self.stops.stop_in_series,
             FaultKind.ENDLESS_ANSWERS: self._answer_without_end,
             FaultKind.WRONG_ANSWERS: partial(answer_wrongly, self),
+            FaultKind.CALLERS_MISBEHAVE: partial(crowd_node, self),
         }
         self.injected.append((fault.kind, monotonic(), inf))
         index = len(self.injected) - 1
@@ -764,6 +769,8 @@
         fair_shares=True,
         checkout=size.checkout,
     )
+    if FaultKind.CALLERS_MISBEHAVE in size.fault_kinds:
+        site.resources = RESOURCES
     await site.cloud.start()
     run = SoakRun(site, size, Random(seed), folder)
     plan = draw_plan(seed, size.length_s, size.fault_kinds)
@@ -794,6 +801,7 @@
     violations += check_notices(run.requests, run.runners, run.disruptions)
     violations += check_duties(site.cloud.accepted)
     violations += run.stream_violations + run.targeted.violations
+    violations += run.resource_violations
     faults = Counter(fault.kind.value for fault in plan)
     return SoakReport(seed, faults, count_endings(run.requests), violations)
 
--- a/poplarrelay/testing/soak/tests/test_soak.py
+++ b/poplarrelay/testing/soak/tests/test_soak.py
@@ -251,6 +251,7 @@
         (SEED_OF_STOPS, (FaultKind.STOPS_IN_SERIES,)),
         (1, (FaultKind.ENDLESS_ANSWERS, FaultKind.STOP)),
         (1, (FaultKind.WRONG_ANSWERS,)),
+        (1, (FaultKind.CALLERS_MISBEHAVE, FaultKind.STOP, FaultKind.RELOAD)),
     ],
 )
 def test_invariants_hold_under_random_faults(seed, kinds, tmp_path):
