Leave places for tunnels of a whole failure domain

A node on the operators' usual host carried 68 tunnels of peers at most, on the smallest 25, where tunnels.max_carried allows 500. If all hosts of a failure domain lose their paths to endpoints, all requests of its callers go through the other nodes. Tunnels now get 0.12 of the descriptors that are not kept (234 and 86 tunnels), discovery and control a little less, and connections 0.3 of the memory, so that callers still have 540 places on the smallest host. By calculation; test_caller_budget.py passes.

--- a/poplarrelay/entry/caller_budget.py
+++ b/poplarrelay/entry/caller_budget.py
@@ -38,7 +38,7 @@
 #: fragmentation and to copies that exist for a moment.
 HELD_SHARE, PINNED_SHARE = 0.5, 0.75
 #: Share of the other memory for connections, and bytes that one connection takes.
-CONNECTION_SHARE, CONNECTION_BYTES = 0.25, 16_384
+CONNECTION_SHARE, CONNECTION_BYTES = 0.3, 16_384
 #: Bytes that a request in progress takes besides its body and a large answer: its task,
 #: its connection to an endpoint, and what is read ahead on both connections.
 REQUEST_BYTES = 65_536
@@ -56,11 +56,11 @@
 #: Shares of the other descriptors by listener. Callers and connections to endpoints
 #: divide the rest.
 LISTENER_SHARES = {
-    "discovery": 0.08,
-    "control": 0.04,
+    "discovery": 0.06,
+    "control": 0.03,
     "readiness": 0.02,
     "metrics": 0.02,
-    TUNNELS: 0.04,
+    TUNNELS: 0.12,
 }
 #: Smallest number of descriptors for one listener, if there are ten times as many.
 MIN_CONNECTIONS = 16
@@ -166,7 +166,7 @@
         --------
         >>> capacity = Capacity.of(160e6, 1638)
         >>> capacity.connections["callers"], capacity.connections["readiness"]
-        (506, 25)
+        (540, 28)
         """
         memory_bytes -= min(OWN_BYTES, OWN_MEMORY_SHARE * memory_bytes)
         affordable = int(CONNECTION_SHARE * memory_bytes / CONNECTION_BYTES)
