Give a thread only to connections that send, and bound them and their bodies

Cause: cheroot hands an accepted connection to a thread at once, which waits up to 10 s for each read and write; the accept loop waits a second for a place in a full queue, and the newest connection gets 503. Each thread could hold a body of 4 MB, 880 MB with the default of 220 threads (by calculation).

A new connection waits in the selector like kept ones. Connections have a largest number, and bodies 32 MB together: another one gets 503, not run, with Retry-After.

--- a/poplarrelay/exception.py
+++ b/poplarrelay/exception.py
@@ -304,11 +304,14 @@
         Last part of the problem type (RFC 9457).
     title : str
         Short text that is the same for every instance of the problem (RFC 9457).
+    retry_after_s : float or None
+        Seconds until a retry can succeed, None if it cannot.
     """
 
     status = 400
     slug = "bad-request"
     title = "The request is not valid"
+    retry_after_s: float | None = None
 
 
 class AuthenticationFailed(CallerError):
@@ -327,6 +330,15 @@
     title = "The body is too large"
 
 
+class MemoryFull(CallerError):
+    """The process has no memory for the body now."""
+
+    status = 503
+    slug = "memory-full"
+    title = "The node has no memory for the request"
+    retry_after_s = 1.0
+
+
 class MalformedBody(CallerError):
     """The body is not JSON, lacks a field or has a field of the wrong type."""
 
--- a/poplarrelay/testing/crowds.py
+++ b/poplarrelay/testing/crowds.py
@@ -52,9 +52,9 @@
     return request * (AHEAD_BYTES // len(request) + 1)
 
 
-def _upload(*headers: str) -> bytes:
+def _upload(*headers: str, target: str = "/look/x") -> bytes:
     """Return the beginning of an upload that lacks its last byte."""
-    head = _request("/look/x", *headers, f"Content-Length: {BODY_BYTES}", method="POST")
+    head = _request(target, *headers, f"Content-Length: {BODY_BYTES}", method="POST")
     return head + b"x" * (BODY_BYTES - 1)
 
 
@@ -115,6 +115,7 @@
     )
     UNFINISHED_BODIES = Behaviour(opening=_upload(_AUTHORIZED))
     UNFINISHED_BODIES_WITHOUT_KEY = Behaviour(opening=_upload())
+    UNFINISHED_PROMPTS = Behaviour(opening=_upload(target="/v1/completions"))
     TINY_CHUNKS = Behaviour(
         opening=_request("/look/x", _AUTHORIZED, _CHUNKED, method="POST"),
         repeated=b"1\r\nx\r\n" * (BLOCK_BYTES // 6),
--- a/poplarrelay/testing/soak/crowding.py
+++ b/poplarrelay/testing/soak/crowding.py
@@ -31,6 +31,7 @@
         Crowd.BYTES_BEHIND_A_STREAM,
         Crowd.HALF_CLOSED,
         Crowd.RESETS,
+        Crowd.UNFINISHED_PROMPTS,
     }
 )
 LISTENERS = ("callers", "callers", "readiness", "discovery", "control", "tunnels")
--- a/poplarrelay/web/exchange.py
+++ b/poplarrelay/web/exchange.py
@@ -8,9 +8,10 @@
 import orjson
 from pydantic import BaseModel, ValidationError
 
-from poplarrelay.exception import BodyTooLarge, CallerError, MalformedBody
+from poplarrelay.exception import BodyTooLarge, CallerError, MalformedBody, MemoryFull
 from poplarrelay.settings import field_errors
-from poplarrelay.web.listener import CLOSE_CONNECTION
+from poplarrelay.web.bodies import BODIES
+from poplarrelay.web.listener import BODY_RECEIVED, CLOSE_CONNECTION
 from poplarrelay.web.problems import Problem, ProblemResponse, problem_from_error
 
 __all__ = [
@@ -63,6 +64,12 @@
         If the body or its ``Content-Length`` exceeds `limit` bytes.
     MalformedBody
         If the sender stops before the end of the body.
+    MemoryFull
+        If the bodies of other requests leave no room for it.
+
+    Notes
+    -----
+    The body counts until the end of the request.
     """
     length = header("Content-Length")
     if length is not None and (not length.isdigit() or int(length) > limit):
@@ -73,13 +80,15 @@
         return b""
     parts: list[bytes] = []
     size = 0
+    cherrypy.request.hooks.attach("on_end_request", lambda: BODIES.free(size))
     try:
         while chunk := cherrypy.request.rfile.read(_READ_BYTES):
-            size += len(chunk)
-            if size > limit:
+            if size + len(chunk) > limit:
                 raise BodyTooLarge(f"at most {limit} bytes are taken")
+            BODIES.hold(len(chunk))
+            size += len(chunk)
             parts.append(chunk)
-    except BodyTooLarge:
+    except (BodyTooLarge, MemoryFull):
         close_connection()
         raise
     except (OSError, ValueError) as error:
@@ -88,6 +97,9 @@
     if length is not None and size != int(length):
         close_connection()
         raise MalformedBody("the body did not arrive whole")
+    note_received = cherrypy.request.wsgi_environ.get(BODY_RECEIVED)
+    if note_received is not None:
+        note_received()
     return b"".join(parts)
 
 
--- a/poplarrelay/web/listener.py
+++ b/poplarrelay/web/listener.py
@@ -11,9 +11,12 @@
 import cherrypy
 from cheroot import wsgi
 
+from poplarrelay.entry.caller_budget import detect_descriptors
+from poplarrelay.web.connections import BoundedConnections, TimedConnection
 from poplarrelay.web.problems import error_page
 
 __all__ = [
+    "BODY_RECEIVED",
     "CLOSE_CONNECTION",
     "QUEUED_AT",
     "Listener",
@@ -26,11 +29,18 @@
 SENDER_TIMEOUT_S = 10
 #: Key of the WSGI environment for a function that closes the connection.
 CLOSE_CONNECTION = "poplarrelay.close_connection"
+#: Key of the WSGI environment for a function that notes the end of the body.
+BODY_RECEIVED = "poplarrelay.body_received"
 #: Key of the WSGI environment for the monotonic time at which the request arrived.
 QUEUED_AT = "poplarrelay.queued_at"
 #: Bytes by which the server's body limit exceeds the handlers' limit. The handlers
 #: reject large bodies with a typed problem; the server's limit is only a fallback.
 BODY_SLACK_BYTES = 262_144
+#: Connections of a listener, idle ones too, and the largest share of the descriptors
+#: that the process may open.
+MAX_CONNECTIONS, DESCRIPTOR_SHARE = 1024, 0.3
+#: Seconds between two looks for idle connections and slow senders.
+EXPIRATION_INTERVAL_S = 0.1
 #: Connections that wait for a thread. Further connections are refused immediately,
 #: because no deadline is enforced for a request that has not been read.
 ACCEPT_QUEUE_SIZE = 64
@@ -47,6 +57,7 @@
     max_header_bytes: int = 32_768
     max_body_bytes: int = 4_000_000
     sender_timeout_s: int = SENDER_TIMEOUT_S
+    max_connections: int = MAX_CONNECTIONS
 
 
 def _discard_log(*args: object, **kwargs: object) -> None:
@@ -86,9 +97,18 @@
     counts from the arrival of the request, not from the time a thread accepts it.
     """
 
+    ConnectionClass = TimedConnection
+    max_connections = MAX_CONNECTIONS
+
+    def prepare(self) -> None:
+        """Bind the address, and bound the connections."""
+        super().prepare()
+        self._connections.close()
+        self._connections: Any = BoundedConnections(self, self.max_connections)
+
     def process_conn(self, conn: Any) -> None:
         conn.queued_at = time.monotonic()
-        super().process_conn(conn)
+        self._connections.dispatch(conn, self.requests._queue)
 
 
 class _Gateway(wsgi.Gateway_10):
@@ -103,12 +123,16 @@
     def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
         environ: dict[str, Any] = super().get_environ()
         environ[CLOSE_CONNECTION] = self._close
+        environ[BODY_RECEIVED] = self._note_body
         environ[QUEUED_AT] = getattr(self.req.conn, "queued_at", time.monotonic())
         return environ
 
     def _close(self) -> None:
         self.req.close_connection = True
 
+    def _note_body(self) -> None:
+        self.req.conn.waits_since = None
+
 
 class Listener:
     """HTTP server on one address.
@@ -137,8 +161,11 @@
             timeout=limits.sender_timeout_s,
             shutdown_timeout=1,
             accepted_queue_size=ACCEPT_QUEUE_SIZE,
-            accepted_queue_timeout=1,
+            accepted_queue_timeout=0,
         )
+        descriptors = int(DESCRIPTOR_SHARE * detect_descriptors())
+        self._server.max_connections = min(limits.max_connections, descriptors)
+        self._server.expiration_interval = EXPIRATION_INTERVAL_S
         self._server.gateway = _Gateway
         self._server.max_request_header_size = limits.max_header_bytes
         self._server.max_request_body_size = limits.max_body_bytes + BODY_SLACK_BYTES
--- a/poplarrelay/web/problems.py
+++ b/poplarrelay/web/problems.py
@@ -73,7 +73,14 @@
 
 def problem_from_error(error: CallerError) -> Problem:
     """Return the problem of an unacceptable request, which was not run."""
-    return Problem(error.status, error.slug, error.title, str(error), outcome="not_run")
+    return Problem(
+        error.status,
+        error.slug,
+        error.title,
+        str(error),
+        outcome="not_run",
+        retry_after_s=error.retry_after_s,
+    )
 
 
 def problem_from_outcome(outcome: NotRun | Unknown) -> Problem:
