Hand on what is ready before a threaded listener accepts

Cause: a connection that gave way was closed in the middle of a round of the selector, the accepted one got its descriptor, and the rest of the round took the new one out of the selector for the closed one.

--- a/poplarrelay/web/connections.py
+++ b/poplarrelay/web/connections.py
@@ -14,13 +14,18 @@
 from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPConnection, HTTPRequest
 
+from poplarrelay.entry.caller_budget import detect_descriptors
+
 __all__ = ["BoundedConnections", "TimedConnection", "is_whole_request"]
 
-#: Seconds for which a connection may hold a thread while it sends a request, or takes
-#: a refusal, and others wait for a thread.
-MIN_HOLD_S = 0.5
+#: Seconds for which a connection may hold a thread while it sends a request, and while
+#: it takes a refusal, if others wait for a thread. A refusal fits into the system's
+#: buffer unless its caller has left others unread.
+SENDING_S, REFUSAL_S = 0.5, 0.1
 #: Seconds until a server without a descriptor accepts again.
 EXHAUSTED_PAUSE_S = 0.05
+#: Largest share of the process's descriptors for one listener.
+DESCRIPTOR_SHARE = 0.3
 #: Share of the connections from which those without a request give way first.
 NEW_SHARE = 0.5
 #: Share of the threads for requests that have not arrived whole.
@@ -74,7 +79,7 @@
         """Send the head of the answer; its caller must take a refusal soon."""
         status: Any = self.status
         if status[:1] == b"4":
-            self.conn.waits_since = time.monotonic()
+            self.conn.waits_since = time.monotonic() + REFUSAL_S - SENDING_S
         super().send_headers()
 
 
@@ -86,7 +91,8 @@
     requests_served : int
         Requests that were answered on the connection.
     waits_since : float or None
-        Monotonic time since which a thread waits for the peer, None if none does.
+        Monotonic time since which a thread waits for the peer, None if none does. It is
+        earlier for a refusal, which must be taken sooner.
     unfinished : bool
         Whether it holds one of the threads for requests that have not arrived whole.
     """
@@ -126,7 +132,8 @@
     server : HTTPServer
         The server.
     max_connections : int
-        Largest number of connections, also those in threads.
+        Largest number of connections, also those in threads. They never take more than
+        `DESCRIPTOR_SHARE` of the descriptors that the process may open now.
 
     Notes
     -----
@@ -162,13 +169,39 @@
         found = [c for c in self._selector.connections if c[1] is not self.server]
         return sorted(found, key=lambda each: each[1].last_used)
 
-    def _from_server_socket(self, server_socket: Any) -> None:
+    def _run(self, expiration_interval: float) -> None:
+        """Wait for connections and requests until the server stops.
+
+        A connection is accepted after all that are ready were handed on: one that gives
+        way frees its descriptor, which the new one gets.
+        """
+        expired_at = time.time()
+        while not self._stop_requested:
+            try:
+                ready = list(self._selector.select(timeout=expiration_interval))
+            except OSError:
+                self._remove_invalid_sockets()
+                continue
+            for descriptor, conn in ready:
+                if conn is not self.server:
+                    self._selector.unregister(descriptor)
+                    self.server.process_conn(conn)
+            if any(conn is self.server for _, conn in ready):
+                self._accept()
+            now = time.time()
+            if now - expired_at > expiration_interval:
+                self._expire(now - self.server.timeout)
+                expired_at = now
+
+    def _accept(self) -> None:
         """Accept a connection, and wait until it sends something."""
-        if self._count() >= self._max_connections and not self._close_idle():
+        descriptors = int(DESCRIPTOR_SHARE * detect_descriptors())
+        most = min(self._max_connections, descriptors)
+        if self._count() >= most and not self._close_idle():
             time.sleep(EXHAUSTED_PAUSE_S)
             return
         try:
-            conn = super()._from_server_socket(server_socket)
+            conn = self._from_server_socket(self.server.socket)
         except OSError as error:
             if error.errno not in _EXHAUSTED:
                 raise
@@ -185,7 +218,11 @@
         return int(self._num_connections + queued + busy + len(self._unfinished))
 
     def _close_idle(self) -> bool:
-        """Close the connection that has waited longest; return whether there is one."""
+        """Close the connection that gives way first; return whether there is one.
+
+        These are unfinished and idle ones, those that have waited longest first, and
+        then queued ones.
+        """
         with self._lock:
             conn = next(iter(self._unfinished), None)
             if conn is not None and len(self._unfinished) > self._num_connections:
@@ -196,10 +233,14 @@
         new = [each for each in idle if not each[1].requests_served]
         if new and len(new) >= NEW_SHARE * len(idle):
             idle = new
-        for descriptor, conn in idle[:1]:
+        if idle:
+            descriptor, conn = idle[0]
             self._selector.unregister(descriptor)
+        else:
+            conn = self._take_queued(self.server.requests._queue)
+        if conn is not None:
             conn.close()
-        return bool(idle)
+        return conn is not None
 
     # threads
 
@@ -219,16 +260,23 @@
                 return
             except Full:
                 pass
-            with queue.mutex:
-                waiting = [each for each in queue.queue if hasattr(each, "close")]
-                victim = max(waiting, key=lambda c: c.requests_served, default=conn)
-                if victim is not conn:
-                    queue.queue.remove(victim)
-            self.end_turn(victim)
-            self.server._unservicable_conns.put(victim)
-            if victim is conn:
+            victim = self._take_queued(queue)
+            self.server._unservicable_conns.put(conn if victim is None else victim)
+            if victim is None:
+                self.end_turn(conn)
                 return
 
+    def _take_queued(self, queue: Queue[Any]) -> Any:
+        """Remove the queued connection that gives way, None if none is queued."""
+        with queue.mutex:
+            waiting = [each for each in queue.queue if hasattr(each, "close")]
+            if not waiting:
+                return None
+            victim = max(waiting, key=lambda conn: conn.requests_served)
+            queue.queue.remove(victim)
+        self.end_turn(victim)
+        return victim
+
     def _begin_turn(self, conn: Any) -> bool:
         """Let a connection hold a thread for unfinished requests if one is left."""
         places = max(1, int(UNFINISHED_SHARE * len(self.server.requests._threads)))
@@ -274,6 +322,6 @@
         for waits_since, conn in sorted(since, key=lambda each: each[0])[
             : max(slow, waiting)
         ]:
-            if now - waits_since > MIN_HOLD_S:
+            if now - waits_since > SENDING_S:
                 with suppress(OSError):
                     conn.socket.shutdown(socket.SHUT_RDWR)
--- a/poplarrelay/web/listener.py
+++ b/poplarrelay/web/listener.py
@@ -11,7 +11,6 @@
 import cherrypy
 from cheroot import wsgi
 
-from poplarrelay.entry.caller_budget import detect_descriptors
 from poplarrelay.web.connections import BoundedConnections, TimedConnection
 from poplarrelay.web.problems import error_page
 
@@ -36,9 +35,8 @@
 #: Bytes by which the server's body limit exceeds the handlers' limit. The handlers
 #: reject large bodies with a typed problem; the server's limit is only a fallback.
 BODY_SLACK_BYTES = 262_144
-#: Connections of a listener, idle ones too, and the largest share of the descriptors
-#: that the process may open.
-MAX_CONNECTIONS, DESCRIPTOR_SHARE = 1024, 0.3
+#: Connections of a listener, idle ones too.
+MAX_CONNECTIONS = 1024
 #: Seconds between two looks for idle connections and slow senders.
 EXPIRATION_INTERVAL_S = 0.1
 #: Connections that wait for a thread. Further connections are refused immediately,
@@ -163,8 +161,7 @@
             accepted_queue_size=ACCEPT_QUEUE_SIZE,
             accepted_queue_timeout=0,
         )
-        descriptors = int(DESCRIPTOR_SHARE * detect_descriptors())
-        self._server.max_connections = min(limits.max_connections, descriptors)
+        self._server.max_connections = limits.max_connections
         self._server.expiration_interval = EXPIRATION_INTERVAL_S
         self._server.gateway = _Gateway
         self._server.max_request_header_size = limits.max_header_bytes
