--- a/bench/budget_safeguards.py
+++ b/bench/budget_safeguards.py
@@ -105,7 +105,7 @@
     Safeguard(
         "accepting pauses without descriptors",
         f"{HTTP}/accepting.py",
-        "                if error.errno not in _EXHAUSTED:\n",
+        "                if error.errno not in OUT_OF_DESCRIPTORS:\n",
         "                if True:\n",
         CONNECTIONS,
         package=HTTP,
--- a/poplarrelay/entry/caller_budget.py
+++ b/poplarrelay/entry/caller_budget.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "CALLERS",
+    "LARGE_BYTES",
     "SMALL_ANSWER_BYTES",
     "TUNNELS",
     "Account",
@@ -46,7 +47,7 @@
 BODY_COPIES = 2
 #: Bytes of an answer that `REQUEST_BYTES` includes.
 SMALL_ANSWER_BYTES = 16_384
-#: Bytes from which an unfinished request is worth closing to make room.
+#: Bytes from which an unfinished request counts, and closing it makes room.
 LARGE_BYTES = 4096
 #: Descriptors kept for files, the store, the cloud API and gossip, and the largest
 #: share of all descriptors for them.
--- a/poplarrelay/entry/http/accepting.py
+++ b/poplarrelay/entry/http/accepting.py
@@ -12,7 +12,7 @@
 from poplarrelay.entry.caller_budget import CallerBudget
 from poplarrelay.entry.http.dialing import Address
 
-__all__ = ["AcceptedProtocol", "Acceptor"]
+__all__ = ["OUT_OF_DESCRIPTORS", "AcceptedProtocol", "Acceptor"]
 
 _LOG = logging.getLogger("poplarrelay.entry.listener")
 
@@ -25,7 +25,7 @@
 #: Seconds until a listener without a place or a descriptor tries again.
 PAUSE_S = 0.25
 #: Errors of a system that has no descriptor or memory for another connection.
-_EXHAUSTED = frozenset((EMFILE, ENFILE, ENOBUFS, ENOMEM))
+OUT_OF_DESCRIPTORS = frozenset((EMFILE, ENFILE, ENOBUFS, ENOMEM))
 
 
 class AcceptedProtocol(asyncio.BaseProtocol):
@@ -108,7 +108,7 @@
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
-                if error.errno not in _EXHAUSTED:
+                if error.errno not in OUT_OF_DESCRIPTORS:
                     raise
                 self._budget.close_some(self._name)
                 self._pause()
--- a/poplarrelay/entry/http/listener.py
+++ b/poplarrelay/entry/http/listener.py
@@ -23,6 +23,7 @@
 
 from poplarrelay.entry.caller_budget import (
     CALLERS,
+    LARGE_BYTES,
     CallerBudget,
     Limit,
     Reaction,
@@ -57,8 +58,6 @@
 MAX_EARLY_BYTES = 16_384
 #: Bytes that a field of a parsed head takes besides its content.
 FIELD_BYTES = 300
-#: Bytes of an unfinished request below which it is not worth counting.
-UNCOUNTED_BYTES = 4096
 #: Bytes of a head from which it is parsed in a shared turn: it can have thousands of
 #: fields.
 LARGE_HEAD_BYTES = 4096
@@ -382,7 +381,7 @@
         if self._answering or self._discarding:
             return
         size = self._unparsed_bytes + self._head_cost + len(self._body)
-        if size >= UNCOUNTED_BYTES or self.account.held:
+        if size >= LARGE_BYTES or self.account.held:
             self.account.hold(size)
 
     def _update_reading(self) -> None:
--- a/poplarrelay/web/connections.py
+++ b/poplarrelay/web/connections.py
@@ -6,7 +6,6 @@
 import socket
 import time
 from contextlib import suppress
-from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
 from queue import Full, Queue
 from threading import Lock
 from typing import Any
@@ -15,6 +14,7 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 
 from poplarrelay.entry.caller_budget import detect_descriptors
+from poplarrelay.entry.http.accepting import OUT_OF_DESCRIPTORS
 
 __all__ = ["BoundedConnections", "TimedConnection", "is_whole_request"]
 
@@ -32,7 +32,6 @@
 UNFINISHED_SHARE = 0.5
 #: Largest beginning of a request that is looked at in bytes.
 PEEK_BYTES = 65_536
-_EXHAUSTED = frozenset((EMFILE, ENFILE, ENOBUFS, ENOMEM))
 _LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d{1,12})[ \t]*\r\n", re.IGNORECASE)
 _CHUNKED = re.compile(rb"\r\ntransfer-encoding:[^\r]*chunked", re.IGNORECASE)
 _LAST_CHUNK = b"0\r\n\r\n"
@@ -203,7 +202,7 @@
         try:
             conn = self._from_server_socket(self.server.socket)
         except OSError as error:
-            if error.errno not in _EXHAUSTED:
+            if error.errno not in OUT_OF_DESCRIPTORS:
                 raise
             self._close_idle()
             time.sleep(EXHAUSTED_PAUSE_S)
